--- /dev/null
+++ b/include/daisytrail/types.hpp
@@ -0,0 +1,82 @@
+// Value types that every part shares: addresses, flows, identifiers, time.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace daisytrail
+{
+
+// Time as the core sees it: since an arbitrary start, passed in by the caller.
+using duration = std::chrono::nanoseconds;
+using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
+
+// IPv4 address in host byte order.
+using ipv4 = std::uint32_t;
+
+// An IPv4 address and a port, both in host byte order.
+struct endpoint
+{
+    ipv4 address_ = 0;
+    std::uint16_t port_ = 0;
+
+    auto operator<=>(endpoint const&) const = default;
+};
+
+// "127.0.0.1:80" to an endpoint; throws error(invalid_argument).
+endpoint parse_endpoint(std::string_view text);
+
+// "127.0.0.1" to an address; throws error(invalid_argument).
+ipv4 parse_ipv4(std::string_view text);
+
+std::string to_string(endpoint const& value);
+std::string ipv4_to_string(ipv4 address);
+
+// Transport protocol number as in the IPv4 header.
+enum class protocol : std::uint8_t
+{
+    tcp = 6,
+    udp = 17
+};
+
+// One flow: the caller's address and port, and the VIP and port it called.
+struct flow_key
+{
+    endpoint caller_;
+    endpoint vip_;
+
+    auto operator<=>(flow_key const&) const = default;
+};
+
+// 64-bit hash of a flow, the same in every process and build.
+std::uint64_t hash_flow(flow_key const& flow);
+
+struct flow_hash
+{
+    std::size_t operator()(flow_key const& flow) const noexcept
+    {
+        return static_cast<std::size_t>(hash_flow(flow));
+    }
+};
+
+// Stable identifiers, derived from names by hash_name().
+using service_id = std::uint64_t;
+using target_id = std::uint64_t;
+
+// 64-bit XXH3 of a name: hash_name("hamutenya/depot-orders").
+std::uint64_t hash_name(std::string_view name);
+
+// Start time of a process in milliseconds since 1970, raised by one each time
+// the process refutes its own reported death.
+using incarnation = std::uint64_t;
+
+// Revision of the configuration store; grows with each accepted change.
+using revision = std::uint64_t;
+
+} // namespace daisytrail
