--- /dev/null
+++ b/src/net/http_call.cpp
@@ -0,0 +1,138 @@
+// One-shot HTTP client on Boost.Beast.
+#include "net/http_call.hpp"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+// Lives as long as an operation on it is pending.
+class http_call : public std::enable_shared_from_this<http_call>
+{
+public:
+    http_call(asio::io_context& io, http_request request,
+              std::function<void(http_outcome)> handler)
+        : stream_(io), request_(std::move(request)),
+          handler_(std::move(handler))
+    {
+        parser_.body_limit(max_page_body_bytes);
+    }
+
+    void start(endpoint const& peer, std::chrono::milliseconds timeout)
+    {
+        if (!request_.has_content_length())
+        {
+            request_.prepare_payload();
+        }
+        if (request_.count(http::field::host) == 0)
+        {
+            request_.set(http::field::host, to_string(peer));
+        }
+        stream_.expires_after(timeout);
+        stream_.async_connect(
+            asio::ip::tcp::endpoint(asio::ip::address_v4(peer.address_),
+                                    peer.port_),
+            [self = shared_from_this()](beast::error_code code)
+            {
+                if (code)
+                {
+                    self->fail(error_kind::unavailable, code);
+                    return;
+                }
+                self->write();
+            });
+    }
+
+    void cancel()
+    {
+        handler_ = nullptr;
+        stream_.close();
+    }
+
+private:
+    void write()
+    {
+        http::async_write(stream_, request_,
+                          [self = shared_from_this()](beast::error_code code,
+                                                      std::size_t written)
+                          {
+                              if (code)
+                              {
+                                  self->fail(written == 0
+                                                 ? error_kind::unavailable
+                                                 : error_kind::outcome_unknown,
+                                             code);
+                                  return;
+                              }
+                              self->read();
+                          });
+    }
+
+    void read()
+    {
+        http::async_read(
+            stream_, buffer_, parser_,
+            [self = shared_from_this()](beast::error_code code, std::size_t)
+            {
+                if (code)
+                {
+                    self->fail(error_kind::outcome_unknown, code);
+                    return;
+                }
+                self->finish({std::nullopt, {}, self->parser_.release()});
+            });
+    }
+
+    void fail(error_kind kind, beast::error_code code)
+    {
+        finish({kind, code.message(), {}});
+    }
+
+    void finish(http_outcome outcome)
+    {
+        if (auto handler = std::exchange(handler_, nullptr))
+        {
+            handler(std::move(outcome));
+        }
+    }
+
+    beast::tcp_stream stream_;
+    http_request request_;
+    std::function<void(http_outcome)> handler_; // empty once called
+    beast::flat_buffer buffer_;
+    http::response_parser<http::string_body> parser_;
+};
+
+} // namespace
+
+std::function<void()> async_http_call(asio::io_context& io,
+                                      endpoint const& peer,
+                                      http_request request,
+                                      std::chrono::milliseconds timeout,
+                                      std::function<void(http_outcome)> handler)
+{
+    auto call =
+        std::make_shared<http_call>(io, std::move(request), std::move(handler));
+    call->start(peer, timeout);
+    return [weak = std::weak_ptr(call)]
+    {
+        if (auto const alive = weak.lock())
+        {
+            alive->cancel();
+        }
+    };
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/http_call.hpp
@@ -0,0 +1,34 @@
+// One HTTP/1.1 call to another process, with a timeout.
+#pragma once
+
+#include "net/http_page.hpp"
+
+#include <daisytrail/error.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace daisytrail
+{
+
+// How a call ended: error_ is empty if response_ is whole. A failure before
+// the first byte of the request was written is `unavailable` (not run); a later
+// one is `outcome_unknown`.
+struct http_outcome
+{
+    std::optional<error_kind> error_;
+    std::string detail_;
+    http_response response_;
+};
+
+// Starts the call and returns a function that cancels it; after a cancel the
+// handler isn't called.
+std::function<void()>
+async_http_call(boost::asio::io_context& io, endpoint const& peer,
+                http_request request, std::chrono::milliseconds timeout,
+                std::function<void(http_outcome)> handler);
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/log.hpp
@@ -0,0 +1,26 @@
+// Logs as JSON lines through glog.
+#pragma once
+
+#include <boost/json/object.hpp>
+
+#include <string_view>
+
+namespace daisytrail
+{
+
+enum class log_level
+{
+    info,
+    warning,
+    error
+};
+
+// Starts glog with one JSON object a line on standard error. `process` is
+// stamped on every line.
+void start_log(std::string_view program, std::string_view process);
+
+// Writes one line: log_event(log_level::info, "flow_reset", {{"flows", 3}}).
+void log_event(log_level level, std::string_view event,
+               boost::json::object fields = {});
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/metrics.hpp
@@ -0,0 +1,62 @@
+// Named counters, gauges and quantiles in the Prometheus text format.
+#pragma once
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace daisytrail
+{
+
+// Streaming quantiles (0.5, 0.9, 0.99) of a value in seconds.
+class summary
+{
+public:
+    summary();
+    void add(double seconds);
+    std::string text(std::string const& name) const;
+
+private:
+    using accumulator = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<
+            boost::accumulators::tag::count, boost::accumulators::tag::sum,
+            boost::accumulators::tag::extended_p_square>>;
+
+    accumulator values_;
+};
+
+// Registry of one process, used on the event loop's thread only. References
+// that it returns stay valid for its life.
+//   auto& drops = metrics.counter("daisytrail_drops_total{kind=\"fragment\"}");
+//   ++drops;
+class metrics
+{
+public:
+    // `name` may end in labels: name{label="value"}.
+    std::uint64_t& counter(std::string const& name);
+
+    // The function is called at each read.
+    void gauge(std::string const& name, std::function<double()> read);
+
+    summary& quantiles(std::string const& name);
+
+    // All metrics in the Prometheus text exposition format.
+    std::string text() const;
+
+private:
+    std::map<std::string, std::unique_ptr<std::uint64_t>> counters_;
+    std::map<std::string, std::function<double()>> gauges_;
+    std::map<std::string, std::unique_ptr<summary>> summaries_;
+};
+
+} // namespace daisytrail
