--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -53,7 +53,7 @@
 }
 
 void log_event(log_level level, std::string_view event,
-               boost::json::object fields)
+               boost::json::object const& fields)
 {
     static constexpr std::string_view level_names[] = {"info", "warning",
                                                        "error"};
@@ -64,9 +64,9 @@
     line["level"] = level_names[static_cast<std::size_t>(level)];
     line["process"] = process_name();
     line["event"] = event;
-    for (auto& [key, value] : fields)
+    for (auto const& [key, value] : fields)
     {
-        line[key] = std::move(value);
+        line[key] = value;
     }
     auto const text = boost::json::serialize(line);
     switch (level)
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -21,6 +21,6 @@
 
 // Writes one line: log_event(log_level::info, "flow_reset", {{"flows", 3}}).
 void log_event(log_level level, std::string_view event,
-               boost::json::object fields = {});
+               boost::json::object const& fields = {});
 
 } // namespace daisytrail
