Authentication of datagrams between processes

Cause: control and pointer datagrams arrive on open UDP ports. Conclusion: 7 unit cases cover forgery, replay, reordering, key change, restarted senders and foreign channels.

--- /dev/null
+++ b/test/unit/authenticator_test.cpp
@@ -0,0 +1,113 @@
+// Tests of datagram authentication and the replay window.
+#include "rpc/authenticator.hpp"
+
+#include <daisytrail/error.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+
+namespace
+{
+
+std::string const key_a(64, 'a');
+std::string const key_b(64, 'b');
+time_point const start{};
+
+std::vector<std::byte> const payload(5, std::byte{7});
+
+authenticator link(std::vector<std::string> const& keys,
+                   std::uint64_t session = 1,
+                   datagram_channel channel = datagram_channel::control)
+{
+    return {keys, 42, session, channel};
+}
+
+} // namespace
+
+TEST_CASE("a sealed datagram opens once")
+{
+    auto sender = link({key_a});
+    auto receiver = link({key_a});
+    auto const datagram = sender.seal(payload);
+    auto const opened = receiver.open(datagram, start);
+    REQUIRE(opened.verdict_ == open_verdict::accepted);
+    CHECK(opened.sender_ == 42);
+    CHECK(std::vector(opened.payload_.begin(), opened.payload_.end()) ==
+          payload);
+    CHECK(receiver.open(datagram, start).verdict_ == open_verdict::replayed);
+}
+
+TEST_CASE("any changed byte is refused")
+{
+    auto sender = link({key_a});
+    auto receiver = link({key_a});
+    auto const good = sender.seal(payload);
+    for (std::size_t i = 0; i < good.size(); ++i)
+    {
+        auto bad = good;
+        bad[i] ^= std::byte{1};
+        CHECK(receiver.open(bad, start).verdict_ == open_verdict::bad_code);
+    }
+    for (std::size_t size = 0; size < good.size(); ++size)
+    {
+        CHECK(receiver.open(std::span(good).first(size), start).verdict_ !=
+              open_verdict::accepted);
+    }
+}
+
+TEST_CASE("keys change without a stop")
+{
+    auto old_key = link({key_a});
+    auto both = link({key_b, key_a}, 2);
+    auto receiver = link({key_a, key_b});
+    CHECK(receiver.open(old_key.seal(payload), start).verdict_ ==
+          open_verdict::accepted);
+    CHECK(receiver.open(both.seal(payload), start).verdict_ ==
+          open_verdict::accepted);
+    auto after = link({key_b});
+    CHECK(after.open(old_key.seal(payload), start).verdict_ ==
+          open_verdict::bad_code);
+}
+
+TEST_CASE("reordered datagrams open within the window and not beyond")
+{
+    auto sender = link({key_a});
+    auto receiver = link({key_a});
+    auto const too_old = sender.seal(payload);
+    auto const oldest = sender.seal(payload);
+    for (int i = 0; i < 62; ++i)
+    {
+        sender.seal(payload);
+    }
+    auto const newest = sender.seal(payload);
+    CHECK(receiver.open(newest, start).verdict_ == open_verdict::accepted);
+    CHECK(receiver.open(oldest, start).verdict_ == open_verdict::accepted);
+    CHECK(receiver.open(too_old, start).verdict_ == open_verdict::replayed);
+}
+
+TEST_CASE("an earlier session of a restarted sender is refused")
+{
+    auto first = link({key_a}, 1);
+    auto second = link({key_a}, 2);
+    auto receiver = link({key_a});
+    auto const late = first.seal(payload);
+    CHECK(receiver.open(second.seal(payload), start).verdict_ ==
+          open_verdict::accepted);
+    CHECK(receiver.open(late, start).verdict_ == open_verdict::replayed);
+}
+
+TEST_CASE("a datagram of another channel is refused")
+{
+    auto sender = link({key_a}, 1, datagram_channel::pointer);
+    auto receiver = link({key_a});
+    CHECK(receiver.open(sender.seal(payload), start).verdict_ ==
+          open_verdict::bad_code);
+}
+
+TEST_CASE("a key of the wrong size or no key is an error")
+{
+    CHECK_THROWS_AS(link({}), error);
+    CHECK_THROWS_AS(link({"abcd"}), error);
+    CHECK_THROWS_AS(link({std::string(64, 'x')}), error);
+}
