TCP flows in user space on lwIP's raw API

Cause: the fabric hands any packet to any balancer, so the kernel can't end a flow. Change: tcp_stack and tcp_flow: connect, listen, backpressure, half-close, abort.

--- /dev/null
+++ b/src/lwip/tcp_stack.cpp
@@ -0,0 +1,440 @@
+// TCP flows on lwIP's raw API.
+#include "lwip/tcp_stack.hpp"
+
+#include <daisytrail/error.hpp>
+
+#include <lwip/init.h>
+#include <lwip/ip4.h>
+#include <lwip/netif.h>
+#include <lwip/pbuf.h>
+#include <lwip/priv/tcp_priv.h>
+#include <lwip/tcp.h>
+#include <lwip/timeouts.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <random>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds timer_interval{20};
+constexpr std::size_t largest_write_bytes =
+    std::numeric_limits<std::uint16_t>::max();
+constexpr std::uint8_t listen_backlog = 255;
+
+ip4_addr_t to_lwip(ipv4 address)
+{
+    ip4_addr_t result;
+    result.addr = lwip_htonl(address);
+    return result;
+}
+
+ipv4 from_lwip(ip_addr_t const& address)
+{
+    return lwip_ntohl(ip_2_ip4(&address)->addr);
+}
+
+// lwip_init() may run once in a process; later stacks share its state. The
+// random start of tcp_ticks makes the first initial sequence number differ
+// between processes.
+void initialise_once()
+{
+    static bool const done = []
+    {
+        lwip_init();
+        tcp_ticks = std::random_device{}();
+        return true;
+    }();
+    static_cast<void>(done);
+}
+
+} // namespace
+
+// Callbacks that lwIP invokes. An ERR_ABRT result tells lwIP that the pcb was
+// aborted within the callback.
+struct tcp_callbacks
+{
+    static tcp_flow& flow(void* argument)
+    {
+        return *static_cast<tcp_flow*>(argument);
+    }
+
+    static err_t result(tcp_flow const& at)
+    {
+        return at.aborted_ ? ERR_ABRT : ERR_OK;
+    }
+
+    static err_t receive(void* argument, tcp_pcb*, pbuf* buffer, err_t)
+    {
+        auto const alive = flow(argument).shared_from_this();
+        auto const handlers = alive->handlers_;
+        if (buffer == nullptr)
+        {
+            alive->received_fin_ = true;
+            if (handlers->on_end_)
+            {
+                handlers->on_end_();
+            }
+            alive->close_if_done();
+            return result(*alive);
+        }
+        for (pbuf const* part = buffer; part != nullptr; part = part->next)
+        {
+            if (handlers->on_data_ && alive->is_open())
+            {
+                handlers->on_data_(
+                    {static_cast<std::byte const*>(part->payload), part->len});
+            }
+        }
+        pbuf_free(buffer);
+        return result(*alive);
+    }
+
+    static err_t sent(void* argument, tcp_pcb*, u16_t)
+    {
+        auto const alive = flow(argument).shared_from_this();
+        auto const handlers = alive->handlers_;
+        if (handlers->on_writable_)
+        {
+            handlers->on_writable_();
+        }
+        return result(*alive);
+    }
+
+    static void failed(void* argument, err_t code)
+    {
+        auto const alive = flow(argument).shared_from_this();
+        alive->pcb_ = nullptr;
+        alive->closed(code != ERR_CLSD);
+    }
+
+    static err_t connected(void* argument, tcp_pcb*, err_t)
+    {
+        auto const alive = flow(argument).shared_from_this();
+        auto const handlers = alive->handlers_;
+        if (handlers->on_connected_)
+        {
+            handlers->on_connected_();
+        }
+        return result(*alive);
+    }
+
+    static err_t accepted(void* argument, tcp_pcb* pcb, err_t code)
+    {
+        if (code != ERR_OK || pcb == nullptr)
+        {
+            return ERR_VAL;
+        }
+        flow_key const key{{from_lwip(pcb->remote_ip), pcb->remote_port},
+                           {from_lwip(pcb->local_ip), pcb->local_port}};
+        auto const opened = std::make_shared<tcp_flow>(key);
+        opened->attach(pcb);
+        (*static_cast<tcp_stack::accept_flow*>(argument))(opened);
+        return result(*opened);
+    }
+};
+
+tcp_flow::tcp_flow(flow_key const& key)
+    : key_(key), handlers_(std::make_shared<tcp_handlers>())
+{
+}
+
+tcp_flow::~tcp_flow() = default;
+
+void tcp_flow::set_handlers(tcp_handlers handlers)
+{
+    handlers_ = std::make_shared<tcp_handlers>(std::move(handlers));
+}
+
+void tcp_flow::attach(tcp_pcb* pcb)
+{
+    pcb_ = pcb;
+    self_ = shared_from_this();
+    tcp_arg(pcb, this);
+    tcp_recv(pcb, tcp_callbacks::receive);
+    tcp_sent(pcb, tcp_callbacks::sent);
+    tcp_err(pcb, tcp_callbacks::failed);
+    tcp_nagle_disable(pcb);
+}
+
+void tcp_flow::detach()
+{
+    if (pcb_ != nullptr)
+    {
+        tcp_arg(pcb_, nullptr);
+        tcp_recv(pcb_, nullptr);
+        tcp_sent(pcb_, nullptr);
+        tcp_err(pcb_, nullptr);
+        pcb_ = nullptr;
+    }
+}
+
+void tcp_flow::closed(bool reset)
+{
+    auto const alive = std::exchange(self_, nullptr);
+    detach();
+    auto const handlers =
+        std::exchange(handlers_, std::make_shared<tcp_handlers>());
+    if (handlers->on_closed_)
+    {
+        handlers->on_closed_(reset);
+    }
+}
+
+void tcp_flow::close_if_done()
+{
+    if (pcb_ == nullptr || !sent_fin_ || !received_fin_)
+    {
+        return;
+    }
+    // In LAST_ACK lwIP still reports the end through tcp_err().
+    if (pcb_->state == TIME_WAIT || pcb_->state == CLOSING)
+    {
+        closed(false);
+    }
+}
+
+std::size_t tcp_flow::write(std::span<std::byte const> bytes)
+{
+    if (pcb_ == nullptr || sent_fin_)
+    {
+        return 0;
+    }
+    std::size_t const room =
+        std::min<std::size_t>(tcp_sndbuf(pcb_), largest_write_bytes);
+    auto const count = static_cast<u16_t>(std::min(bytes.size(), room));
+    if (count == 0 ||
+        tcp_write(pcb_, bytes.data(), count, TCP_WRITE_FLAG_COPY) != ERR_OK)
+    {
+        return 0;
+    }
+    tcp_output(pcb_);
+    return count;
+}
+
+void tcp_flow::consume(std::size_t bytes)
+{
+    while (pcb_ != nullptr && bytes > 0)
+    {
+        auto const count =
+            static_cast<u16_t>(std::min(bytes, largest_write_bytes));
+        tcp_recved(pcb_, count);
+        bytes -= count;
+    }
+}
+
+void tcp_flow::shutdown()
+{
+    if (pcb_ == nullptr || sent_fin_)
+    {
+        return;
+    }
+    sent_fin_ = true;
+    if (tcp_shutdown(pcb_, 0, 1) != ERR_OK)
+    {
+        abort();
+        return;
+    }
+    close_if_done();
+}
+
+void tcp_flow::abort()
+{
+    if (pcb_ == nullptr)
+    {
+        return;
+    }
+    auto* const pcb = pcb_;
+    auto const alive = shared_from_this();
+    aborted_ = true;
+    detach();
+    tcp_abort(pcb);
+    closed(true);
+}
+
+struct tcp_stack::interface
+{
+    netif netif_{};
+};
+
+struct tcp_stack::listener
+{
+    tcp_pcb* pcb_ = nullptr;
+    accept_flow accept_;
+};
+
+tcp_stack::tcp_stack(boost::asio::io_context& io, std::size_t mtu,
+                     send_packet send)
+    : timer_(io), mtu_(mtu), send_(std::move(send))
+{
+    initialise_once();
+    run_timers();
+}
+
+tcp_stack::~tcp_stack()
+{
+    while (!listeners_.empty())
+    {
+        unlisten(listeners_.begin()->first);
+    }
+    for (auto& [address, held] : interfaces_)
+    {
+        netif_remove(&held->netif_);
+    }
+}
+
+void tcp_stack::run_timers()
+{
+    timer_.expires_after(timer_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code)
+            {
+                sys_check_timeouts();
+                run_timers();
+            }
+        });
+}
+
+void tcp_stack::stop()
+{
+    timer_.cancel();
+}
+
+tcp_stack::interface& tcp_stack::add_address(ipv4 address)
+{
+    auto& held = interfaces_[address];
+    if (held)
+    {
+        return *held;
+    }
+    held = std::make_unique<interface>();
+    auto const ip = to_lwip(address);
+    auto const mask = to_lwip(0xFFFFFFFF);
+    auto const gateway = to_lwip(0);
+    auto const initialise = [](netif* added) -> err_t
+    {
+        auto const* stack = static_cast<tcp_stack*>(added->state);
+        added->mtu = static_cast<u16_t>(stack->mtu_);
+        added->name[0] = 'd';
+        added->name[1] = 't';
+        added->output = [](netif* through, pbuf* buffer,
+                           ip4_addr_t const*) -> err_t
+        {
+            auto const* sender = static_cast<tcp_stack*>(through->state);
+            // LWIP_NETIF_TX_SINGLE_PBUF: the packet is in one piece.
+            sender->send_(
+                {static_cast<std::byte const*>(buffer->payload), buffer->len});
+            return ERR_OK;
+        };
+        return ERR_OK;
+    };
+    netif_add(&held->netif_, &ip, &mask, &gateway, this, initialise, ip_input);
+    netif_set_up(&held->netif_);
+    netif_set_link_up(&held->netif_);
+    // Every interface sends the same way, so any of them can be the default.
+    netif_set_default(&held->netif_);
+    return *held;
+}
+
+void tcp_stack::input(std::span<std::byte const> packet)
+{
+    constexpr std::size_t destination_offset = 16;
+    constexpr std::size_t header_bytes = 20;
+    if (packet.size() < header_bytes)
+    {
+        return;
+    }
+    ipv4 destination = 0;
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        destination = (destination << 8U) |
+                      std::to_integer<ipv4>(packet[destination_offset + i]);
+    }
+    // lwIP would forward a packet for an address that isn't its own.
+    auto const held = interfaces_.find(destination);
+    if (held == interfaces_.end())
+    {
+        return;
+    }
+    auto* const buffer =
+        pbuf_alloc(PBUF_RAW, static_cast<u16_t>(packet.size()), PBUF_RAM);
+    if (buffer == nullptr)
+    {
+        return;
+    }
+    pbuf_take(buffer, packet.data(), static_cast<u16_t>(packet.size()));
+    auto& through = held->second->netif_;
+    if (through.input(buffer, &through) != ERR_OK)
+    {
+        pbuf_free(buffer);
+    }
+}
+
+void tcp_stack::listen(endpoint const& vip, accept_flow accept)
+{
+    auto& held = listeners_[vip];
+    if (held)
+    {
+        held->accept_ = std::move(accept);
+        return;
+    }
+    add_address(vip.address_);
+    held = std::make_unique<listener>();
+    held->accept_ = std::move(accept);
+    auto* const pcb = tcp_new_ip_type(IPADDR_TYPE_V4);
+    ip_addr_t address = IPADDR4_INIT(lwip_htonl(vip.address_));
+    if (pcb == nullptr || tcp_bind(pcb, &address, vip.port_) != ERR_OK)
+    {
+        listeners_.erase(vip);
+        throw error(error_kind::unavailable,
+                    "can't listen on VIP " + to_string(vip));
+    }
+    held->pcb_ = tcp_listen_with_backlog(pcb, listen_backlog);
+    tcp_arg(held->pcb_, &held->accept_);
+    tcp_accept(held->pcb_, tcp_callbacks::accepted);
+}
+
+void tcp_stack::unlisten(endpoint const& vip)
+{
+    auto const held = listeners_.find(vip);
+    if (held != listeners_.end())
+    {
+        tcp_close(held->second->pcb_);
+        listeners_.erase(held);
+    }
+}
+
+std::shared_ptr<tcp_flow> tcp_stack::connect(flow_key const& key,
+                                             tcp_handlers handlers)
+{
+    add_address(key.caller_.address_);
+    auto opened = std::make_shared<tcp_flow>(key);
+    opened->set_handlers(std::move(handlers));
+    auto* const pcb = tcp_new_ip_type(IPADDR_TYPE_V4);
+    if (pcb == nullptr)
+    {
+        throw error(error_kind::limit_exceeded, "no memory for a TCP flow");
+    }
+    opened->attach(pcb);
+    ip_addr_t local = IPADDR4_INIT(lwip_htonl(key.caller_.address_));
+    ip_addr_t remote = IPADDR4_INIT(lwip_htonl(key.vip_.address_));
+    if (tcp_bind(pcb, &local, key.caller_.port_) != ERR_OK ||
+        tcp_connect(pcb, &remote, key.vip_.port_, tcp_callbacks::connected) !=
+            ERR_OK)
+    {
+        opened->abort();
+        throw error(error_kind::unavailable, "can't open a flow from " +
+                                                 to_string(key.caller_) +
+                                                 " to " + to_string(key.vip_));
+    }
+    return opened;
+}
+
+} // namespace daisytrail
--- a/src/lwip/tcp_stack.hpp
+++ b/src/lwip/tcp_stack.hpp
@@ -40,7 +40,7 @@
 class tcp_flow : public std::enable_shared_from_this<tcp_flow>
 {
 public:
-    explicit tcp_flow(flow_key const& key) : key_(key) {}
+    explicit tcp_flow(flow_key const& key);
     ~tcp_flow();
     tcp_flow(tcp_flow const&) = delete;
     tcp_flow& operator=(tcp_flow const&) = delete;
@@ -79,10 +79,11 @@
     void closed(bool reset);
 
     flow_key key_;
-    tcp_handlers handlers_;
-    tcp_pcb* pcb_ = nullptr; // null once the flow is closed
+    std::shared_ptr<tcp_handlers> handlers_; // never null
+    tcp_pcb* pcb_ = nullptr;                 // null once the flow is closed
     bool sent_fin_ = false;
     bool received_fin_ = false;
+    bool aborted_ = false;
     std::shared_ptr<tcp_flow> self_; // set while lwIP refers to this flow
 };
 
