Templates and settings: parsing with every fault, its line and column

Cause: operators need to know all that is wrong with a file before it is sent. Change: Boost.JSON's event parser is fed byte by byte, which ties each event to its place; tables of fields read the tree and gather all faults. Durations are strings with a unit ("250ms", "30s", "5m", "1h"). Settings need one or two keys.

--- /dev/null
+++ b/src/config/json_document.cpp
@@ -0,0 +1,316 @@
+// Boost.JSON's event parser, fed byte by byte so that each event is tied to the
+// position of its first byte. Its own support for comments fails when a comment
+// ends at the end of a buffer, so comments are blanked beforehand.
+#include "config/json_document.hpp"
+
+#include <boost/json/basic_parser_impl.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytrail::detail
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::size_t unlimited = static_cast<std::size_t>(-1);
+
+// Builds the tree. The parser calls the event functions; the feeding loop sets
+// token_at_ to where the current token began.
+struct tree_builder
+{
+    // NOLINTBEGIN(readability-identifier-naming): names that Boost.JSON asks
+    // for
+    static constexpr std::size_t max_array_size = unlimited;
+    static constexpr std::size_t max_object_size = unlimited;
+    static constexpr std::size_t max_string_size = unlimited;
+    static constexpr std::size_t max_key_size = unlimited;
+    // NOLINTEND(readability-identifier-naming)
+
+    json_node root_;
+    std::vector<json_node> open_; // arrays and objects not yet closed
+    std::string partial_;         // of the current string or key
+    std::string key_;
+    text_position key_at_;
+    text_position token_at_;
+    bool in_token_ = false;
+
+    json_node make(json_type type)
+    {
+        in_token_ = false;
+        json_node node;
+        node.type_ = type;
+        node.at_ = token_at_;
+        node.key_ = std::exchange(key_, {});
+        node.key_at_ = key_at_;
+        return node;
+    }
+
+    bool add(json_node node)
+    {
+        if (open_.empty())
+        {
+            root_ = std::move(node);
+        }
+        else
+        {
+            open_.back().children_.push_back(std::move(node));
+        }
+        return true;
+    }
+
+    bool open(json_type type)
+    {
+        open_.push_back(make(type));
+        return true;
+    }
+
+    bool close()
+    {
+        auto node = std::move(open_.back());
+        open_.pop_back();
+        in_token_ = false;
+        return add(std::move(node));
+    }
+
+    bool add_number(json_type type, std::uint64_t integer, double real)
+    {
+        auto node = make(type);
+        node.integer_ = integer;
+        node.real_ = real;
+        return add(std::move(node));
+    }
+
+    bool on_document_begin(json::error_code&)
+    {
+        return true;
+    }
+
+    bool on_document_end(json::error_code&)
+    {
+        return true;
+    }
+
+    bool on_array_begin(json::error_code&)
+    {
+        return open(json_type::array);
+    }
+
+    bool on_array_end(std::size_t, json::error_code&)
+    {
+        return close();
+    }
+
+    bool on_object_begin(json::error_code&)
+    {
+        return open(json_type::object);
+    }
+
+    bool on_object_end(std::size_t, json::error_code&)
+    {
+        return close();
+    }
+
+    bool on_string_part(json::string_view part, std::size_t, json::error_code&)
+    {
+        partial_.append(part.data(), part.size());
+        return true;
+    }
+
+    bool on_string(json::string_view part, std::size_t, json::error_code&)
+    {
+        partial_.append(part.data(), part.size());
+        auto node = make(json_type::string);
+        node.text_ = std::exchange(partial_, {});
+        return add(std::move(node));
+    }
+
+    bool on_key_part(json::string_view part, std::size_t, json::error_code&)
+    {
+        partial_.append(part.data(), part.size());
+        return true;
+    }
+
+    bool on_key(json::string_view part, std::size_t, json::error_code&)
+    {
+        partial_.append(part.data(), part.size());
+        key_ = std::exchange(partial_, {});
+        key_at_ = token_at_;
+        in_token_ = false;
+        return true;
+    }
+
+    static bool on_number_part(json::string_view, json::error_code&)
+    {
+        return true;
+    }
+
+    bool on_int64(std::int64_t value, json::string_view, json::error_code&)
+    {
+        auto const real = static_cast<double>(value);
+        return value < 0 ? add_number(json_type::real, 0, real)
+                         : add_number(json_type::integer,
+                                      static_cast<std::uint64_t>(value), real);
+    }
+
+    bool on_uint64(std::uint64_t value, json::string_view, json::error_code&)
+    {
+        return add_number(json_type::integer, value,
+                          static_cast<double>(value));
+    }
+
+    bool on_double(double value, json::string_view, json::error_code&)
+    {
+        return add_number(json_type::real, 0, value);
+    }
+
+    bool on_bool(bool value, json::error_code&)
+    {
+        auto node = make(json_type::boolean);
+        node.boolean_ = value;
+        return add(std::move(node));
+    }
+
+    bool on_null(json::error_code&)
+    {
+        return add(make(json_type::null));
+    }
+
+    static bool on_comment_part(json::string_view, json::error_code&)
+    {
+        return true;
+    }
+
+    static bool on_comment(json::string_view, json::error_code&)
+    {
+        return true;
+    }
+};
+
+// End of the string that opens at `from`.
+std::size_t skip_string(std::string_view text, std::size_t from)
+{
+    std::size_t at = from + 1;
+    while (at < text.size() && text[at] != '"')
+    {
+        at += text[at] == '\\' ? 2 : 1;
+    }
+    return at + 1;
+}
+
+// End of the comment that opens at `from`, or `from` if there is none. A line
+// comment ends before its line break.
+std::size_t skip_comment(std::string_view text, std::size_t from)
+{
+    auto const opening = text.substr(from, 2);
+    if (opening == "//")
+    {
+        return std::min(text.find('\n', from), text.size());
+    }
+    if (opening != "/*")
+    {
+        return from;
+    }
+    auto const end = text.find("*/", from + 2);
+    return end == std::string_view::npos ? from : end + 2;
+}
+
+// Replaces comments by spaces and keeps every line and column.
+std::string blank_comments(std::string_view text)
+{
+    std::string result(text);
+    std::size_t at = 0;
+    while (at < text.size())
+    {
+        if (text[at] == '"')
+        {
+            at = skip_string(text, at);
+            continue;
+        }
+        auto const end = skip_comment(text, at);
+        std::replace_if(
+            result.begin() + static_cast<std::ptrdiff_t>(at),
+            result.begin() + static_cast<std::ptrdiff_t>(end),
+            [](char byte) { return byte != '\n'; }, ' ');
+        at = std::max(end, at + 1);
+    }
+    return result;
+}
+
+bool starts_token(char byte)
+{
+    constexpr std::string_view separators = " \t\r\n,:]}";
+    return separators.find(byte) == std::string_view::npos;
+}
+
+void advance(text_position& at, char byte)
+{
+    if (byte == '\n')
+    {
+        ++at.line_;
+        at.column_ = 1;
+        return;
+    }
+    ++at.column_;
+}
+
+std::string describe(char byte)
+{
+    constexpr char first_printable = 0x20;
+    if (byte >= first_printable)
+    {
+        return {'\'', byte, '\''};
+    }
+    return byte == '\n' ? "the end of the line" : "an unprintable byte";
+}
+
+template_error syntax_error(text_position at, std::string found,
+                            json::error_code const& code)
+{
+    return {"", at.line_, at.column_, std::move(found),
+            "JSON with comments (" + code.message() + ")"};
+}
+
+} // namespace
+
+json_document read_json(std::string_view text)
+{
+    json::basic_parser<tree_builder> parser(json::parse_options{});
+    json_document document;
+    text_position at;
+    json::error_code code;
+    for (char const byte : blank_comments(text))
+    {
+        auto& builder = parser.handler();
+        if (!builder.in_token_ && starts_token(byte))
+        {
+            builder.in_token_ = true;
+            builder.token_at_ = at;
+        }
+        auto const used = parser.write_some(true, &byte, 1, code);
+        if (!code && used == 0)
+        {
+            code = json::error::extra_data;
+        }
+        if (code)
+        {
+            document.errors_.push_back(syntax_error(at, describe(byte), code));
+            return document;
+        }
+        advance(at, byte);
+    }
+    parser.write_some(false, "", 0, code);
+    if (code)
+    {
+        document.errors_.push_back(
+            syntax_error(at, "the end of the text", code));
+        return document;
+    }
+    document.root_ = std::move(parser.handler().root_);
+    return document;
+}
+
+} // namespace daisytrail::detail
--- /dev/null
+++ b/src/config/json_document.hpp
@@ -0,0 +1,54 @@
+// JSON with comments as a tree of values that know their line and column.
+#pragma once
+
+#include <daisytrail/organisation.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisytrail::detail
+{
+
+enum class json_type : std::uint8_t
+{
+    null,
+    boolean,
+    integer, // a whole number from 0 up
+    real,    // any other number
+    string,
+    array,
+    object
+};
+
+struct text_position
+{
+    std::size_t line_ = 1;   // from 1
+    std::size_t column_ = 1; // from 1, in bytes
+};
+
+struct json_node
+{
+    json_type type_ = json_type::null;
+    text_position at_;
+    std::string key_;                 // name in the parent object
+    text_position key_at_;            // valid if the parent is an object
+    bool boolean_ = false;            // valid for json_type::boolean
+    std::uint64_t integer_ = 0;       // valid for json_type::integer
+    double real_ = 0;                 // valid for integer and real
+    std::string text_;                // valid for json_type::string
+    std::vector<json_node> children_; // of arrays and objects
+};
+
+struct json_document
+{
+    json_node root_;                     // valid if errors_ is empty
+    std::vector<template_error> errors_; // at most one syntax error
+};
+
+// Reads one document: read_json(R"({"a": 1} // comment)").
+json_document read_json(std::string_view text);
+
+} // namespace daisytrail::detail
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,205 @@
+// Fields of the daemons' settings.
+#include "config/field_reader.hpp"
+
+#include <daisytrail/settings.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+using detail::field;
+using detail::presence;
+using detail::value_reader;
+
+constexpr std::size_t key_hex_digits = 64; // 32 bytes
+constexpr std::size_t max_keys = 2;
+constexpr std::size_t max_endpoints = 256;
+constexpr std::uint32_t least_control_bytes = 1'000;
+constexpr std::uint32_t most_control_bytes = 10'000'000;
+
+bool is_hex(char byte)
+{
+    return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'f') ||
+           (byte >= 'A' && byte <= 'F');
+}
+
+bool is_key(detail::json_node const& node)
+{
+    return node.type_ == detail::json_type::string &&
+           node.text_.size() == key_hex_digits &&
+           std::all_of(node.text_.begin(), node.text_.end(), is_hex);
+}
+
+// A wrong key isn't repeated in the fault, since faults end up in logs.
+void read_keys(value_reader const& in, common_settings& out)
+{
+    if (!in.is_array(1, max_keys))
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < in.node().children_.size(); ++i)
+    {
+        auto const& node = in.node().children_[i];
+        if (!is_key(node))
+        {
+            in.element(i).fault("something else", "64 hexadecimal digits");
+            continue;
+        }
+        if (std::find(out.keys_.begin(), out.keys_.end(), node.text_) !=
+            out.keys_.end())
+        {
+            in.element(i).fault("the same key", "each key only once");
+        }
+        out.keys_.push_back(node.text_);
+    }
+}
+
+constexpr std::array<field<common_settings>, 7> common_fields{{
+    {"name", presence::required,
+     [](value_reader const& in, common_settings& out)
+     {
+         in.name(out.name_);
+     }},
+    {"failure_domain", presence::required,
+     [](value_reader const& in, common_settings& out)
+     {
+         in.name(out.failure_domain_);
+     }},
+    {"control", presence::required,
+     [](value_reader const& in, common_settings& out)
+     {
+         in.address(out.control_);
+     }},
+    {"http", presence::required,
+     [](value_reader const& in, common_settings& out)
+     {
+         in.address(out.http_);
+     }},
+    {"seeds", presence::optional,
+     [](value_reader const& in, common_settings& out)
+     {
+         in.addresses(out.seeds_, 0, max_endpoints);
+     }},
+    {"keys", presence::required, read_keys},
+    {"control_bytes_per_second", presence::optional,
+     [](value_reader const& in, common_settings& out)
+     {
+         in.number(out.control_bytes_per_second_, least_control_bytes,
+                   most_control_bytes);
+     }},
+}};
+
+constexpr std::array<field<balancer_settings>, 2> balancer_fields{{
+    {"data", presence::required,
+     [](value_reader const& in, balancer_settings& out)
+     {
+         in.address(out.data_);
+     }},
+    {"stores", presence::optional,
+     [](value_reader const& in, balancer_settings& out)
+     {
+         in.addresses(out.stores_, 0, max_endpoints);
+     }},
+}};
+
+constexpr std::array<field<agent_settings>, 5> agent_fields{{
+    {"organisation", presence::required,
+     [](value_reader const& in, agent_settings& out)
+     {
+         in.name(out.organisation_);
+     }},
+    {"service", presence::required,
+     [](value_reader const& in, agent_settings& out)
+     {
+         in.name(out.service_);
+     }},
+    {"tunnel", presence::required,
+     [](value_reader const& in, agent_settings& out)
+     {
+         in.address(out.tunnel_);
+     }},
+    {"rpc", presence::required,
+     [](value_reader const& in, agent_settings& out)
+     {
+         in.address(out.rpc_);
+     }},
+    {"fabric", presence::required,
+     [](value_reader const& in, agent_settings& out)
+     {
+         in.addresses(out.fabric_, 1, max_endpoints);
+     }},
+}};
+
+// The table of one daemon: the common fields, then its own.
+template <typename Settings, std::size_t Own>
+auto join_fields(std::array<field<Settings>, Own> const& own)
+{
+    std::vector<field<Settings>> all;
+    [&]<std::size_t... Index>(std::index_sequence<Index...>)
+    {
+        (all.push_back({common_fields[Index].name_,
+                        common_fields[Index].presence_,
+                        [](value_reader const& in, Settings& out)
+                        {
+                            common_fields[Index].read_(in, out.common_);
+                        }}),
+         ...);
+    }
+    (std::make_index_sequence<common_fields.size()>{});
+    all.insert(all.end(), own.begin(), own.end());
+    return all;
+}
+
+template <typename Settings, std::size_t Own>
+parsed_settings<Settings>
+parse_settings(std::string_view text,
+               std::array<field<Settings>, Own> const& own)
+{
+    parsed_settings<Settings> result;
+    auto document = detail::read_json(text);
+    result.errors_ = std::move(document.errors_);
+    if (!result.errors_.empty())
+    {
+        return result;
+    }
+    value_reader const root(document.root_, "", result.errors_);
+    detail::read_object(root, join_fields(own), result.value_);
+    detail::sort_faults(result.errors_);
+    return result;
+}
+
+} // namespace
+
+parsed_settings<balancer_settings>
+parse_balancer_settings(std::string_view text)
+{
+    auto result = parse_settings<balancer_settings>(text, balancer_fields);
+    auto const& value = result.value_;
+    if (result.errors_.empty() && value.stores_.empty() &&
+        value.common_.seeds_.empty())
+    {
+        result.errors_.push_back(
+            {"", 1, 1, "neither 'stores' nor 'seeds'",
+             "at least one of them, or the balancer can learn nothing"});
+    }
+    return result;
+}
+
+parsed_settings<agent_settings> parse_agent_settings(std::string_view text)
+{
+    auto result = parse_settings<agent_settings>(text, agent_fields);
+    if (result.errors_.empty() && result.value_.common_.seeds_.empty())
+    {
+        result.errors_.push_back(
+            {"seeds", 1, 1, "no address",
+             "the control address of at least one balancer"});
+    }
+    return result;
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/test/unit/config_test.cpp
@@ -0,0 +1,222 @@
+// Templates and settings: valid files, and the place and text of each fault.
+#include <daisytrail/organisation.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace daisytrail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string service_with(std::string const& fields)
+{
+    return R"({"name": "o", "services": [{"name": "s", "mode": "requests",)"
+           R"( "vips": ["203.0.113.1:80"])" +
+           fields + "}]}";
+}
+
+std::vector<std::string> faults_of(std::string const& text)
+{
+    std::vector<std::string> lines;
+    for (auto const& fault : parse_organisation(text).errors_)
+    {
+        lines.push_back(to_string(fault));
+    }
+    return lines;
+}
+
+std::string read_file(std::string const& path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string example(std::string const& name)
+{
+    return read_file(DAISYTRAIL_SOURCE_DIR "/support/examples/" + name);
+}
+
+} // namespace
+
+TEST_CASE("a template with the required fields has the defaults")
+{
+    auto const parsed = parse_organisation(service_with(""));
+    REQUIRE(parsed.errors_.empty());
+    auto const& service = parsed.value_.services_.at(0);
+    CHECK(service.id_ == hash_name("o/s"));
+    CHECK(service.vips_ ==
+          std::vector<endpoint>{parse_endpoint("203.0.113.1:80")});
+    CHECK(service.limits_ == service_limits{});
+    CHECK(service.classes_.empty());
+}
+
+TEST_CASE("the examples are valid")
+{
+    CHECK(faults_of(example("hamutenya.json")).empty());
+    CHECK(faults_of(example("sencna-mreza.json")).empty());
+    CHECK(parse_balancer_settings(example("balancer.json")).errors_.empty());
+    CHECK(parse_agent_settings(example("agent.json")).errors_.empty());
+}
+
+TEST_CASE("a fault tells its line, column and path")
+{
+    auto const lines = faults_of("// a comment\n"
+                                 "{\"name\": \"o\",\n"
+                                 " /* more */ \"services\": [\n"
+                                 "  {\"name\": \"s\", \"mode\": \"strem\",\n"
+                                 "   \"vips\": [\"203.0.113.1:80\"]}]}\n");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0] == "4:25: services[0].mode: found 'strem', expected "
+                      "'stream' or 'requests'");
+}
+
+TEST_CASE("all faults are reported at once, in the order of the file")
+{
+    auto const lines = faults_of(service_with(
+        R"(, "limits": {"queue": 70000, "idle_timeout": 5, "x": 1},)"
+        R"( "retry_budget": 1.5, "classes": [{"methods": ["get"]}])"));
+    REQUIRE(lines.size() == 6);
+    CHECK(lines[0].find("limits.queue: found 70000, expected a whole number "
+                        "from 0 to 65536") != std::string::npos);
+    CHECK(lines[1].find("limits.idle_timeout: found 5, expected a duration") !=
+          std::string::npos);
+    CHECK(lines[2].find("limits.x: found unknown field 'x'") !=
+          std::string::npos);
+    CHECK(lines[3].find("retry_budget: found 1.5, expected a number from 0 "
+                        "to 1") != std::string::npos);
+    CHECK(lines[4].find("classes[0]: found no field 'name'") !=
+          std::string::npos);
+    CHECK(lines[5].find("classes[0].methods[0]: found 'get'") !=
+          std::string::npos);
+}
+
+TEST_CASE("numbers at the edge of a limit")
+{
+    CHECK(faults_of(service_with(R"(, "limits": {"queue": 0})")).empty());
+    CHECK(faults_of(service_with(R"(, "limits": {"queue": 65536})")).empty());
+    CHECK(faults_of(service_with(R"(, "limits": {"queue": 65537})")).size() ==
+          1);
+    CHECK(faults_of(service_with(R"(, "limits": {"queue": -1})")).size() == 1);
+    CHECK(faults_of(service_with(R"(, "limits": {"queue": 1.5})")).size() == 1);
+    CHECK(faults_of(service_with(R"(, "limits": {"connections": 0})")).size() ==
+          1);
+}
+
+TEST_CASE("durations have a unit")
+{
+    auto const parsed = parse_organisation(service_with(
+        R"(, "limits": {"header_timeout": "250ms", "idle_timeout": "5m",)"
+        R"( "drain_timeout": "2h"})"));
+    REQUIRE(parsed.errors_.empty());
+    auto const& limits = parsed.value_.services_[0].limits_;
+    CHECK(limits.header_timeout_ == 250ms);
+    CHECK(limits.idle_timeout_ == 5min);
+    CHECK(limits.drain_timeout_ == 2h);
+    for (std::string const bad : {"", "s", "1", "1d", "-1s", "1 s", "1ss"})
+    {
+        CAPTURE(bad);
+        CHECK(faults_of(service_with(R"(, "limits": {"idle_timeout": ")" + bad +
+                                     "\"}"))
+                  .size() == 1);
+    }
+}
+
+TEST_CASE("a duplicate key, service, class and VIP is a fault")
+{
+    CHECK(faults_of(R"({"name": "a", "name": "b", "services": []})").size() ==
+          1);
+    CHECK(faults_of(service_with(R"(, "classes": [{"name": "c"},)"
+                                 R"( {"name": "c"}])"))
+              .size() == 1);
+    auto const lines = faults_of(
+        R"({"name": "o", "services": [)"
+        R"({"name": "s", "mode": "stream", "vips": ["203.0.113.1:80"]},)"
+        R"({"name": "s", "mode": "stream", "vips": ["203.0.113.1:80"]}]})");
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0].find("service 's' again") != std::string::npos);
+    CHECK(lines[1].find("VIP 203.0.113.1:80") != std::string::npos);
+}
+
+TEST_CASE("the same VIP address with another port is another VIP")
+{
+    CHECK(faults_of(R"({"name": "o", "services": [)"
+                    R"({"name": "s", "mode": "stream",)"
+                    R"( "vips": ["203.0.113.1:80", "203.0.113.1:81"]}]})")
+              .empty());
+}
+
+TEST_CASE("VIPs that callers can't reach are faults")
+{
+    for (std::string const bad :
+         {"203.0.113.1", "203.0.113.1:0", "203.0.113.256:80", "224.0.0.1:80",
+          "0.0.0.0:80", "name:80", "203.0.113.1:65536"})
+    {
+        CAPTURE(bad);
+        CHECK(faults_of(R"({"name": "o", "services": [{"name": "s",)"
+                        R"( "mode": "stream", "vips": [")" +
+                        bad + R"("]}]})")
+                  .size() == 1);
+    }
+}
+
+TEST_CASE("wrong types at the top")
+{
+    CHECK(faults_of("[]").size() == 1);
+    CHECK(faults_of("null").size() == 1);
+    CHECK(faults_of(R"({"name": 1, "services": {}})").size() == 2);
+}
+
+TEST_CASE("syntax errors tell where")
+{
+    auto const lines = faults_of("{\n  \"name\" 1}");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0].starts_with("2:10: found '1', expected JSON"));
+    CHECK(faults_of("").size() == 1);
+    CHECK(faults_of("{").size() == 1);
+    CHECK(faults_of("{} {}").size() == 1);
+    CHECK(faults_of(R"({"name": "o", "services": []} // end)").empty());
+}
+
+TEST_CASE("a template larger than the store's values is refused")
+{
+    std::string const padding(300'000, ' ');
+    CHECK(faults_of(service_with("") + padding).size() == 1);
+}
+
+TEST_CASE("classes belong to services of mode requests")
+{
+    CHECK(faults_of(R"({"name": "o", "services": [{"name": "s",)"
+                    R"( "mode": "stream", "vips": ["203.0.113.1:80"],)"
+                    R"( "classes": [{"name": "c"}]}]})")
+              .size() == 1);
+}
+
+TEST_CASE("settings faults: unknown field, bad key, nobody to ask")
+{
+    std::string const head =
+        R"({"name": "b", "failure_domain": "d", "control": "127.0.0.1:1",)"
+        R"( "http": "127.0.0.1:2", "data": "127.0.0.1:3",)";
+    std::string const key(64, 'a');
+    auto const faults = [&](std::string const& rest)
+    {
+        return parse_balancer_settings(head + rest).errors_;
+    };
+    CHECK(faults(R"("keys": [")" + key + R"("], "stores": ["127.0.0.1:4"]})")
+              .empty());
+    CHECK(faults(R"("keys": [")" + key + R"("]})").size() == 1);
+    CHECK(faults(R"("keys": [], "stores": ["127.0.0.1:4"]})").size() == 1);
+    CHECK(faults(R"("keys": [")" + key +
+                 R"("], "stores": ["127.0.0.1:4"], "x": 1})")
+              .size() == 1);
+    auto const short_key =
+        faults(R"("keys": ["5ec2e7"], "stores": ["127.0.0.1:4"]})");
+    REQUIRE(short_key.size() == 1);
+    CHECK(to_string(short_key[0]).find("5ec2e7") == std::string::npos);
+}
