Splice between a flow and a kernel socket

Cause: the agent's stream mode and the fabric stand-in copy bytes the same way. Change: one class for both, with backpressure, half-close and reset. Conclusion: one piece of code serves both.

--- /dev/null
+++ b/src/lwip/splice.hpp
@@ -0,0 +1,87 @@
+// Copies bytes both ways between a TCP flow in user space and a kernel socket,
+// with backpressure, half-close and reset passed on.
+#pragma once
+
+#include "lwip/tcp_stack.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace daisytrail
+{
+
+// How a splice ended.
+enum class splice_end
+{
+    complete,     // both directions ended with a FIN
+    flow_reset,   // the flow was reset or lost
+    socket_reset, // the socket was reset or lost
+    aborted       // abort() was called
+};
+
+// Byte counts of one splice.
+struct splice_bytes
+{
+    std::uint64_t from_flow_ = 0;
+    std::uint64_t from_socket_ = 0;
+};
+
+// Both ends must be connected. Lives until it has ended:
+//   auto copy = std::make_shared<splice>(flow, std::move(socket), on_end);
+//   copy->start();
+class splice : public std::enable_shared_from_this<splice>
+{
+public:
+    using end_handler = std::function<void(splice_end, splice_bytes const&)>;
+
+    splice(std::shared_ptr<tcp_flow> flow, boost::asio::ip::tcp::socket socket,
+           end_handler on_end);
+
+    // `early` are bytes of the flow that arrived before the splice began; they
+    // were not consumed yet.
+    void start(std::span<std::byte const> early = {});
+
+    // Resets both ends.
+    void abort();
+
+    std::shared_ptr<tcp_flow> const& flow() const
+    {
+        return flow_;
+    }
+
+private:
+    static constexpr std::size_t read_bytes = 32'768;
+
+    void on_flow_data(std::span<std::byte const> bytes);
+    void write_socket();
+    void read_socket();
+    void write_flow();
+    void end_if_complete();
+    void end(splice_end how);
+
+    std::shared_ptr<tcp_flow> flow_;
+    boost::asio::ip::tcp::socket socket_;
+    end_handler on_end_; // empty once called
+    splice_bytes bytes_;
+
+    // Flow to socket: queued_ collects while writing_ is being written.
+    std::vector<std::byte> queued_;
+    std::vector<std::byte> writing_;
+    bool is_writing_ = false;
+    bool flow_ended_ = false;       // the flow's FIN has arrived
+    bool socket_shut_down_ = false; // and was passed on
+
+    // Socket to flow: pending_ is the part of buffer_ not yet accepted.
+    std::array<std::byte, read_bytes> buffer_{};
+    std::span<std::byte const> pending_;
+    bool socket_ended_ = false; // end of file was read and passed on
+};
+
+} // namespace daisytrail
