Balancer's data path, its page, and a view with less held per target

Cause: the balancer had a core choice but no path for a packet. The view held whole target records, of which a balancer needs a part; it kept a target in two tables if its service changed, and an address claimed by two organisations belonged to whichever came last. Change: dispatch_packet() decides for a packet, the forwarder moves packets in batches, the page shows health, metrics, view and explain. A view keeps the choice's part of a record. A contested address goes to the lowest service id in any order of arrival.

--- a/include/daisytrail/forwarding.hpp
+++ b/include/daisytrail/forwarding.hpp
@@ -43,12 +43,20 @@
     }
 };
 
+// One member of a service and its share of new flows.
+struct table_member
+{
+    candidate candidate_;
+    std::uint32_t weight_ = 0; // at least 1, or the member is left out
+};
+
 // The members of one service, laid out for fast choice. Immutable once built.
 class service_table
 {
 public:
-    // Keeps the records whose state may own flows.
+    // Keeps the members whose state may own flows; their order is immaterial.
     explicit service_table(std::span<target_record const> records);
+    static service_table from_members(std::span<table_member const> members);
 
     // Ranked candidates for a flow hash. Members that take new work come in
     // rendezvous order; draining ones keep their rank, so that the first
@@ -66,12 +74,17 @@
     }
 
 private:
+    void build(std::span<table_member const> members);
+
     // Parallel arrays; members_[i] has seed seeds_[i] and scale scales_[i].
     std::vector<candidate> members_;
     std::vector<std::uint64_t> seeds_;
     std::vector<double> scales_; // 1 / weight
 };
 
+// What the choice needs of a record.
+table_member to_member(target_record const& record);
+
 // Score of one member for one flow; the lowest score wins. The result has the
 // same bits on every build, since only IEEE add, multiply and divide are used.
 double rendezvous_score(std::uint64_t flow, std::uint64_t seed, double scale);
--- a/include/daisytrail/view.hpp
+++ b/include/daisytrail/view.hpp
@@ -7,8 +7,11 @@
 #include <daisytrail/organisation.hpp>
 #include <daisytrail/record.hpp>
 
+#include <boost/unordered/unordered_flat_map.hpp>
+
 #include <cstddef>
-#include <span>
+#include <functional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -24,28 +27,65 @@
     }
 };
 
+// What the view keeps of a target's record: less than the whole, since a
+// balancer holds the targets of all services.
+struct held_target
+{
+    table_member member_;
+    std::uint64_t sequence_ = 0;
+    std::string name_;
+
+    target_id target() const
+    {
+        return member_.candidate_.target_;
+    }
+
+    member_state state() const
+    {
+        return member_.candidate_.state_;
+    }
+};
+
+// A service of the view. The first members are what a packet reads.
+struct service_entry
+{
+    service_id id_ = 0;
+    service_table table_{{}};
+    std::vector<held_target> targets_; // sorted by target()
+    std::vector<endpoint> vips_;       // claimed by the template, sorted
+    std::string name_;                 // "organisation/service"; empty while
+                                       // no template names the service
+};
+
 class fleet_view
 {
 public:
+    using service_entry = daisytrail::service_entry;
+
+    fleet_view() = default;
+    // vips_ points into services_.
+    fleet_view(fleet_view const&) = delete;
+    fleet_view& operator=(fleet_view const&) = delete;
+
     // Replaces all services of the organisation, keeping the targets of
-    // services that stay. VIPs that it no longer names become unknown.
+    // services that stay. VIPs that it no longer names become unknown. If two
+    // organisations claim a VIP, the service with the lower id has it,
+    // whichever came first, so that all balancers agree.
     void apply(organisation_template const& organisation);
 
     // Merges a record; returns true if it superseded the one held.
     bool apply(target_record const& record);
 
-    // Forgets a record whose state is left or dead.
+    // Forgets a target whose state is left or dead; does nothing to others.
     void forget(target_id target);
 
     // The service behind a VIP and port, or nullptr.
-    struct service_entry
+    service_entry const* find(endpoint const& vip) const
     {
-        service_id id_ = 0;
-        service_table table_{{}};
-        std::vector<target_record> targets_; // sorted by target_
-        std::vector<endpoint> vips_;
-    };
-    service_entry const* find(endpoint const& vip) const;
+        auto const entry = vips_.find(vip);
+        return entry == vips_.end() ? nullptr : entry->second;
+    }
+
     service_entry const* find_service(service_id id) const;
 
     std::size_t service_count() const
@@ -53,11 +93,27 @@
         return services_.size();
     }
 
+    std::size_t target_count() const
+    {
+        return service_of_target_.size();
+    }
+
+    void for_each_service(
+        std::function<void(service_entry const&)> const& visit) const;
+
 private:
-    // Every value of vips_ is a key of services_.
-    std::unordered_map<endpoint, service_id, endpoint_hash> vips_;
+    void claim(endpoint const& vip, service_entry& service);
+    void release(endpoint const& vip, service_entry& service);
+    void remove_target(service_entry& service, target_id target);
+    void erase_if_unused(service_id id);
+
+    // Every value points into services_, whose nodes don't move.
+    boost::unordered_flat_map<endpoint, service_entry*, endpoint_hash> vips_;
+    // VIPs with more than one claim, and all services that claim them.
+    std::unordered_map<endpoint, std::vector<service_entry*>, endpoint_hash>
+        contested_;
     std::unordered_map<service_id, service_entry> services_;
-    std::unordered_map<target_id, service_id> service_of_target_;
+    boost::unordered_flat_map<target_id, service_id> service_of_target_;
     std::unordered_map<std::string, std::vector<service_id>> organisations_;
 };
 
--- /dev/null
+++ b/src/balancer/forwarder.cpp
@@ -0,0 +1,122 @@
+// Receive, decide, send: in batches.
+#include "balancer/forwarder.hpp"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+#include <string>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+// Batches forwarded before other events of the loop get a turn.
+constexpr int batches_per_turn = 8;
+
+asio::ip::udp::socket open_socket(asio::io_context& io, endpoint const& local)
+{
+    return {io, asio::ip::udp::v4(), open_udp_socket(local)};
+}
+
+} // namespace
+
+forwarder::forwarder(asio::io_context& io, endpoint const& local,
+                     fleet_view const& view, metrics& counters)
+    : view_(view), socket_(open_socket(io, local)),
+      receiver_(socket_.native_handle()), sender_(socket_.native_handle()),
+      random_(std::random_device{}()),
+      received_(counters.counter("daisytrail_packets_received_total")),
+      forwarded_(counters.counter("daisytrail_packets_forwarded_total")),
+      forwarded_bytes_(counters.counter("daisytrail_bytes_forwarded_total")),
+      refused_(counters.counter("daisytrail_packets_refused_total"))
+{
+    for (std::size_t i = 1; i < drops_.size(); ++i)
+    {
+        drops_[i] =
+            &counters.counter("daisytrail_drops_total{kind=\"" +
+                              std::string(drop_reason_names[i]) + "\"}");
+    }
+}
+
+void forwarder::start()
+{
+    wait();
+}
+
+void forwarder::stop()
+{
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void forwarder::wait()
+{
+    socket_.async_wait(asio::ip::udp::socket::wait_read,
+                       [this](boost::system::error_code code)
+                       {
+                           if (!code)
+                           {
+                               forward_waiting();
+                               wait();
+                           }
+                       });
+}
+
+void forwarder::forward_waiting()
+{
+    for (int turn = 0; turn < batches_per_turn; ++turn)
+    {
+        std::size_t const count = receiver_.receive();
+        forward_batch(count);
+        if (count < batch_size)
+        {
+            return;
+        }
+    }
+}
+
+void forwarder::forward_batch(std::size_t count)
+{
+    // A batch that isn't full has emptied the queue.
+    double const queue_fill =
+        count < batch_size ? 0.0 : receive_queue_fill(socket_.native_handle());
+    received_ += count;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        if (receiver_.truncated(i))
+        {
+            drop(drop_reason::bad_length);
+        }
+        else
+        {
+            forward(receiver_.datagram(i), queue_fill);
+        }
+    }
+    refused_ += sender_.flush();
+}
+
+void forwarder::forward(std::span<std::byte const> packet, double queue_fill)
+{
+    auto const random = static_cast<std::uint32_t>(random_()) << 1U;
+    auto const action = dispatch_packet(view_, {queue_fill, random}, packet);
+    if (action.drop_ != drop_reason::none)
+    {
+        drop(action.drop_);
+        return;
+    }
+    std::size_t const header_bytes =
+        encode_tunnel_header(action.header_, sender_.header());
+    sender_.add(action.to_, header_bytes, packet);
+    ++forwarded_;
+    forwarded_bytes_ += packet.size();
+}
+
+void forwarder::drop(drop_reason reason)
+{
+    ++*drops_[static_cast<std::size_t>(reason)];
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/balancer/pages.cpp
@@ -0,0 +1,163 @@
+// JSON for the operator's status and explain commands.
+#include "balancer/pages.hpp"
+
+#include <daisytrail/dispatch.hpp>
+#include <daisytrail/error.hpp>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+// Identifiers are 64 bits wide, which JSON numbers don't carry safely.
+std::string to_hex(std::uint64_t value)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text(16, '0');
+    for (auto digit = text.rbegin(); digit != text.rend(); ++digit)
+    {
+        *digit = digits[value & 0xFU];
+        value >>= 4U;
+    }
+    return text;
+}
+
+json::object to_json(held_target const& target)
+{
+    auto const& member = target.member_;
+    return {{"name", target.name_},
+            {"target", to_hex(target.target())},
+            {"incarnation", member.candidate_.incarnation_},
+            {"sequence", target.sequence_},
+            {"tunnel", to_string(member.candidate_.tunnel_)},
+            {"weight", member.weight_},
+            {"state", to_string(target.state())}};
+}
+
+json::object to_json(service_entry const& service)
+{
+    json::array vips;
+    for (auto const& vip : service.vips_)
+    {
+        vips.emplace_back(to_string(vip));
+    }
+    json::array targets;
+    for (auto const& target : service.targets_)
+    {
+        targets.emplace_back(to_json(target));
+    }
+    return {{"service", to_hex(service.id_)},
+            {"name", service.name_},
+            {"vips", std::move(vips)},
+            {"targets", std::move(targets)}};
+}
+
+json::object to_json(candidate const& value, bool first)
+{
+    return {{"target", to_hex(value.target_)},
+            {"incarnation", value.incarnation_},
+            {"tunnel", to_string(value.tunnel_)},
+            {"state", to_string(value.state_)},
+            {"takes_new_flow", first}};
+}
+
+// Value of `name` in a query string such as "/explain?vip=1.2.3.4:80".
+std::string_view query_value(std::string_view target, std::string_view name)
+{
+    auto const question = target.find('?');
+    auto rest = question == std::string_view::npos
+                    ? std::string_view{}
+                    : target.substr(question + 1);
+    while (!rest.empty())
+    {
+        auto const field = rest.substr(0, rest.find('&'));
+        if (field.starts_with(name) && field.substr(name.size(), 1) == "=")
+        {
+            return field.substr(name.size() + 1);
+        }
+        rest.remove_prefix(std::min(rest.size(), field.size() + 1));
+    }
+    throw error(error_kind::invalid_argument,
+                "no '" + std::string(name) + "' in the query");
+}
+
+http_response health(balancer_page_sources const& sources)
+{
+    json::object const body{{"name", sources.settings_.common_.name_},
+                            {"state", sources.stopping_ ? "draining" : "ready"},
+                            {"version", DAISYTRAIL_VERSION}};
+    return make_response(sources.stopping_ ? 503 : 200, json::serialize(body));
+}
+
+http_response view_dump(balancer_page_sources const& sources)
+{
+    json::object revisions;
+    for (auto const& [organisation, at] : sources.events_.revisions())
+    {
+        revisions[organisation] = at;
+    }
+    json::array services;
+    sources.view_.for_each_service(
+        [&services](service_entry const& service)
+        { services.emplace_back(to_json(service)); });
+    json::object const body{
+        {"name", sources.settings_.common_.name_},
+        {"failure_domain", sources.settings_.common_.failure_domain_},
+        {"revisions", std::move(revisions)},
+        {"services", std::move(services)}};
+    return make_response(200, json::serialize(body));
+}
+
+http_response explain(fleet_view const& view, http_request const& request)
+{
+    std::string_view const target(request.target().data(),
+                                  request.target().size());
+    flow_key const flow{parse_endpoint(query_value(target, "caller")),
+                        parse_endpoint(query_value(target, "vip"))};
+    auto const* service = view.find(flow.vip_);
+    if (service == nullptr)
+    {
+        throw error(error_kind::not_found,
+                    "no service behind VIP " + to_string(flow.vip_));
+    }
+    auto const candidates = service->table_.pick(hash_flow(flow));
+    auto const first = first_position(candidates, true);
+    json::array ranked;
+    for (std::uint8_t rank = 0; rank < candidates.size_; ++rank)
+    {
+        ranked.emplace_back(
+            to_json(candidates.candidates_[rank], rank == first));
+    }
+    json::object const body{{"service", to_hex(service->id_)},
+                            {"name", service->name_},
+                            {"trail", std::move(ranked)}};
+    return make_response(200, json::serialize(body));
+}
+
+} // namespace
+
+void add_balancer_pages(http_page& page, balancer_page_sources const& sources)
+{
+    page.route("GET", "/health",
+               [sources](http_request const&) { return health(sources); });
+    page.route("GET", "/metrics",
+               [sources](http_request const&)
+               {
+                   return make_response(200, sources.metrics_.text(),
+                                        "text/plain; version=0.0.4");
+               });
+    page.route("GET", "/view",
+               [sources](http_request const&) { return view_dump(sources); });
+    page.route("GET", "/explain",
+               [sources](http_request const& request)
+               { return explain(sources.view_, request); });
+}
+
+} // namespace daisytrail
--- a/src/core/forwarding.cpp
+++ b/src/core/forwarding.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 #include <limits>
 
 namespace daisytrail
@@ -62,23 +63,44 @@
     return negative_log(u) * scale;
 }
 
+table_member to_member(target_record const& record)
+{
+    return {{record.target_, record.version_.incarnation_, record.tunnel_,
+             record.state_},
+            record.weight_};
+}
+
 service_table::service_table(std::span<target_record const> records)
 {
-    std::vector<target_record const*> kept;
-    for (auto const& record : records)
-    {
-        if (may_own_flows(record.state_) && record.weight_ > 0)
-        {
-            kept.push_back(&record);
-        }
-    }
-    std::ranges::sort(kept, {}, &target_record::target_);
-    for (auto const* record : kept)
+    std::vector<table_member> members;
+    members.reserve(records.size());
+    std::ranges::transform(records, std::back_inserter(members), to_member);
+    build(members);
+}
+
+service_table service_table::from_members(std::span<table_member const> members)
+{
+    service_table result(std::span<target_record const>{});
+    result.build(members);
+    return result;
+}
+
+void service_table::build(std::span<table_member const> members)
+{
+    std::vector<table_member> kept;
+    std::ranges::copy_if(members, std::back_inserter(kept),
+                         [](table_member const& member) {
+                             return may_own_flows(member.candidate_.state_) &&
+                                    member.weight_ > 0;
+                         });
+    std::ranges::sort(kept, {},
+                      [](table_member const& member)
+                      { return member.candidate_.target_; });
+    for (auto const& member : kept)
     {
-        members_.push_back({record->target_, record->version_.incarnation_,
-                            record->tunnel_, record->state_});
-        seeds_.push_back(mix(record->target_));
-        scales_.push_back(1.0 / record->weight_);
+        members_.push_back(member.candidate_);
+        seeds_.push_back(mix(member.candidate_.target_));
+        scales_.push_back(1.0 / member.weight_);
     }
 }
 
--- a/src/core/view.cpp
+++ b/src/core/view.cpp
@@ -2,87 +2,194 @@
 #include <daisytrail/view.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace daisytrail
 {
 
-void fleet_view::apply(organisation_template const& organisation)
+namespace
 {
-    auto& held = organisations_[organisation.name_];
-    std::vector<service_id> named;
-    for (auto const& service : organisation.services_)
+
+record_version version_of(held_target const& target)
+{
+    return {target.member_.candidate_.incarnation_, target.sequence_};
+}
+
+// True if `record` replaces what is held; the rule of supersedes().
+bool replaces(target_record const& record, held_target const& held)
+{
+    if (record.version_ != version_of(held))
     {
-        named.push_back(service.id_);
+        return record.version_ > version_of(held);
     }
-    for (auto const id : held)
+    return record.state_ > held.state();
+}
+
+auto find_target(std::vector<held_target>& targets, target_id target)
+{
+    return std::ranges::lower_bound(targets, target, {}, &held_target::target);
+}
+
+void rebuild(service_entry& service)
+{
+    std::vector<table_member> members;
+    members.reserve(service.targets_.size());
+    std::ranges::transform(service.targets_, std::back_inserter(members),
+                           &held_target::member_);
+    service.table_ = service_table::from_members(members);
+}
+
+bool lower_id(service_entry const* left, service_entry const* right)
+{
+    return left->id_ < right->id_;
+}
+
+} // namespace
+
+void fleet_view::apply(organisation_template const& organisation)
+{
+    auto const former = std::exchange(organisations_[organisation.name_], {});
+    for (auto const id : former)
     {
-        auto& entry = services_[id];
+        auto& entry = services_.at(id);
         for (auto const& vip : entry.vips_)
         {
-            vips_.erase(vip);
+            release(vip, entry);
         }
         entry.vips_.clear();
+        entry.name_.clear();
     }
-    held = std::move(named);
+    auto& named = organisations_[organisation.name_];
     for (auto const& service : organisation.services_)
     {
         auto& entry = services_[service.id_];
         entry.id_ = service.id_;
+        entry.name_ = organisation.name_ + '/' + service.name_;
         entry.vips_ = service.vips_;
-        for (auto const& vip : service.vips_)
+        std::ranges::sort(entry.vips_);
+        for (auto const& vip : entry.vips_)
         {
-            vips_[vip] = service.id_;
+            claim(vip, entry);
         }
+        named.push_back(service.id_);
+    }
+    for (auto const id : former)
+    {
+        erase_if_unused(id);
     }
 }
 
 bool fleet_view::apply(target_record const& record)
 {
+    auto const known = service_of_target_.find(record.target_);
+    if (known != service_of_target_.end())
+    {
+        auto& former = services_.at(known->second);
+        auto const held = find_target(former.targets_, record.target_);
+        if (!replaces(record, *held))
+        {
+            return false;
+        }
+        if (known->second != record.service_)
+        {
+            remove_target(former, record.target_);
+            erase_if_unused(former.id_);
+        }
+    }
     auto& entry = services_[record.service_];
     entry.id_ = record.service_;
-    auto const at = std::ranges::lower_bound(entry.targets_, record.target_, {},
-                                             &target_record::target_);
-    if (at == entry.targets_.end() || at->target_ != record.target_)
+    auto at = find_target(entry.targets_, record.target_);
+    if (at == entry.targets_.end() || at->target() != record.target_)
+    {
+        at = entry.targets_.insert(at, held_target{});
+    }
+    *at = {to_member(record), record.version_.sequence_, record.name_};
+    service_of_target_[record.target_] = record.service_;
+    rebuild(entry);
+    return true;
+}
+
+void fleet_view::forget(target_id target)
+{
+    auto const known = service_of_target_.find(target);
+    if (known == service_of_target_.end())
     {
-        entry.targets_.insert(at, record);
+        return;
     }
-    else if (supersedes(record, *at))
+    auto const id = known->second;
+    auto& entry = services_.at(id);
+    if (may_own_flows(find_target(entry.targets_, target)->state()))
     {
-        *at = record;
+        return;
     }
-    else
+    service_of_target_.erase(known);
+    remove_target(entry, target);
+    erase_if_unused(id);
+}
+
+service_entry const* fleet_view::find_service(service_id id) const
+{
+    auto const entry = services_.find(id);
+    return entry == services_.end() ? nullptr : &entry->second;
+}
+
+void fleet_view::for_each_service(
+    std::function<void(service_entry const&)> const& visit) const
+{
+    for (auto const& [id, entry] : services_)
     {
-        return false;
+        visit(entry);
     }
-    service_of_target_[record.target_] = record.service_;
-    entry.table_ = service_table(entry.targets_);
-    return true;
 }
 
-void fleet_view::forget(target_id target)
+void fleet_view::claim(endpoint const& vip, service_entry& service)
+{
+    auto const [held, inserted] = vips_.try_emplace(vip, &service);
+    if (inserted || held->second == &service)
+    {
+        return;
+    }
+    auto& claims = contested_[vip];
+    if (claims.empty())
+    {
+        claims.push_back(held->second);
+    }
+    claims.push_back(&service);
+    held->second = *std::ranges::min_element(claims, lower_id);
+}
+
+void fleet_view::release(endpoint const& vip, service_entry& service)
 {
-    auto const service = service_of_target_.find(target);
-    if (service == service_of_target_.end())
+    auto const contest = contested_.find(vip);
+    if (contest == contested_.end())
     {
+        vips_.erase(vip);
         return;
     }
-    auto& entry = services_[service->second];
-    std::erase_if(entry.targets_, [target](target_record const& record)
-                  { return record.target_ == target; });
-    entry.table_ = service_table(entry.targets_);
-    service_of_target_.erase(service);
+    auto& claims = contest->second;
+    std::erase(claims, &service);
+    vips_[vip] = *std::ranges::min_element(claims, lower_id);
+    if (claims.size() == 1)
+    {
+        contested_.erase(contest);
+    }
 }
 
-fleet_view::service_entry const* fleet_view::find(endpoint const& vip) const
+void fleet_view::remove_target(service_entry& service, target_id target)
 {
-    auto const id = vips_.find(vip);
-    return id == vips_.end() ? nullptr : find_service(id->second);
+    service.targets_.erase(find_target(service.targets_, target));
+    rebuild(service);
 }
 
-fleet_view::service_entry const* fleet_view::find_service(service_id id) const
+void fleet_view::erase_if_unused(service_id id)
 {
     auto const entry = services_.find(id);
-    return entry == services_.end() ? nullptr : &entry->second;
+    if (entry != services_.end() && entry->second.name_.empty() &&
+        entry->second.targets_.empty())
+    {
+        services_.erase(entry);
+    }
 }
 
 } // namespace daisytrail
--- /dev/null
+++ b/src/net/udp_batch.hpp
@@ -0,0 +1,96 @@
+// Batched UDP input and output: one system call moves up to batch_size
+// datagrams. All buffers are allocated at construction.
+#pragma once
+
+#include <daisytrail/types.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <netinet/in.h>
+#include <span>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <vector>
+
+namespace daisytrail
+{
+
+inline constexpr std::size_t batch_size = 64;
+
+// Room for one datagram; longer ones arrive truncated and are reported so.
+inline constexpr std::size_t max_datagram_bytes = 2'048;
+
+// Bytes that a data socket asks the kernel to buffer in each direction.
+inline constexpr int socket_buffer_bytes = 4 << 20;
+
+// Reads batches from a socket without waiting.
+class udp_receiver
+{
+public:
+    explicit udp_receiver(int socket);
+    udp_receiver(udp_receiver const&) = delete;
+    udp_receiver& operator=(udp_receiver const&) = delete;
+
+    // Reads the datagrams that are there, up to batch_size; the spans of the
+    // former batch become invalid.
+    std::size_t receive();
+
+    // Datagram `index` of the last batch; starts 8-byte aligned.
+    std::span<std::byte const> datagram(std::size_t index) const;
+
+    bool truncated(std::size_t index) const
+    {
+        return (messages_[index].msg_hdr.msg_flags & MSG_TRUNC) != 0;
+    }
+
+private:
+    int socket_;
+    std::vector<std::uint64_t> storage_; // words, for the alignment
+    std::array<iovec, batch_size> buffers_{};
+    std::array<mmsghdr, batch_size> messages_{};
+};
+
+// Collects datagrams of a header and a payload and sends them together. The
+// payload isn't copied and must stay until flush().
+class udp_sender
+{
+public:
+    static constexpr std::size_t header_capacity = 256;
+
+    explicit udp_sender(int socket);
+    udp_sender(udp_sender const&) = delete;
+    udp_sender& operator=(udp_sender const&) = delete;
+
+    bool full() const
+    {
+        return size_ == batch_size;
+    }
+
+    // Room for the header of the next datagram; must not be full().
+    std::span<std::byte> header();
+
+    // Adds a datagram whose header was written to header().
+    void add(endpoint const& to, std::size_t header_bytes,
+             std::span<std::byte const> payload);
+
+    // Sends all and returns how many the kernel refused; these are lost.
+    std::size_t flush();
+
+private:
+    int socket_;
+    std::size_t size_ = 0;
+    std::vector<std::byte> headers_;
+    std::array<std::array<iovec, 2>, batch_size> parts_{};
+    std::array<sockaddr_in, batch_size> addresses_{};
+    std::array<mmsghdr, batch_size> messages_{};
+};
+
+// Opens a non-blocking UDP socket with large buffers, bound to `local`; throws
+// error(unavailable) if the address is taken.
+int open_udp_socket(endpoint const& local);
+
+// Share of the socket's receive buffer that waiting datagrams use: 0 to 1.
+double receive_queue_fill(int socket);
+
+} // namespace daisytrail
