--- /dev/null
+++ b/test/stand_ins/backend.cpp
@@ -0,0 +1,777 @@
+// Stand-in for a backend server: orders with a ledger, waybill uploads, cutting
+// sheets and a standing feed over HTTP/1.1. It announces itself to its agent,
+// sheds, drains on SIGTERM and takes faults by POST /fault.
+#include "net/http_call.hpp"
+
+#include <daisytrail/types.hpp>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <fcntl.h>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unistd.h>
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace json = boost::json;
+using namespace daisytrail;
+
+constexpr std::size_t read_buffer_bytes = 65'536;
+constexpr std::size_t kept_body_bytes = 65'536;
+constexpr std::chrono::seconds announce_interval{1};
+constexpr std::chrono::milliseconds announce_timeout{800};
+constexpr std::chrono::milliseconds drain_poll{50};
+
+struct backend_options
+{
+    std::string listen_;
+    std::string agent_;
+    std::string name_ = "backend";
+    std::string service_ = "service";
+    std::string ledger_file_; // survives a killed process
+    std::uint32_t slots_ = 4;
+    std::uint32_t connections_ = 2'000;
+    std::uint32_t queue_ = 64;
+    double speed_ = 1.0; // 2 runs twice as fast
+    double work_ms_ = 5.0;
+    std::uint64_t seed_ = 1;
+};
+
+struct faults
+{
+    double slow_ = 1.0;
+    bool fail_ = false;
+    bool shed_ = false;
+    bool announce_ = true;
+};
+
+struct order_entry
+{
+    std::uint32_t started_ = 0;
+    std::uint32_t finished_ = 0;
+    std::uint32_t cancelled_ = 0;
+};
+
+std::string hex(std::uint64_t value)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx",
+                  static_cast<unsigned long long>(value));
+    return text.data();
+}
+
+// Counts each order that was started, finished and cancelled.
+class order_ledger
+{
+public:
+    explicit order_ledger(std::string const& file)
+    {
+        if (!file.empty())
+        {
+            file_ = ::open(file.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
+        }
+    }
+
+    void started(std::string const& id)
+    {
+        ++orders_[id].started_;
+        append('S', id);
+    }
+
+    void finished(std::string const& id)
+    {
+        ++orders_[id].finished_;
+        append('F', id);
+    }
+
+    void cancelled(std::string const& id)
+    {
+        ++orders_[id].cancelled_;
+        append('C', id);
+    }
+
+    json::object text() const
+    {
+        json::object out;
+        for (auto const& [id, entry] : orders_)
+        {
+            out[id] = json::object{{"started", entry.started_},
+                                   {"finished", entry.finished_},
+                                   {"cancelled", entry.cancelled_}};
+        }
+        return out;
+    }
+
+private:
+    void append(char event, std::string const& id) const
+    {
+        if (file_ < 0)
+        {
+            return;
+        }
+        auto const line = std::string(1, event) + ' ' + id + '\n';
+        if (::write(file_, line.data(), line.size()) < 0)
+        {
+            std::perror("ledger");
+        }
+    }
+
+    std::map<std::string, order_entry> orders_;
+    int file_ = -1;
+};
+
+class server;
+
+struct request_data
+{
+    http::request_header<> head_;
+    std::string body_; // its first kept_body_bytes
+    std::uint64_t size_ = 0;
+    std::uint64_t hash_ = 0;
+
+    std::string path() const
+    {
+        std::string const target(head_.target());
+        return target.substr(0, target.find('?'));
+    }
+
+    std::optional<std::string> query(std::string const& name) const
+    {
+        std::string const target(head_.target());
+        auto at = target.find('?');
+        while (at != std::string::npos)
+        {
+            auto const end = target.find('&', at + 1);
+            auto const item = target.substr(at + 1, end - at - 1);
+            if (item.rfind(name + '=', 0) == 0)
+            {
+                return item.substr(name.size() + 1);
+            }
+            at = end;
+        }
+        return std::nullopt;
+    }
+
+    double number(std::string const& name, double otherwise) const
+    {
+        auto const value = query(name);
+        return value ? std::strtod(value->c_str(), nullptr) : otherwise;
+    }
+};
+
+using string_response = http::response<http::string_body>;
+
+// One connection; lives as long as an operation on it is pending.
+class session : public std::enable_shared_from_this<session>
+{
+public:
+    session(server& owner, asio::ip::tcp::socket socket);
+    ~session();
+
+    void read();
+    void run();  // the request has a slot
+    void skip(); // cancelled while it waited
+
+    bool cancelled() const
+    {
+        return cancelled_;
+    }
+
+private:
+    void read_body();
+    void dispatch();
+    void watch();
+    void on_hang_up();
+    void finish_work();
+    void write(string_response response);
+    void start_feed();
+    void write_feed();
+    string_response answer();
+    string_response answer_control(std::string const& path);
+    std::string order_id() const;
+
+    server& owner_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::buffer_body>> parser_;
+    std::array<char, read_buffer_bytes> chunk_{};
+    std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> hash_;
+    request_data request_;
+    string_response response_;
+    asio::steady_timer timer_;
+    std::string feed_line_;
+    std::uint64_t feed_number_ = 0;
+    std::uint64_t number_ = 0; // of the request on this connection
+    bool running_ = false;     // holds a slot
+    bool waiting_ = false;     // stands in the server's queue
+    bool cancelled_ = false;
+};
+
+class server
+{
+public:
+    server(asio::io_context& io, backend_options options)
+        : options_(std::move(options)), ledger_(options_.ledger_file_), io_(io),
+          acceptor_(io), announce_timer_(io), drain_timer_(io),
+          signals_(io, SIGTERM, SIGINT), random_(options_.seed_)
+    {
+        auto const address = parse_endpoint(options_.listen_);
+        asio::ip::tcp::endpoint const local(
+            asio::ip::address_v4(address.address_), address.port_);
+        acceptor_.open(local.protocol());
+        acceptor_.set_option(asio::socket_base::reuse_address(true));
+        acceptor_.bind(local);
+        acceptor_.listen();
+        accept();
+        announce();
+        signals_.async_wait(
+            [this](boost::system::error_code code, int)
+            {
+                if (!code)
+                {
+                    draining_ = true;
+                    send_announcement();
+                    drain();
+                }
+            });
+    }
+
+    // Gives the session a slot now or later, or refuses it.
+    bool admit(std::shared_ptr<session> const& who)
+    {
+        if (faults_.shed_ || draining_ || waiting_.size() >= options_.queue_)
+        {
+            ++shed_;
+            return false;
+        }
+        waiting_.push_back(who);
+        start_waiting();
+        return true;
+    }
+
+    void release()
+    {
+        --running_;
+        start_waiting();
+    }
+
+    std::chrono::nanoseconds work_time(double work_ms)
+    {
+        std::uniform_real_distribution<double> spread(0.9, 1.1);
+        auto const scaled =
+            work_ms * faults_.slow_ / options_.speed_ * spread(random_);
+        return std::chrono::nanoseconds(
+            static_cast<std::int64_t>(scaled * 1e6));
+    }
+
+    json::object report() const
+    {
+        return {{"service", options_.service_},
+                {"target", options_.name_},
+                {"requests", requests_},
+                {"wrong_service", wrong_service_},
+                {"shed", shed_},
+                {"running", running_},
+                {"most_running", most_running_},
+                {"connections", open_},
+                {"orders", ledger_.text()}};
+    }
+
+    backend_options options_;
+    faults faults_;
+    order_ledger ledger_;
+    std::uint64_t requests_ = 0;
+    std::uint64_t wrong_service_ = 0;
+    std::uint64_t shed_ = 0;
+    std::uint32_t open_ = 0; // connections
+    bool draining_ = false;
+
+private:
+    void start_waiting()
+    {
+        while (running_ < options_.slots_ && !waiting_.empty())
+        {
+            auto const next = waiting_.front();
+            waiting_.pop_front();
+            if (next->cancelled())
+            {
+                next->skip();
+                continue;
+            }
+            ++running_;
+            most_running_ = std::max(most_running_, running_);
+            next->run();
+        }
+    }
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](boost::system::error_code code, asio::ip::tcp::socket socket)
+            {
+                if (code == asio::error::operation_aborted)
+                {
+                    return;
+                }
+                if (!code)
+                {
+                    std::make_shared<session>(*this, std::move(socket))->read();
+                }
+                accept();
+            });
+    }
+
+    void announce()
+    {
+        if (faults_.announce_)
+        {
+            send_announcement();
+        }
+        announce_timer_.expires_after(announce_interval);
+        announce_timer_.async_wait(
+            [this](boost::system::error_code code)
+            {
+                if (!code)
+                {
+                    announce();
+                }
+            });
+    }
+
+    void send_announcement()
+    {
+        if (options_.agent_.empty())
+        {
+            return;
+        }
+        json::object const body{{"address", options_.listen_},
+                                {"slots", options_.slots_},
+                                {"connections", options_.connections_},
+                                {"state", draining_ ? "draining" : "ready"}};
+        http_request request;
+        request.method(http::verb::post);
+        request.target("/v1/announce");
+        request.set(http::field::content_type, "application/json");
+        request.body() = json::serialize(body);
+        request.prepare_payload();
+        async_http_call(io_, parse_endpoint(options_.agent_),
+                        std::move(request), announce_timeout,
+                        [](http_outcome const&) {});
+    }
+
+    // Ends once every connection that its agent holds is closed.
+    void drain()
+    {
+        if (open_ == 0)
+        {
+            std::exit(0);
+        }
+        drain_timer_.expires_after(drain_poll);
+        drain_timer_.async_wait([this](boost::system::error_code) { drain(); });
+    }
+
+    asio::io_context& io_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer announce_timer_;
+    asio::steady_timer drain_timer_;
+    asio::signal_set signals_;
+    std::mt19937_64 random_;
+    std::deque<std::shared_ptr<session>> waiting_;
+    std::uint32_t running_ = 0;
+    std::uint32_t most_running_ = 0;
+};
+
+session::session(server& owner, asio::ip::tcp::socket socket)
+    : owner_(owner), stream_(std::move(socket)),
+      hash_(XXH3_createState(), &XXH3_freeState), timer_(stream_.get_executor())
+{
+    ++owner_.open_;
+}
+
+session::~session()
+{
+    --owner_.open_;
+}
+
+void session::read()
+{
+    ++number_;
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    request_ = {};
+    feed_number_ = 0;
+    XXH3_64bits_reset(hash_.get());
+    http::async_read_header(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code code, std::size_t)
+        {
+            if (!code)
+            {
+                self->request_.head_ = self->parser_->get().base();
+                self->read_body();
+            }
+        });
+}
+
+void session::read_body()
+{
+    if (parser_->is_done())
+    {
+        request_.hash_ = XXH3_64bits_digest(hash_.get());
+        dispatch();
+        return;
+    }
+    parser_->get().body().data = chunk_.data();
+    parser_->get().body().size = chunk_.size();
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code code, std::size_t)
+        {
+            if (code && code != http::error::need_buffer)
+            {
+                return;
+            }
+            auto const got =
+                self->chunk_.size() - self->parser_->get().body().size;
+            XXH3_64bits_update(self->hash_.get(), self->chunk_.data(), got);
+            self->request_.size_ += got;
+            auto const room = kept_body_bytes - self->request_.body_.size();
+            self->request_.body_.append(self->chunk_.data(),
+                                        std::min(got, room));
+            self->read_body();
+        });
+}
+
+void session::dispatch()
+{
+    auto const path = request_.path();
+    if (path == "/ledger" || path == "/fault" || path == "/healthz")
+    {
+        write(answer_control(path));
+        return;
+    }
+    ++owner_.requests_;
+    auto const expected = request_.head_.find("X-Expect-Service");
+    if (expected != request_.head_.end() &&
+        expected->value() != owner_.options_.service_)
+    {
+        ++owner_.wrong_service_;
+    }
+    if (owner_.faults_.fail_)
+    {
+        write(make_response(500, "failed\n", "text/plain"));
+        return;
+    }
+    if (path == "/feed")
+    {
+        start_feed();
+        return;
+    }
+    if (!owner_.admit(shared_from_this()))
+    {
+        auto refusal = make_response(503, "shed\n", "text/plain");
+        refusal.set(http::field::retry_after, "1");
+        write(std::move(refusal));
+        return;
+    }
+    if (!running_)
+    {
+        waiting_ = true;
+        watch();
+    }
+}
+
+// Notices that the agent hung up while the request waits or runs.
+void session::watch()
+{
+    stream_.socket().async_wait(
+        asio::socket_base::wait_read,
+        [self = shared_from_this(),
+         number = number_](boost::system::error_code code)
+        {
+            boost::system::error_code failed;
+            if (number == self->number_ &&
+                (code || self->stream_.socket().available(failed) == 0))
+            {
+                self->on_hang_up();
+            }
+        });
+}
+
+void session::on_hang_up()
+{
+    if (!running_ && !waiting_)
+    {
+        return;
+    }
+    cancelled_ = true;
+    timer_.cancel();
+}
+
+void session::skip()
+{
+    waiting_ = false;
+}
+
+void session::run()
+{
+    auto const watched = waiting_;
+    waiting_ = false;
+    running_ = true;
+    if (request_.path() == "/orders")
+    {
+        owner_.ledger_.started(order_id());
+    }
+    if (!watched)
+    {
+        watch();
+    }
+    timer_.expires_after(
+        owner_.work_time(request_.number("work_ms", owner_.options_.work_ms_)));
+    timer_.async_wait([self = shared_from_this()](boost::system::error_code)
+                      { self->finish_work(); });
+}
+
+void session::finish_work()
+{
+    running_ = false;
+    owner_.release();
+    bool const is_order = request_.path() == "/orders";
+    if (cancelled_)
+    {
+        if (is_order)
+        {
+            owner_.ledger_.cancelled(order_id());
+        }
+        return;
+    }
+    if (is_order)
+    {
+        owner_.ledger_.finished(order_id());
+    }
+    write(answer());
+}
+
+std::string session::order_id() const
+{
+    boost::system::error_code code;
+    auto const value = json::parse(request_.body_, code);
+    auto const* object = code ? nullptr : value.if_object();
+    auto const* order = object ? object->if_contains("order") : nullptr;
+    if (order == nullptr)
+    {
+        return "?";
+    }
+    return order->is_string() ? std::string(order->as_string())
+                              : json::serialize(*order);
+}
+
+string_response session::answer()
+{
+    auto const path = request_.path();
+    if (path == "/orders")
+    {
+        return make_response(201, json::serialize(json::object{
+                                      {"order", order_id()},
+                                      {"service", owner_.options_.service_}}));
+    }
+    if (path.rfind("/waybills/", 0) == 0)
+    {
+        return make_response(200, json::serialize(json::object{
+                                      {"id", path.substr(10)},
+                                      {"service", owner_.options_.service_},
+                                      {"bytes", request_.size_},
+                                      {"xxh3", hex(request_.hash_)}}));
+    }
+    if (path.rfind("/sheets/", 0) == 0)
+    {
+        auto const bytes =
+            static_cast<std::size_t>(request_.number("bytes", 4'096));
+        std::string body;
+        auto const line = "sheet " + path.substr(8) + " service " +
+                          owner_.options_.service_ + ' ';
+        while (body.size() < bytes)
+        {
+            body += line + std::to_string(body.size()) + '\n';
+        }
+        body.resize(bytes);
+        auto response = make_response(200, std::move(body), "text/plain");
+        response.set(
+            "X-Content-XXH3",
+            hex(XXH3_64bits(response.body().data(), response.body().size())));
+        return response;
+    }
+    return make_response(404, "no such page\n", "text/plain");
+}
+
+string_response session::answer_control(std::string const& path)
+{
+    if (path == "/healthz")
+    {
+        return make_response(200, "ok\n", "text/plain");
+    }
+    if (path == "/ledger")
+    {
+        return make_response(200, json::serialize(owner_.report()));
+    }
+    boost::system::error_code code;
+    auto const value = json::parse(request_.body_, code);
+    if (code || !value.is_object())
+    {
+        return make_response(400, R"({"error":"no JSON object"})");
+    }
+    auto const& fault = value.as_object();
+    if (fault.contains("crash"))
+    {
+        std::_Exit(1);
+    }
+    if (auto const* slow = fault.if_contains("slow"))
+    {
+        owner_.faults_.slow_ = slow->to_number<double>();
+    }
+    auto const set = [&fault](char const* name, bool& flag)
+    {
+        if (auto const* given = fault.if_contains(name))
+        {
+            flag = given->as_bool();
+        }
+    };
+    set("fail", owner_.faults_.fail_);
+    set("shed", owner_.faults_.shed_);
+    set("announce", owner_.faults_.announce_);
+    return make_response(200, "{}");
+}
+
+void session::write(string_response response)
+{
+    response_ = std::move(response);
+    response_.version(11);
+    response_.keep_alive(request_.head_[http::field::connection] != "close" &&
+                         !cancelled_);
+    response_.set("X-Service", owner_.options_.service_);
+    response_.set("X-Target", owner_.options_.name_);
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](beast::error_code code, std::size_t)
+        {
+            if (!code && self->response_.keep_alive())
+            {
+                self->read();
+            }
+        });
+}
+
+// GET /feed?interval_ms=N&lines=N; without lines it never ends.
+void session::start_feed()
+{
+    feed_line_ = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Service: " +
+                 owner_.options_.service_ +
+                 "\r\nX-Target: " + owner_.options_.name_ +
+                 "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    write_feed();
+}
+
+void session::write_feed()
+{
+    auto const limit = static_cast<std::uint64_t>(request_.number("lines", 0));
+    bool const last = limit > 0 && feed_number_ >= limit;
+    if (last)
+    {
+        feed_line_ += "0\r\n\r\n";
+    }
+    else
+    {
+        auto const line = std::to_string(++feed_number_) + ' ' +
+                          owner_.options_.service_ + '\n';
+        std::array<char, 20> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", line.size());
+        feed_line_ += size.data() + line + "\r\n";
+    }
+    asio::async_write(
+        stream_.socket(), asio::buffer(feed_line_),
+        [self = shared_from_this(), last](boost::system::error_code code,
+                                          std::size_t)
+        {
+            self->feed_line_.clear();
+            if (code)
+            {
+                return;
+            }
+            if (last)
+            {
+                self->read();
+                return;
+            }
+            self->timer_.expires_after(
+                std::chrono::milliseconds(static_cast<std::int64_t>(
+                    self->request_.number("interval_ms", 200))));
+            self->timer_.async_wait([self](boost::system::error_code)
+                                    { self->write_feed(); });
+        });
+}
+
+int run_backend(int argc, char** argv)
+{
+    backend_options options;
+    CLI::App app("Stand-in for a backend server");
+    app.add_option("--listen", options.listen_, "address and port")->required();
+    app.add_option("--agent", options.agent_, "HTTP endpoint of its agent");
+    app.add_option("--name", options.name_);
+    app.add_option("--service", options.service_);
+    app.add_option("--ledger", options.ledger_file_, "append orders here");
+    app.add_option("--slots", options.slots_);
+    app.add_option("--connections", options.connections_);
+    app.add_option("--queue", options.queue_, "shed above this many waiting");
+    app.add_option("--speed", options.speed_, "2 is twice as fast");
+    app.add_option("--work-ms", options.work_ms_, "default service time");
+    app.add_option("--seed", options.seed_);
+    CLI11_PARSE(app, argc, argv);
+    asio::io_context io(1);
+    server const running(io, options);
+    io.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run_backend(argc, argv);
+    }
+    catch (std::exception const& failure)
+    {
+        std::cerr << "stand-in-backend: " << failure.what() << '\n';
+        return 1;
+    }
+}
