daisytrail-balancer: process, command line and graceful stop

Cause: the data path had no process. The control plane isn't wired yet, so the view of this process stays empty.

--- /dev/null
+++ b/src/balancer/balancer.hpp
@@ -0,0 +1,47 @@
+// One balancer process: the data path, the page, and the graceful stop on
+// SIGTERM or SIGINT.
+#pragma once
+
+#include "balancer/forwarder.hpp"
+#include "balancer/pages.hpp"
+#include "balancer/view_events.hpp"
+#include "net/http_page.hpp"
+#include "net/metrics.hpp"
+
+#include <daisytrail/settings.hpp>
+#include <daisytrail/view.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace daisytrail
+{
+
+class balancer
+{
+public:
+    // Starts at once and serves while `io` runs; `settings` must outlive it.
+    balancer(boost::asio::io_context& io, balancer_settings const& settings);
+    balancer(balancer const&) = delete;
+    balancer& operator=(balancer const&) = delete;
+
+private:
+    void add_gauges();
+    void wait_for_signal();
+    void begin_stop();
+    void linger();
+    void finish_stop();
+
+    balancer_settings const& settings_;
+    metrics metrics_;
+    fleet_view view_;
+    view_events events_;
+    bool stopping_ = false;
+    http_page page_;
+    forwarder forwarder_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer linger_timer_;
+};
+
+} // namespace daisytrail
