--- /dev/null
+++ b/src/store/etcd_store.cpp
@@ -0,0 +1,191 @@
+// Calls and watches on the etcd v3 JSON gateway.
+#include "store/etcd_store.hpp"
+
+#include "net/http_call.hpp"
+#include "store/etcd_codec.hpp"
+#include "store/watch_stream.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds call_timeout{2'000};
+constexpr unsigned status_ok = 200;
+
+store_answer failed(error_kind kind, std::string detail)
+{
+    store_answer answer;
+    answer.error_ = kind;
+    answer.detail_ = std::move(detail);
+    return answer;
+}
+
+// An answer that can't be read says nothing about what took effect.
+store_answer read_answer(std::string const& text,
+                         store_answer (*read)(json::value const&),
+                         error_kind unreadable)
+{
+    try
+    {
+        return read(json::parse(text));
+    }
+    catch (std::exception const& failure)
+    {
+        return failed(unreadable,
+                      std::string("unreadable answer: ") + failure.what());
+    }
+}
+
+store_answer to_answer(http_outcome const& outcome, bool writes,
+                       store_answer (*read)(json::value const&))
+{
+    auto const after_sending =
+        writes ? error_kind::outcome_unknown : error_kind::unavailable;
+    if (outcome.error_)
+    {
+        return failed(*outcome.error_ == error_kind::outcome_unknown
+                          ? after_sending
+                          : *outcome.error_,
+                      outcome.detail_);
+    }
+    auto const status = outcome.response_.result_int();
+    if (status != status_ok)
+    {
+        return failed(after_sending,
+                      "the store answered " + std::to_string(status));
+    }
+    return read_answer(outcome.response_.body(), read, after_sending);
+}
+
+} // namespace
+
+etcd_store::etcd_store(boost::asio::io_context& io,
+                       std::vector<endpoint> endpoints)
+    : io_(io), endpoints_(std::move(endpoints)),
+      alive_(std::make_shared<bool>(true))
+{
+    if (endpoints_.empty())
+    {
+        throw error(error_kind::invalid_argument,
+                    "at least one store endpoint is needed");
+    }
+}
+
+etcd_store::~etcd_store()
+{
+    cancel_watches();
+}
+
+void etcd_store::range(std::string const& prefix, std::size_t limit,
+                       store_handler handler)
+{
+    call("/v3/kv/range", detail::range_body(prefix, limit), false,
+         detail::read_range, std::move(handler));
+}
+
+void etcd_store::swap(std::vector<store_comparison> comparisons,
+                      std::vector<store_write> writes, store_handler handler)
+{
+    call("/v3/kv/txn", detail::swap_body(comparisons, writes), true,
+         detail::read_swap, std::move(handler));
+}
+
+void etcd_store::grant_lease(std::chrono::seconds time_to_live,
+                             store_handler handler)
+{
+    call("/v3/lease/grant", {{"TTL", std::to_string(time_to_live.count())}},
+         true, detail::read_grant, std::move(handler));
+}
+
+void etcd_store::keep_alive(std::int64_t lease, store_handler handler)
+{
+    call("/v3/lease/keepalive", {{"ID", std::to_string(lease)}}, false,
+         detail::read_keep_alive, std::move(handler));
+}
+
+void etcd_store::watch(std::string const& prefix, revision from,
+                       store_handler handler)
+{
+    ++calls_;
+    auto const shared = std::make_shared<store_handler>(std::move(handler));
+    auto const ended = std::make_shared<bool>(false);
+    auto stream = std::make_shared<detail::watch_stream>(
+        io_,
+        [shared, ended](std::string const& line)
+        {
+            if (*ended)
+            {
+                return;
+            }
+            auto answer =
+                read_answer(line, detail::read_watch, error_kind::unavailable);
+            *ended = answer.error_.has_value();
+            (*shared)(std::move(answer));
+        },
+        [this, shared, ended,
+         alive = std::weak_ptr(alive_)](std::string const& detail)
+        {
+            if (!alive.expired())
+            {
+                current_ = (current_ + 1) % endpoints_.size();
+            }
+            if (!std::exchange(*ended, true))
+            {
+                (*shared)(failed(error_kind::unavailable, detail));
+            }
+        });
+    std::erase_if(watches_, [](auto const& held) { return held.expired(); });
+    watches_.push_back(stream);
+    stream->start(endpoints_[current_],
+                  make_request("/v3/watch", detail::watch_body(prefix, from)));
+}
+
+void etcd_store::cancel_watches()
+{
+    for (auto const& held : watches_)
+    {
+        if (auto const stream = held.lock())
+        {
+            stream->cancel();
+        }
+    }
+    watches_.clear();
+}
+
+void etcd_store::call(char const* path, json::object const& body, bool writes,
+                      reader read, store_handler handler)
+{
+    ++calls_;
+    async_http_call(io_, endpoints_[current_], make_request(path, body),
+                    call_timeout,
+                    [this, alive = std::weak_ptr(alive_), writes, read,
+                     handler = std::move(handler)](http_outcome const& outcome)
+                    {
+                        if (outcome.error_ && !alive.expired())
+                        {
+                            current_ = (current_ + 1) % endpoints_.size();
+                        }
+                        handler(to_answer(outcome, writes, read));
+                    });
+}
+
+http_request etcd_store::make_request(char const* path,
+                                      json::object const& body) const
+{
+    http_request request{http::verb::post, path, 11};
+    request.set(http::field::host, to_string(endpoints_[current_]));
+    request.set(http::field::content_type, "application/json");
+    request.body() = json::serialize(body);
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/store/etcd_store.hpp
@@ -0,0 +1,67 @@
+// The configuration store over the etcd v3 JSON gateway.
+#pragma once
+
+#include "net/http_page.hpp"
+
+#include <daisytrail/store.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace daisytrail
+{
+
+namespace detail
+{
+class watch_stream;
+}
+
+// Each call goes once to one endpoint; after a failure that can't have taken
+// effect the next call goes to the next endpoint. Retries and their backoff
+// are the caller's, who alone knows what may be repeated.
+class etcd_store : public config_store
+{
+public:
+    // Throws error(invalid_argument) without endpoints.
+    etcd_store(boost::asio::io_context& io, std::vector<endpoint> endpoints);
+    ~etcd_store() override;
+
+    void range(std::string const& prefix, std::size_t limit,
+               store_handler handler) override;
+    void swap(std::vector<store_comparison> comparisons,
+              std::vector<store_write> writes, store_handler handler) override;
+    void grant_lease(std::chrono::seconds time_to_live,
+                     store_handler handler) override;
+    void keep_alive(std::int64_t lease, store_handler handler) override;
+    void watch(std::string const& prefix, revision from,
+               store_handler handler) override;
+
+    // Ends every watch without a call of its handler.
+    void cancel_watches();
+
+    // Calls started so far; a watch counts as one.
+    std::uint64_t calls() const
+    {
+        return calls_;
+    }
+
+private:
+    using reader = store_answer (*)(boost::json::value const&);
+
+    void call(char const* path, boost::json::object const& body, bool writes,
+              reader read, store_handler handler);
+    http_request make_request(char const* path,
+                              boost::json::object const& body) const;
+
+    boost::asio::io_context& io_;
+    std::vector<endpoint> endpoints_; // never empty
+    std::size_t current_ = 0;         // index of the endpoint in use
+    std::uint64_t calls_ = 0;
+    std::vector<std::weak_ptr<detail::watch_stream>> watches_;
+    std::shared_ptr<bool> alive_; // expires before the members do
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/test/unit/etcd_codec_test.cpp
@@ -0,0 +1,52 @@
+// Tests of the gateway's JSON bodies.
+#include "store/etcd_codec.hpp"
+
+#include <boost/json/parse.hpp>
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace daisytrail::detail;
+
+TEST_CASE("base64 keeps every byte and refuses other text")
+{
+    std::string const bytes("\0\xFF/a", 4);
+    CHECK(decode_base64(encode_base64(bytes)) == bytes);
+    CHECK(decode_base64("").empty());
+    CHECK_THROWS_AS(decode_base64("a"), error);
+    CHECK_THROWS_AS(decode_base64("*AAA"), error);
+}
+
+TEST_CASE("the end of a prefix is the next key")
+{
+    CHECK(prefix_end("a/") == "a0");
+    CHECK(prefix_end("a\xFF") == "b");
+    CHECK(prefix_end("\xFF") == std::string(1, '\0'));
+}
+
+TEST_CASE("a range answer carries keys, values and revisions")
+{
+    auto const answer = read_range(boost::json::parse(
+        R"({"header":{"revision":"9"},"kvs":[
+            {"key":"YQ==","value":"Yg==","mod_revision":"7"}]})"));
+    CHECK(answer.revision_ == 9);
+    REQUIRE(answer.entries_.size() == 1);
+    CHECK(answer.entries_[0].key_ == "a");
+    CHECK(answer.entries_[0].value_ == "b");
+    CHECK(answer.entries_[0].modified_ == 7);
+}
+
+TEST_CASE("a lost comparison returns the current entries")
+{
+    auto const answer = read_swap(boost::json::parse(
+        R"({"header":{"revision":"9"},"responses":[{"response_range":
+            {"kvs":[{"key":"YQ==","mod_revision":"7"}]}}]})"));
+    CHECK(!answer.succeeded_);
+    CHECK(answer.entries_.size() == 1);
+}
+
+TEST_CASE("a lapsed lease is reported as not found")
+{
+    auto const answer =
+        read_keep_alive(boost::json::parse(R"({"result":{"ID":"4"}})"));
+    CHECK(answer.error_ == error_kind::not_found);
+}
