--- a/include/daisytrail/organisation.hpp
+++ b/include/daisytrail/organisation.hpp
@@ -31,8 +31,11 @@
     std::string name_;
     std::vector<std::string> methods_; // empty: every method
     std::string path_prefix_ = "/";
-    bool repeatable_ = false;    // may be run more than once
-    bool long_running_ = false;  // may never take the last slot
+    bool repeatable_ = false;   // may be run more than once
+    bool long_running_ = false; // may never take the last slot
+    // An answer without end, such as a feed: it holds a connection but no slot,
+    // and its deadline bounds only the time to the first byte.
+    bool standing_ = false;
     std::uint32_t priority_ = 1; // 0 is shed last
     std::chrono::milliseconds deadline_{30'000};
     std::chrono::milliseconds expected_{100}; // first guess of the run time
--- a/src/config/organisation.cpp
+++ b/src/config/organisation.cpp
@@ -68,7 +68,7 @@
     out.path_prefix_ = in.node().text_;
 }
 
-constexpr std::array<field<request_class>, 8> class_fields{{
+constexpr std::array<field<request_class>, 9> class_fields{{
     {"name", presence::required,
      [](value_reader const& in, request_class& out)
      {
@@ -86,6 +86,11 @@
      {
          in.boolean(out.long_running_);
      }},
+    {"standing", presence::optional,
+     [](value_reader const& in, request_class& out)
+     {
+         in.boolean(out.standing_);
+     }},
     {"priority", presence::optional,
      [](value_reader const& in, request_class& out)
      {
