--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,310 @@
+// Events of the agent: announcements, templates, records, drain.
+#include "agent/agent.hpp"
+
+#include "agent/stream_service.hpp"
+#include "net/log.hpp"
+
+#include <daisytrail/error.hpp>
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tick_interval{100};
+
+// Balancers may hold a view this old, so that SYNs still have to be passed on.
+constexpr auto view_lag = std::chrono::seconds(5);
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+bool same_backend(backend_status const& left, backend_status const& right)
+{
+    return left.address_ == right.address_ && left.ready_ == right.ready_ &&
+           left.slots_ == right.slots_ &&
+           left.connections_ == right.connections_;
+}
+
+// Makes the service of one mode.
+using make_service = std::unique_ptr<flow_service> (*)(boost::asio::io_context&,
+                                                       metrics&);
+
+std::unique_ptr<flow_service> make_stream_service(boost::asio::io_context& io,
+                                                  metrics& metrics)
+{
+    return std::make_unique<stream_service>(io, metrics);
+}
+
+constexpr std::array<make_service,
+                     static_cast<std::size_t>(service_mode::count)>
+    service_makers{make_stream_service, make_stream_service};
+
+} // namespace
+
+agent::agent(boost::asio::io_context& io, agent_settings const& settings,
+             metrics& metrics)
+    : io_(io), settings_(settings), metrics_(metrics),
+      page_(io, settings.common_.http_), timer_(io)
+{
+}
+
+void agent::start(agent_membership& membership)
+{
+    membership_ = &membership;
+    data_ = std::make_unique<data_path>(
+        io_, settings_, membership.self().version_.incarnation_, metrics_,
+        [this](std::shared_ptr<tcp_flow> flow)
+        {
+            if (mode_)
+            {
+                mode_->accept(std::move(flow));
+            }
+            else
+            {
+                flow->abort();
+            }
+        });
+    if (service_)
+    {
+        data_->set_service(*service_);
+    }
+    publish(current_time());
+    add_pages();
+    data_->start();
+    run_timer();
+}
+
+void agent::stop()
+{
+    timer_.cancel();
+    page_.stop();
+    data_->stop();
+}
+
+void agent::add_pages()
+{
+    page_.route("POST", "/v1/announce",
+                [this](http_request const& request)
+                { return announce(request); });
+    page_.route("GET", "/health",
+                [this](http_request const&) { return health(); });
+    page_.route("GET", "/metrics",
+                [this](http_request const&) {
+                    return make_response(200, metrics_.text(),
+                                         "text/plain; version=0.0.4");
+                });
+    page_.route("GET", "/flows",
+                [this](http_request const&) {
+                    return make_response(
+                        200, boost::json::serialize(data_->describe()));
+                });
+}
+
+http_response agent::announce(http_request const& request)
+{
+    auto const now = current_time();
+    backend_.on_announcement(parse_announcement(request.body()), now);
+    update_backend(now);
+    publish(now);
+    return make_response(200, "{}");
+}
+
+http_response agent::health() const
+{
+    auto const& self = membership_->self();
+    boost::json::object const body{{"name", self.name_},
+                                   {"state", to_string(self.state_)},
+                                   {"weight", self.weight_},
+                                   {"incarnation", self.version_.incarnation_},
+                                   {"template", service_.has_value()},
+                                   {"backend", known_backend_.ready_},
+                                   {"flows", data_->open_flows()}};
+    bool const healthy = service_ && known_backend_.ready_;
+    return make_response(healthy ? 200 : 503, boost::json::serialize(body));
+}
+
+void agent::on_target(target_record const& record)
+{
+    if (record.service_ !=
+        hash_name(settings_.organisation_ + "/" + settings_.service_))
+    {
+        return;
+    }
+    if (merge(record))
+    {
+        update_view();
+    }
+}
+
+void agent::on_organisation(organisation_template const& value, revision at)
+{
+    if (value.name_ != settings_.organisation_)
+    {
+        return;
+    }
+    auto const found = std::ranges::find(value.services_, settings_.service_,
+                                         &service_template::name_);
+    if (found == value.services_.end())
+    {
+        log_event(log_level::error, "service_missing",
+                  {{"service", settings_.service_}, {"revision", at}});
+        return;
+    }
+    set_service(*found);
+    log_event(log_level::info, "template_adopted", {{"revision", at}});
+}
+
+void agent::set_service(service_template const& service)
+{
+    if (!mode_)
+    {
+        auto const mode = static_cast<std::size_t>(service.mode_);
+        mode_ = service_makers[mode](io_, metrics_);
+    }
+    else if (service_->mode_ != service.mode_)
+    {
+        // Open flows can't change their mode; the next start adopts it.
+        log_event(log_level::error, "mode_change_needs_restart");
+    }
+    service_ = service;
+    mode_->update(service, known_backend_);
+    if (data_)
+    {
+        data_->set_service(service);
+    }
+}
+
+void agent::run_timer()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code)
+            {
+                run_timer();
+                on_tick();
+            }
+        });
+}
+
+void agent::on_tick()
+{
+    auto const now = current_time();
+    update_backend(now);
+    publish(now);
+    data_->set_incarnation(membership_->self().version_.incarnation_);
+    end_drain_if_done(now);
+}
+
+void agent::update_backend(time_point now)
+{
+    auto const status = backend_.status(now);
+    if (same_backend(status, known_backend_))
+    {
+        return;
+    }
+    known_backend_ = status;
+    if (mode_)
+    {
+        mode_->update(*service_, status);
+    }
+}
+
+void agent::publish(time_point now)
+{
+    auto const status = backend_.target(now, on_drained_ != nullptr);
+    if (status == published_)
+    {
+        return;
+    }
+    published_ = status;
+    membership_->publish(status);
+    log_event(
+        log_level::info, "published",
+        {{"state", to_string(status.state_)}, {"weight", status.weight_}});
+    // Decisions of the flow table see the own state at once.
+    if (merge(membership_->self()))
+    {
+        update_view();
+    }
+}
+
+// Returns true if the record superseded the one held.
+bool agent::merge(target_record const& record)
+{
+    auto const [at, inserted] = targets_.try_emplace(record.target_, record);
+    if (!inserted && !supersedes(record, at->second))
+    {
+        return false;
+    }
+    at->second = record;
+    return true;
+}
+
+void agent::update_view()
+{
+    if (!data_)
+    {
+        return;
+    }
+    std::vector<target_record> records;
+    for (auto const& [id, record] : targets_)
+    {
+        records.push_back(record);
+    }
+    data_->set_view(records);
+}
+
+void agent::drain(std::function<void()> done)
+{
+    if (on_drained_)
+    {
+        return;
+    }
+    auto const now = current_time();
+    auto const timeout = service_ ? service_->limits_.drain_timeout_
+                                  : std::chrono::milliseconds(0);
+    on_drained_ = std::move(done);
+    drain_earliest_ = now + view_lag;
+    drain_deadline_ = now + timeout;
+    log_event(
+        log_level::info, "draining",
+        {{"flows", data_->open_flows()}, {"timeout_ms", timeout.count()}});
+    publish(now);
+    if (mode_)
+    {
+        mode_->drain(drain_deadline_);
+    }
+}
+
+void agent::end_drain_if_done(time_point now)
+{
+    if (!on_drained_ || now < drain_earliest_)
+    {
+        return;
+    }
+    auto const work = mode_ ? mode_->open_work() : 0;
+    bool const idle = work == 0 && data_->open_flows() == 0;
+    if (!idle && now < drain_deadline_)
+    {
+        return;
+    }
+    data_->abort_flows();
+    auto status = *published_;
+    status.state_ = member_state::left;
+    membership_->publish(status);
+    timer_.cancel();
+    log_event(log_level::info, "drained", {{"flows", data_->open_flows()}});
+    on_drained_();
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/agent/agent.hpp
@@ -0,0 +1,78 @@
+// The agent process: joins the data path, the service mode, the backend
+// server's announcements and the control plane.
+#pragma once
+
+#include "agent/announcement.hpp"
+#include "agent/data_path.hpp"
+#include "agent/flow_service.hpp"
+#include "net/http_page.hpp"
+#include "net/metrics.hpp"
+
+#include <daisytrail/control.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace daisytrail
+{
+
+class agent : public control_events
+{
+public:
+    agent(boost::asio::io_context& io, agent_settings const& settings,
+          metrics& metrics);
+
+    // Begins to serve; `membership` must outlive the agent.
+    void start(agent_membership& membership);
+
+    // Graceful stop: takes no new work, waits until the flows have ended or
+    // the drain timeout has passed, then calls `done`.
+    void drain(std::function<void()> done);
+
+    void stop();
+
+    void on_target(target_record const& record) override;
+    void on_organisation(organisation_template const& value,
+                         revision at) override;
+
+private:
+    void add_pages();
+    http_response announce(http_request const& request);
+    http_response health() const;
+    void set_service(service_template const& service);
+    void run_timer();
+    void on_tick();
+    void update_backend(time_point now);
+    void publish(time_point now);
+    bool merge(target_record const& record);
+    void update_view();
+    void end_drain_if_done(time_point now);
+
+    boost::asio::io_context& io_;
+    agent_settings settings_;
+    metrics& metrics_;
+    http_page page_;
+    boost::asio::steady_timer timer_;
+    agent_membership* membership_ = nullptr; // set by start()
+    // Newest record of each target of the own service.
+    std::map<target_id, target_record> targets_;
+    backend_monitor backend_;
+    backend_status known_backend_; // as last told to the flow service
+    std::optional<service_template> service_;
+    std::unique_ptr<flow_service> mode_; // set with service_
+    std::unique_ptr<data_path> data_;    // set by start()
+    std::optional<target_status> published_;
+
+    // Set while draining.
+    std::function<void()> on_drained_;
+    time_point drain_earliest_{};
+    time_point drain_deadline_{};
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/agent/data_path.hpp
@@ -0,0 +1,109 @@
+// The packets of an agent: reads tunnelled packets, carries out the decisions
+// of the flow table and sends the TCP stack's packets to the fabric.
+#pragma once
+
+#include "agent/flow_messages.hpp"
+#include "agent/tunnel_port.hpp"
+#include "lwip/tcp_stack.hpp"
+#include "net/metrics.hpp"
+#include "rpc/authenticator.hpp"
+
+#include <daisytrail/flows.hpp>
+#include <daisytrail/settings.hpp>
+#include <daisytrail/view.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+#include <vector>
+
+namespace daisytrail
+{
+
+class data_path
+{
+public:
+    using accept_flow = std::function<void(std::shared_ptr<tcp_flow>)>;
+
+    data_path(boost::asio::io_context& io, agent_settings const& settings,
+              incarnation epoch, metrics& metrics, accept_flow accept);
+
+    void start();
+    void stop();
+
+    // VIPs and limits of the own service.
+    void set_service(service_template const& service);
+
+    // Records of the own service's targets.
+    void set_view(std::span<target_record const> records);
+
+    // Packets for incarnations from the start's to this one are the agent's
+    // own.
+    void set_incarnation(incarnation current);
+
+    // Resets every flow.
+    void abort_flows();
+
+    std::size_t open_flows() const
+    {
+        return table_.open_flows();
+    }
+
+    // A page for operators: counts and the first flows.
+    boost::json::object describe() const;
+
+private:
+    using drop_counters =
+        std::array<std::uint64_t*,
+                   static_cast<std::size_t>(drop_reason::count)>;
+
+    static drop_counters make_drop_counters(metrics& metrics);
+
+    void on_datagram(std::span<std::byte const> datagram);
+    void on_flow_message(std::span<std::byte const> datagram);
+    drop_reason handle(std::span<std::byte const> datagram);
+    drop_reason check(tunnel_header const& header) const;
+    drop_reason carry_out(flow_decision const& decision,
+                          packet_info const& info,
+                          std::span<std::byte const> packet);
+    void deliver(packet_info const& info, std::span<std::byte const> packet);
+    void pass(flow_decision const& decision, std::span<std::byte const> packet);
+    void send_to_fabric(std::span<std::byte const> packet);
+    void send_message(endpoint const& to, flow_message const& message);
+    void on_accepted(std::shared_ptr<tcp_flow> flow);
+    void run_timer();
+    void on_tick(time_point now);
+    void note_ended_flows(time_point now);
+    void evict(evicted_flow const& flow);
+
+    agent_settings settings_;
+    service_id service_;
+    incarnation epoch_;
+    incarnation current_; // at least epoch_
+    flow_table table_;
+    authenticator authenticator_;
+    tunnel_port port_;
+    tcp_stack stack_;
+    accept_flow accept_;
+    boost::asio::steady_timer timer_;
+    std::unordered_set<endpoint, endpoint_hash> vips_;
+    // Accepted flows whose end the table doesn't know yet.
+    std::vector<std::shared_ptr<tcp_flow>> accepted_;
+    std::size_t next_fabric_ = 0;
+    std::size_t ticks_ = 0;
+
+    drop_counters drops_;
+    std::uint64_t& delivered_;
+    std::uint64_t& passed_;
+    std::uint64_t& resets_;
+    std::uint64_t& probes_;
+    std::uint64_t& sent_;
+    std::uint64_t& message_bytes_;
+    std::uint64_t& refused_messages_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/agent/flow_messages.cpp
@@ -0,0 +1,154 @@
+// Cap'n Proto encoding of flow messages.
+#include "agent/flow_messages.hpp"
+
+#include "rpc/generated/messages.capnp.h"
+
+#include <daisytrail/error.hpp>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+// A tunnel header starts with a segment count of one, encoded as 0.
+constexpr std::array<std::byte, flow_message_prefix_bytes> prefix{
+    std::byte{0xFF}, std::byte{0xFF}, std::byte{0xFF}, std::byte{0xFF},
+    std::byte{'f'},  std::byte{'l'},  std::byte{'o'},  std::byte{'w'}};
+
+constexpr std::uint64_t traversal_limit_words = 1'024;
+constexpr int nesting_limit = 4;
+
+void write_changes(wire::FlowBatch::Builder to, flow_batch const& from)
+{
+    to.setView(from.view_);
+    to.setComplete(from.complete_);
+    auto list = to.initChanges(static_cast<unsigned>(from.changes_.size()));
+    for (unsigned i = 0; i < list.size(); ++i)
+    {
+        auto const& change = from.changes_[i];
+        list[i].setCaller(change.flow_.caller_.address_);
+        list[i].setCallerPort(change.flow_.caller_.port_);
+        list[i].setVip(change.flow_.vip_.address_);
+        list[i].setVipPort(change.flow_.vip_.port_);
+        list[i].setRemoved(change.removed_);
+    }
+}
+
+void read_changes(wire::FlowBatch::Reader from, flow_batch& to)
+{
+    to.view_ = from.getView();
+    to.complete_ = from.getComplete();
+    auto const list = from.getChanges();
+    if (list.size() > max_batch_changes)
+    {
+        throw error(error_kind::invalid_packet, "too many flow changes");
+    }
+    for (auto const change : list)
+    {
+        to.changes_.push_back({{{change.getCaller(), change.getCallerPort()},
+                                {change.getVip(), change.getVipPort()}},
+                               change.getRemoved()});
+    }
+}
+
+template <typename Message>
+void write_addressing(wire::FlowMessage::Builder to, Message const& from)
+{
+    to.setFrom(from.from_);
+    to.setTo(from.to_);
+    to.setFromEpoch(from.from_epoch_);
+    to.setToEpoch(from.to_epoch_);
+    to.setStream(from.stream_);
+    to.setSequence(from.sequence_);
+}
+
+template <typename Message>
+Message read_addressing(wire::FlowMessage::Reader from)
+{
+    Message to;
+    to.from_ = from.getFrom();
+    to.to_ = from.getTo();
+    to.from_epoch_ = from.getFromEpoch();
+    to.to_epoch_ = from.getToEpoch();
+    to.stream_ = from.getStream();
+    to.sequence_ = from.getSequence();
+    return to;
+}
+
+flow_message read_message(wire::FlowMessage::Reader root)
+{
+    switch (root.which())
+    {
+    case wire::FlowMessage::ACKNOWLEDGEMENT:
+        return read_addressing<flow_acknowledgement>(root);
+    case wire::FlowMessage::BATCH:
+    {
+        auto batch = read_addressing<flow_batch>(root);
+        read_changes(root.getBatch(), batch);
+        return batch;
+    }
+    }
+    throw error(error_kind::invalid_packet, "unknown kind of flow message");
+}
+
+} // namespace
+
+bool is_flow_message(std::span<std::byte const> datagram)
+{
+    return datagram.size() > prefix.size() &&
+           std::equal(prefix.begin(), prefix.end(), datagram.begin());
+}
+
+std::vector<std::byte> add_flow_prefix(std::span<std::byte const> sealed)
+{
+    std::vector<std::byte> result(prefix.begin(), prefix.end());
+    result.insert(result.end(), sealed.begin(), sealed.end());
+    return result;
+}
+
+std::vector<std::byte> encode_flow_message(flow_message const& message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<wire::FlowMessage>();
+    if (auto const* batch = std::get_if<flow_batch>(&message))
+    {
+        write_addressing(root, *batch);
+        write_changes(root.initBatch(), *batch);
+    }
+    else
+    {
+        write_addressing(root, std::get<flow_acknowledgement>(message));
+        root.setAcknowledgement();
+    }
+    auto const words = capnp::messageToFlatArray(builder);
+    auto const bytes = words.asBytes();
+    std::vector<std::byte> result(bytes.size());
+    std::memcpy(result.data(), bytes.begin(), bytes.size());
+    return result;
+}
+
+flow_message decode_flow_message(std::span<std::byte const> payload)
+{
+    auto const* words = reinterpret_cast<capnp::word const*>(payload.data());
+    try
+    {
+        capnp::FlatArrayMessageReader reader(
+            kj::arrayPtr(words, payload.size() / sizeof(capnp::word)),
+            {traversal_limit_words, nesting_limit});
+        return read_message(reader.getRoot<wire::FlowMessage>());
+    }
+    catch (kj::Exception const&)
+    {
+        throw error(error_kind::invalid_packet, "malformed flow message");
+    }
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/agent/stream_service.hpp
@@ -0,0 +1,55 @@
+// Service mode `stream`: each flow is spliced to a connection to the backend
+// server.
+#pragma once
+
+#include "agent/flow_service.hpp"
+#include "lwip/splice.hpp"
+#include "net/metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace daisytrail
+{
+
+class stream_service : public flow_service
+{
+public:
+    stream_service(boost::asio::io_context& io, metrics& metrics);
+    ~stream_service() override;
+
+    void accept(std::shared_ptr<tcp_flow> flow) override;
+
+    // Resets all flows if the backend server is lost.
+    void update(service_template const& service,
+                backend_status const& backend) override;
+
+    // Flows go on until they end or the deadline resets them.
+    void drain(time_point deadline) override;
+
+    std::size_t open_work() const override
+    {
+        return sessions_.size();
+    }
+
+private:
+    struct session;
+
+    void start_splice(std::shared_ptr<session> const& opened);
+    void finish(flow_key const& flow);
+    void reset_all();
+
+    boost::asio::io_context& io_;
+    std::uint64_t& opened_;
+    std::uint64_t& refused_; // the backend server couldn't be reached
+    std::uint64_t& reset_;
+    backend_status backend_;
+    boost::asio::steady_timer deadline_;
+    std::unordered_map<flow_key, std::shared_ptr<session>, flow_hash> sessions_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/agent/tunnel_port.hpp
@@ -0,0 +1,60 @@
+// The agent's UDP socket for packets and flow messages, with batched system
+// calls in both directions.
+#pragma once
+
+#include "net/udp_batch.hpp"
+
+#include <daisytrail/types.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <vector>
+
+namespace daisytrail
+{
+
+class tunnel_port
+{
+public:
+    using datagram_handler = std::function<void(std::span<std::byte const>)>;
+
+    // Each datagram that the handler gets starts 8-byte aligned.
+    tunnel_port(boost::asio::io_context& io, endpoint const& local,
+                datagram_handler handler);
+
+    void start();
+    void stop();
+
+    // Queues a copy; it leaves when the current handler has returned.
+    void send(endpoint const& to, std::span<std::byte const> header,
+              std::span<std::byte const> payload);
+
+    // Datagrams that the kernel refused or that were too long.
+    std::uint64_t lost() const
+    {
+        return lost_;
+    }
+
+private:
+    void wait();
+    void read_batches();
+    void schedule_flush();
+    void flush();
+
+    boost::asio::io_context& io_;
+    boost::asio::ip::udp::socket socket_;
+    datagram_handler handler_;
+    udp_receiver receiver_;
+    udp_sender sender_;
+    std::vector<std::byte> payloads_; // one place for each queued datagram
+    std::size_t queued_ = 0;
+    bool flush_scheduled_ = false;
+    std::uint64_t lost_ = 0;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/core/flow_peers.cpp
@@ -0,0 +1,548 @@
+// What an agent's peers are told about its flows, and what their changes and
+// deaths mean here.
+#include <daisytrail/flows.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+// Above this many peers completeness goes by time instead of markers, which
+// cost a datagram for each pair of agents and change.
+constexpr std::size_t max_marker_peers = 64;
+constexpr auto completeness_grace = std::chrono::seconds(10);
+
+constexpr auto half_open_lifetime = std::chrono::seconds(20);
+constexpr auto ended_lifetime = std::chrono::seconds(10);
+constexpr std::size_t max_ended = 4'096;
+
+// Longer than balancers may hold different views.
+constexpr auto retirement_time = std::chrono::seconds(10);
+
+// Probes of a dead owner's flow, counted from its death. A caller's stack may
+// limit its answers to two a second.
+constexpr std::array<std::chrono::milliseconds, 5> probe_times{
+    std::chrono::milliseconds(50), std::chrono::milliseconds(600),
+    std::chrono::milliseconds(1'150), std::chrono::milliseconds(1'700),
+    std::chrono::milliseconds(2'250)};
+
+// Probes sent in one tick.
+constexpr std::size_t max_probes_a_tick = 256;
+
+// Hash of the live members and of what their order of choice depends on.
+std::uint64_t hash_view(std::span<target_record const> records)
+{
+    std::uint64_t hash = 0x9E37'79B9'7F4A'7C15ULL;
+    auto const add = [&hash](std::uint64_t value)
+    {
+        hash ^= value;
+        hash *= 0xff51'afd7'ed55'8ccdULL;
+        hash ^= hash >> 32U;
+    };
+    for (auto const& record : records)
+    {
+        if (may_own_flows(record.state_))
+        {
+            add(record.target_);
+            add(record.version_.incarnation_);
+            add(record.weight_);
+            add(takes_new_work(record.state_) ? 1 : 0);
+        }
+    }
+    return hash;
+}
+
+bool holds(std::span<target_id const> members, target_id target)
+{
+    return std::ranges::find(members, target) != members.end();
+}
+
+} // namespace
+
+void flow_table::set_view(std::span<target_record const> records,
+                          time_point now)
+{
+    table_ = service_table(records);
+    update_peers(records, now);
+    auto const view = hash_view(records);
+    if (view == view_)
+    {
+        return;
+    }
+    view_ = view;
+    view_since_ = now;
+    for (auto& [key, flow] : flows_)
+    {
+        if (flow.phase_ != phase::ended)
+        {
+            inform(key, flow, now);
+        }
+    }
+    if (peers_.size() > max_marker_peers)
+    {
+        return;
+    }
+    for (auto& [id, value] : peers_)
+    {
+        if (may_own_flows(value.state_))
+        {
+            value.outbox_.mark_complete(view_);
+        }
+    }
+}
+
+void flow_table::update_peers(std::span<target_record const> records,
+                              time_point now)
+{
+    for (auto const& record : records)
+    {
+        if (record.target_ == options_.self_)
+        {
+            continue;
+        }
+        auto& value = peers_[record.target_];
+        bool const was_live = may_own_flows(value.state_);
+        value.tunnel_ = record.tunnel_;
+        value.incarnation_ = record.version_.incarnation_;
+        value.state_ = record.state_;
+        if (was_live && !may_own_flows(record.state_))
+        {
+            abandon(record.target_, value, now);
+            value.outbox_.restart(0, ++streams_);
+        }
+        else if (!was_live && may_own_flows(record.state_))
+        {
+            restore_pointers(record.target_, value);
+            restart_outbox(record.target_, value, value.inbox_.epoch());
+        }
+    }
+    for (auto at = peers_.begin(); at != peers_.end();)
+    {
+        if (std::ranges::find(records, at->first, &target_record::target_) !=
+            records.end())
+        {
+            ++at;
+            continue;
+        }
+        abandon(at->first, at->second, now);
+        at = peers_.erase(at);
+    }
+}
+
+// Begins the stream to a peer again with everything it has to know.
+void flow_table::restart_outbox(target_id id, peer& value, incarnation epoch)
+{
+    value.outbox_.restart(epoch, ++streams_);
+    for (auto const& [key, flow] : flows_)
+    {
+        if (holds(flow.informed_, id) || holds(flow.retiring_, id))
+        {
+            value.outbox_.push({key, false});
+        }
+    }
+    if (peers_.size() <= max_marker_peers)
+    {
+        value.outbox_.mark_complete(view_);
+    }
+}
+
+void flow_table::forget_pointers(target_id id, peer const& value)
+{
+    for (auto const& flow : value.flows_)
+    {
+        auto const at = pointers_.find(flow);
+        if (at != pointers_.end() && at->second == id)
+        {
+            pointers_.erase(at);
+        }
+    }
+}
+
+// A peer whose death was refuted still has its flows.
+void flow_table::restore_pointers(target_id id, peer const& value)
+{
+    for (auto const& flow : value.flows_)
+    {
+        pointers_.insert_or_assign(flow, id);
+    }
+}
+
+// The peer's process is gone: its callers are made to show their sequence
+// numbers, so that they can be reset.
+void flow_table::abandon(target_id id, peer const& value, time_point now)
+{
+    for (auto const& flow : value.flows_)
+    {
+        auto const at = pointers_.find(flow);
+        if (at != pointers_.end() && at->second == id)
+        {
+            probes_.push_back({flow, 0, now + probe_times[0]});
+        }
+    }
+    forget_pointers(id, value);
+}
+
+flow_table::informed_members
+flow_table::members_to_inform(flow_key const& flow) const
+{
+    informed_members result{};
+    std::size_t count = 0;
+    auto const add = [&](target_id target)
+    {
+        if (target != options_.self_ && count < max_informed &&
+            std::ranges::find(result, target) == result.end())
+        {
+            result[count++] = target;
+        }
+    };
+    auto const ranked = table_.pick(hash_flow(flow));
+    if (ranked.size_ == 0)
+    {
+        return result;
+    }
+    add(ranked.candidates_[0].target_);
+    if (auto const* first = first_for_new(ranked))
+    {
+        add(first->target_);
+    }
+    if (ranked.size_ > 1 && is_self(ranked.candidates_[0]))
+    {
+        add(ranked.candidates_[1].target_);
+    }
+    return result;
+}
+
+void flow_table::push(target_id target, flow_key const& flow, bool removed)
+{
+    auto const at = peers_.find(target);
+    if (at != peers_.end() && may_own_flows(at->second.state_))
+    {
+        at->second.outbox_.push({flow, removed});
+    }
+}
+
+// Tells the members that have to know the flow now.
+void flow_table::inform(flow_key const& flow, own_flow& state, time_point now)
+{
+    auto const wanted = members_to_inform(flow);
+    if (wanted == state.informed_)
+    {
+        return;
+    }
+    auto const former = std::exchange(state.informed_, wanted);
+    for (auto const target : wanted)
+    {
+        if (target != 0 && !holds(former, target) &&
+            !holds(state.retiring_, target))
+        {
+            push(target, flow, false);
+        }
+    }
+    for (auto& target : state.retiring_)
+    {
+        target = holds(wanted, target) ? 0 : target;
+    }
+    for (auto const target : former)
+    {
+        if (target != 0 && !holds(wanted, target))
+        {
+            retire(flow, state, target);
+            state.retired_at_ = now;
+        }
+    }
+    if (state.retired_at_ == now)
+    {
+        retired_order_.push_back({flow, now});
+    }
+}
+
+// Keeps a former head informed, if there is a place for it.
+void flow_table::retire(flow_key const& flow, own_flow& state, target_id target)
+{
+    auto const place = std::ranges::find(state.retiring_, 0U);
+    if (place == state.retiring_.end())
+    {
+        push(state.retiring_[0], flow, true);
+        std::rotate(state.retiring_.begin(), state.retiring_.begin() + 1,
+                    state.retiring_.end());
+        state.retiring_.back() = target;
+        return;
+    }
+    *place = target;
+}
+
+void flow_table::end_retirement(time_point now)
+{
+    while (!retired_order_.empty() &&
+           now - retired_order_.front().since_ >= retirement_time)
+    {
+        auto const oldest = retired_order_.front();
+        retired_order_.pop_front();
+        auto const at = flows_.find(oldest.flow_);
+        if (at == flows_.end() || at->second.retired_at_ != oldest.since_)
+        {
+            continue;
+        }
+        for (auto& target : at->second.retiring_)
+        {
+            if (target != 0)
+            {
+                push(std::exchange(target, 0), oldest.flow_, true);
+            }
+        }
+    }
+}
+
+// Tells everyone who knows the flow that it has ended.
+void flow_table::disown(flow_key const& flow, own_flow& state)
+{
+    for (auto const& members : {state.informed_, state.retiring_})
+    {
+        for (auto const target : members)
+        {
+            if (target != 0)
+            {
+                push(target, flow, true);
+            }
+        }
+    }
+    state.informed_ = {};
+    state.retiring_ = {};
+}
+
+bool flow_table::is_complete(time_point now) const
+{
+    if (peers_.size() > max_marker_peers)
+    {
+        return now - view_since_ >= completeness_grace;
+    }
+    return std::ranges::all_of(peers_,
+                               [this](auto const& entry)
+                               {
+                                   auto const& value = entry.second;
+                                   return !may_own_flows(value.state_) ||
+                                          value.inbox_.is_complete_for(view_);
+                               });
+}
+
+endpoint flow_table::peer_endpoint(target_id id) const
+{
+    auto const at = peers_.find(id);
+    return at == peers_.end() ? endpoint{} : at->second.tunnel_;
+}
+
+flow_acknowledgement flow_table::on_batch(flow_batch const& batch,
+                                          time_point now)
+{
+    flow_acknowledgement answer;
+    answer.from_ = options_.self_;
+    answer.to_ = batch.from_;
+    answer.from_epoch_ = options_.epoch_;
+    answer.to_epoch_ = batch.from_epoch_;
+    auto const at = peers_.find(batch.from_);
+    if (at == peers_.end() || batch.to_ != options_.self_)
+    {
+        return answer;
+    }
+    auto& value = at->second;
+    if (value.inbox_.is_new_epoch(batch))
+    {
+        abandon(batch.from_, value, now);
+        value.flows_.clear();
+        value.inbox_.restart(batch.from_epoch_);
+        restart_outbox(batch.from_, value, batch.from_epoch_);
+    }
+    bool const addressed = batch.to_epoch_ == options_.epoch_;
+    if (addressed && value.inbox_.is_new_stream(batch))
+    {
+        forget_pointers(batch.from_, value);
+        value.flows_.clear();
+        value.inbox_.restart_stream(batch.stream_);
+    }
+    if (addressed && value.inbox_.accept(batch))
+    {
+        for (auto const& change : batch.changes_)
+        {
+            apply(batch.from_, value, change);
+        }
+    }
+    if (batch.from_epoch_ == value.inbox_.epoch())
+    {
+        answer.stream_ = value.inbox_.stream();
+        answer.sequence_ = value.inbox_.applied();
+    }
+    return answer;
+}
+
+void flow_table::apply(target_id from, peer& value, flow_change const& change)
+{
+    if (!change.removed_)
+    {
+        value.flows_.insert(change.flow_);
+        if (may_own_flows(value.state_))
+        {
+            pointers_[change.flow_] = from;
+        }
+        return;
+    }
+    value.flows_.erase(change.flow_);
+    auto const at = pointers_.find(change.flow_);
+    if (at != pointers_.end() && at->second == from)
+    {
+        pointers_.erase(at);
+    }
+}
+
+void flow_table::on_acknowledgement(flow_acknowledgement const& answer)
+{
+    auto const at = peers_.find(answer.from_);
+    if (at == peers_.end() || answer.to_ != options_.self_ ||
+        answer.to_epoch_ != options_.epoch_)
+    {
+        return;
+    }
+    auto& outbox = at->second.outbox_;
+    if (answer.from_epoch_ > outbox.peer_epoch())
+    {
+        restart_outbox(answer.from_, at->second, answer.from_epoch_);
+    }
+    else if (answer.from_epoch_ == outbox.peer_epoch())
+    {
+        outbox.acknowledge(answer.stream_, answer.sequence_);
+    }
+}
+
+void flow_table::on_established(flow_key const& flow, time_point now)
+{
+    auto const [at, inserted] = flows_.try_emplace(flow);
+    auto& state = at->second;
+    if (inserted || state.phase_ == phase::ended)
+    {
+        // The port was used again before the former flow's end was noted.
+        ++open_;
+        inform(flow, state, now);
+    }
+    else if (state.phase_ == phase::half_open)
+    {
+        --half_open_;
+    }
+    state.phase_ = phase::established;
+    state.since_ = now;
+}
+
+void flow_table::on_ended(flow_key const& flow, time_point now)
+{
+    auto const at = flows_.find(flow);
+    if (at == flows_.end() || at->second.phase_ == phase::ended)
+    {
+        return;
+    }
+    half_open_ -= at->second.phase_ == phase::half_open ? 1 : 0;
+    --open_;
+    at->second.phase_ = phase::ended;
+    at->second.since_ = now;
+    disown(flow, at->second);
+    ended_order_.push_back({flow, now});
+}
+
+flow_output flow_table::tick(time_point now)
+{
+    flow_output output;
+    expire(now, output);
+    collect_probes(now, output);
+    for (auto& [id, value] : peers_)
+    {
+        if (!may_own_flows(value.state_))
+        {
+            continue;
+        }
+        for (auto& batch : value.outbox_.due(now))
+        {
+            batch.from_ = options_.self_;
+            batch.to_ = id;
+            batch.from_epoch_ = options_.epoch_;
+            batch.to_epoch_ = value.outbox_.peer_epoch();
+            output.batches_.push_back({value.tunnel_, std::move(batch)});
+        }
+    }
+    return output;
+}
+
+void flow_table::expire(time_point now, flow_output& output)
+{
+    expire_half_open(now, output);
+    forget_ended(now);
+    end_retirement(now);
+    std::erase_if(intents_, [now](auto const& entry)
+                  { return entry.second.expires_ <= now; });
+}
+
+void flow_table::expire_half_open(time_point now, flow_output& output)
+{
+    output.evicted_ = std::move(evicted_);
+    evicted_.clear();
+    while (!half_open_order_.empty() &&
+           now - half_open_order_.front().since_ >= half_open_lifetime)
+    {
+        auto const oldest = half_open_order_.front();
+        half_open_order_.pop_front();
+        auto const at = flows_.find(oldest.flow_);
+        if (at != flows_.end() && at->second.phase_ == phase::half_open &&
+            at->second.since_ == oldest.since_)
+        {
+            output.evicted_.push_back({oldest.flow_, at->second.sequence_});
+            on_ended(oldest.flow_, now);
+        }
+    }
+}
+
+void flow_table::forget_ended(time_point now)
+{
+    while (!ended_order_.empty() &&
+           (now - ended_order_.front().since_ >= ended_lifetime ||
+            ended_order_.size() > max_ended))
+    {
+        auto const oldest = ended_order_.front();
+        ended_order_.pop_front();
+        auto const at = flows_.find(oldest.flow_);
+        if (at != flows_.end() && at->second.phase_ == phase::ended &&
+            at->second.since_ == oldest.since_)
+        {
+            flows_.erase(at);
+        }
+    }
+}
+
+void flow_table::collect_probes(time_point now, flow_output& output)
+{
+    auto const count = probes_.size();
+    for (std::size_t i = 0;
+         i < count && output.probes_.size() < max_probes_a_tick; ++i)
+    {
+        auto next = probes_.front();
+        probes_.pop_front();
+        if (next.at_ > now)
+        {
+            probes_.push_back(next);
+            continue;
+        }
+        // Someone else has the flow by now.
+        if (flows_.contains(next.flow_) || pointers_.contains(next.flow_))
+        {
+            continue;
+        }
+        output.probes_.push_back(next.flow_);
+        if (++next.attempt_ < probe_times.size())
+        {
+            next.at_ +=
+                probe_times[next.attempt_] - probe_times[next.attempt_ - 1];
+            probes_.push_back(next);
+        }
+    }
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/core/flow_sync.cpp
@@ -0,0 +1,112 @@
+// Streams of flow changes between agents: batching, retransmission, order.
+#include <daisytrail/flow_sync.hpp>
+
+#include <algorithm>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+constexpr std::size_t window_batches = 8;
+constexpr auto retransmit_after = std::chrono::milliseconds(200);
+
+} // namespace
+
+void flow_outbox::restart(incarnation peer_epoch, std::uint64_t stream)
+{
+    *this = {};
+    peer_epoch_ = peer_epoch;
+    stream_ = stream;
+}
+
+void flow_outbox::push(flow_change const& change)
+{
+    queue_.push_back(change);
+}
+
+void flow_outbox::mark_complete(std::uint64_t view)
+{
+    marker_ = view;
+}
+
+flow_batch flow_outbox::next_batch()
+{
+    flow_batch batch;
+    batch.stream_ = stream_;
+    batch.sequence_ = ++last_sequence_;
+    auto const count = std::min(queue_.size(), max_batch_changes);
+    auto const end = queue_.begin() + static_cast<std::ptrdiff_t>(count);
+    batch.changes_.assign(queue_.begin(), end);
+    queue_.erase(queue_.begin(), end);
+    if (queue_.empty() && marker_)
+    {
+        batch.complete_ = true;
+        batch.view_ = *marker_;
+        marker_.reset();
+    }
+    return batch;
+}
+
+std::vector<flow_batch> flow_outbox::due(time_point now)
+{
+    std::vector<flow_batch> result;
+    if (!in_flight_.empty() && now - sent_at_ >= retransmit_after)
+    {
+        result.assign(in_flight_.begin(), in_flight_.end());
+        sent_at_ = now;
+    }
+    while ((!queue_.empty() || marker_) && in_flight_.size() < window_batches)
+    {
+        if (in_flight_.empty())
+        {
+            sent_at_ = now;
+        }
+        in_flight_.push_back(next_batch());
+        result.push_back(in_flight_.back());
+    }
+    return result;
+}
+
+void flow_outbox::acknowledge(std::uint64_t stream, std::uint64_t sequence)
+{
+    if (stream != stream_)
+    {
+        return;
+    }
+    while (!in_flight_.empty() && in_flight_.front().sequence_ <= sequence)
+    {
+        in_flight_.pop_front();
+    }
+}
+
+void flow_inbox::restart(incarnation peer_epoch)
+{
+    *this = {};
+    epoch_ = peer_epoch;
+}
+
+void flow_inbox::restart_stream(std::uint64_t stream)
+{
+    auto const epoch = epoch_;
+    restart(epoch);
+    stream_ = stream;
+}
+
+bool flow_inbox::accept(flow_batch const& batch)
+{
+    if (batch.from_epoch_ != epoch_ || batch.stream_ != stream_ ||
+        batch.sequence_ != applied_ + 1)
+    {
+        return false;
+    }
+    applied_ = batch.sequence_;
+    if (batch.complete_)
+    {
+        complete_view_ = batch.view_;
+    }
+    return true;
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/core/flows.cpp
@@ -0,0 +1,467 @@
+// Decisions on single packets: deliver, pass on, reset or drop.
+#include <daisytrail/flows.hpp>
+
+#include <algorithm>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+// Longer than balancers may hold different views, and than a SYN's first
+// retransmissions.
+constexpr auto intent_lifetime = std::chrono::seconds(8);
+constexpr std::size_t max_intents = 16'384;
+
+// A half-open flow younger than this keeps its place under a SYN flood.
+constexpr auto half_open_grace = std::chrono::milliseconds(500);
+
+flow_decision make_verdict(flow_verdict verdict)
+{
+    flow_decision result;
+    result.verdict_ = verdict;
+    return result;
+}
+
+flow_decision make_drop(drop_reason reason)
+{
+    flow_decision result;
+    result.drop_ = reason;
+    return result;
+}
+
+constexpr std::uint8_t bit(std::size_t position)
+{
+    return static_cast<std::uint8_t>(1U << position);
+}
+
+} // namespace
+
+std::size_t write_reset(std::span<std::byte> buffer, packet_info const& info)
+{
+    constexpr unsigned ends = tcp_flags::syn | tcp_flags::fin;
+    if ((info.flags_ & tcp_flags::rst) != 0)
+    {
+        return 0;
+    }
+    if ((info.flags_ & tcp_flags::ack) != 0)
+    {
+        return write_segment(buffer, info.flow_, info.acknowledgement_, 0,
+                             tcp_flags::rst);
+    }
+    auto const length =
+        info.payload_bytes_ + ((info.flags_ & ends) != 0 ? 1U : 0U);
+    return write_segment(buffer, info.flow_, 0, info.sequence_ + length,
+                         tcp_flags::rst | tcp_flags::ack);
+}
+
+std::array<std::array<std::byte, 40>, 2> write_probes(flow_key const& flow)
+{
+    constexpr std::uint32_t half_of_sequence_space = 0x8000'0000;
+    std::array<std::array<std::byte, 40>, 2> packets;
+    write_segment(packets[0], flow, 0, 0, tcp_flags::ack);
+    write_segment(packets[1], flow, half_of_sequence_space, 0, tcp_flags::ack);
+    return packets;
+}
+
+flow_table::flow_table(flow_options const& options) : options_(options) {}
+
+void flow_table::set_limits(std::uint32_t connections, std::uint32_t half_open)
+{
+    options_.connections_ = connections;
+    options_.half_open_ = half_open;
+}
+
+flow_decision flow_table::decide(tunnel_header const& header,
+                                 packet_info const& info, time_point now)
+{
+    auto const own = flows_.find(info.flow_);
+    if (own != flows_.end())
+    {
+        if (own->second.phase_ != phase::ended || !info.opens_flow())
+        {
+            return make_verdict(flow_verdict::deliver);
+        }
+    }
+    return info.opens_flow() ? decide_open(header, info, now)
+                             : decide_unknown(header, info, now);
+}
+
+// A SYN of a flow that isn't owned here.
+flow_decision flow_table::decide_open(tunnel_header header,
+                                      packet_info const& info, time_point now)
+{
+    auto const& flow = info.flow_;
+    if (auto const* owner = pointer_of(flow))
+    {
+        deny_self(header);
+        return pass_to(header, *owner);
+    }
+    bool const denied = all_denied(header);
+    auto const* intended = intent_of(flow, now);
+    // Of two agents that each sent the other a SYN of this flow, the one with
+    // the lower id opens it.
+    if (intended != nullptr && is_live(*intended) &&
+        (intended->target_ < options_.self_ ||
+         (!denied && !self_denied(header))))
+    {
+        deny_self(header);
+        return pass_to(header, *intended);
+    }
+    auto const own = table_.pick(hash_flow(flow));
+    auto const* first = first_for_new(own);
+    bool const is_first = first != nullptr && is_self(*first);
+    if (is_first && is_complete(now) && knows(header.trail_))
+    {
+        return open_or_place(header, info, now);
+    }
+    auto const* chooser = chooser_of(header);
+    if (denied)
+    {
+        auto const* self = find(options_.self_);
+        if (self != nullptr && takes_new_work(self->state_))
+        {
+            return open_or_place(header, info, now);
+        }
+        return chooser == nullptr ? make_drop(drop_reason::no_target)
+                                  : pass_to(header, *chooser);
+    }
+    if (first != nullptr)
+    {
+        include(header, *first);
+    }
+    deny_self(header);
+    chooser = chooser_of(header);
+    auto const* next = next_undenied(header);
+    if (next == nullptr)
+    {
+        if (chooser == nullptr)
+        {
+            return make_drop(drop_reason::no_target);
+        }
+        if (is_self(*chooser))
+        {
+            return open_or_place(header, info, now);
+        }
+        next = chooser;
+    }
+    if (chooser != nullptr && !is_self(*chooser))
+    {
+        remember_intent(flow, *chooser, now);
+    }
+    return pass_to(header, *next);
+}
+
+// A packet of a flow that isn't owned here.
+flow_decision flow_table::decide_unknown(tunnel_header header,
+                                         packet_info const& info,
+                                         time_point now)
+{
+    if (auto const* owner = pointer_of(info.flow_))
+    {
+        deny_self(header);
+        return pass_to(header, *owner);
+    }
+    auto const own = table_.pick(hash_flow(info.flow_));
+    bool const is_head = own.size_ > 0 && is_self(own.candidates_[0]);
+    if (own.size_ > 0 && !is_head)
+    {
+        include(header, own.candidates_[0]);
+    }
+    deny_self(header);
+    if (auto const* next = next_undenied(header))
+    {
+        return pass_to(header, *next);
+    }
+    if (own.size_ > 0 && !is_head)
+    {
+        return pass_to(header, own.candidates_[0]);
+    }
+    if (is_head && is_complete(now) && knows(header.trail_))
+    {
+        return make_verdict(flow_verdict::reset);
+    }
+    return make_drop(drop_reason::unknown_flow);
+}
+
+flow_decision flow_table::open_or_place(tunnel_header const& header,
+                                        packet_info const& info, time_point now)
+{
+    if (open_ >= options_.connections_)
+    {
+        return place(header, info.flow_, now);
+    }
+    if (!make_room(now))
+    {
+        return make_drop(drop_reason::half_open_limit);
+    }
+    open(info, now);
+    return make_verdict(flow_verdict::deliver);
+}
+
+// Asks the next member that takes new work to open the flow in this one's
+// stead.
+flow_decision flow_table::place(tunnel_header header, flow_key const& flow,
+                                time_point now)
+{
+    std::size_t next = 0;
+    for (std::size_t i = 0; i < header.trail_.size_; ++i)
+    {
+        header.denied_ |= bit(i);
+        if (is_self(header.trail_.candidates_[i]))
+        {
+            next = i + 1;
+        }
+    }
+    for (; next < header.trail_.size_; ++next)
+    {
+        auto const& to = header.trail_.candidates_[next];
+        if (takes_new_work(state_of(to)))
+        {
+            remember_intent(flow, to, now);
+            return pass_to(header, to);
+        }
+    }
+    return make_drop(drop_reason::connection_limit);
+}
+
+flow_decision flow_table::pass_to(tunnel_header header,
+                                  candidate const& to) const
+{
+    if (header.hops_ >= max_tunnel_hops)
+    {
+        return make_drop(drop_reason::hop_limit);
+    }
+    ++header.hops_;
+    header.target_ = to.target_;
+    header.incarnation_ = to.incarnation_;
+    for (std::uint8_t i = 0; i < header.trail_.size_; ++i)
+    {
+        if (header.trail_.candidates_[i].target_ == to.target_)
+        {
+            header.position_ = i;
+        }
+    }
+    auto result = make_verdict(flow_verdict::pass);
+    result.header_ = header;
+    result.next_ = to.tunnel_;
+    return result;
+}
+
+// Makes sure that one more flow may be half open.
+bool flow_table::make_room(time_point now)
+{
+    while (half_open_ >= options_.half_open_ && !half_open_order_.empty())
+    {
+        auto const oldest = half_open_order_.front();
+        auto const at = flows_.find(oldest.flow_);
+        bool const current = at != flows_.end() &&
+                             at->second.phase_ == phase::half_open &&
+                             at->second.since_ == oldest.since_;
+        if (current && now - oldest.since_ < half_open_grace)
+        {
+            return false;
+        }
+        half_open_order_.pop_front();
+        if (current)
+        {
+            evicted_.push_back({oldest.flow_, at->second.sequence_});
+            disown(oldest.flow_, at->second);
+            flows_.erase(at);
+            --half_open_;
+            --open_;
+        }
+    }
+    return half_open_ < options_.half_open_;
+}
+
+void flow_table::open(packet_info const& info, time_point now)
+{
+    auto& flow = flows_[info.flow_];
+    flow = {phase::half_open, now, info.sequence_ + 1, {}, {}, {}};
+    ++open_;
+    ++half_open_;
+    half_open_order_.push_back({info.flow_, now});
+    intents_.erase(info.flow_);
+    inform(info.flow_, flow, now);
+}
+
+member_state flow_table::state_of(candidate const& value) const
+{
+    auto const known = peers_.find(value.target_);
+    if (known == peers_.end() ||
+        known->second.incarnation_ < value.incarnation_)
+    {
+        auto const* self = is_self(value) ? find(value.target_) : nullptr;
+        return self != nullptr ? self->state_ : value.state_;
+    }
+    return known->second.state_;
+}
+
+bool flow_table::is_live(candidate const& value) const
+{
+    return may_own_flows(state_of(value));
+}
+
+bool flow_table::is_self(candidate const& value) const
+{
+    return value.target_ == options_.self_;
+}
+
+bool flow_table::all_denied(tunnel_header const& header) const
+{
+    for (std::size_t i = 0; i < header.trail_.size_; ++i)
+    {
+        if ((header.denied_ & bit(i)) == 0 &&
+            is_live(header.trail_.candidates_[i]))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool flow_table::self_denied(tunnel_header const& header) const
+{
+    for (std::size_t i = 0; i < header.trail_.size_; ++i)
+    {
+        if (is_self(header.trail_.candidates_[i]))
+        {
+            return (header.denied_ & bit(i)) != 0;
+        }
+    }
+    return false;
+}
+
+// True if the own view has every live candidate of the trail.
+bool flow_table::knows(trail const& value) const
+{
+    return std::ranges::all_of(value.view(),
+                               [this](candidate const& member)
+                               {
+                                   return !is_live(member) || is_self(member) ||
+                                          peers_.contains(member.target_);
+                               });
+}
+
+// A denial carries the own state, which others may not know yet.
+void flow_table::deny_self(tunnel_header& header) const
+{
+    auto const* self = find(options_.self_);
+    for (std::size_t i = 0; i < header.trail_.size_; ++i)
+    {
+        if (is_self(header.trail_.candidates_[i]))
+        {
+            header.denied_ |= bit(i);
+            if (self != nullptr)
+            {
+                header.trail_.candidates_[i].state_ = self->state_;
+            }
+        }
+    }
+}
+
+// Puts a member into the trail in place of its last undenied candidate, so
+// that it is asked too.
+void flow_table::include(tunnel_header& header, candidate const& value) const
+{
+    auto& candidates = header.trail_.candidates_;
+    for (std::size_t i = 0; i < header.trail_.size_; ++i)
+    {
+        if (candidates[i].target_ == value.target_)
+        {
+            return;
+        }
+    }
+    if (header.trail_.size_ < trail_length)
+    {
+        candidates[header.trail_.size_++] = value;
+        return;
+    }
+    for (std::size_t i = trail_length; i-- > 1;)
+    {
+        if ((header.denied_ & bit(i)) == 0 && !is_self(candidates[i]))
+        {
+            candidates[i] = value;
+            return;
+        }
+    }
+}
+
+candidate const* flow_table::next_undenied(tunnel_header const& header) const
+{
+    for (std::size_t i = 0; i < header.trail_.size_; ++i)
+    {
+        auto const& value = header.trail_.candidates_[i];
+        if ((header.denied_ & bit(i)) == 0 && !is_self(value) && is_live(value))
+        {
+            return &value;
+        }
+    }
+    return nullptr;
+}
+
+candidate const* flow_table::first_for_new(trail const& value) const
+{
+    auto const members = value.view();
+    auto const at =
+        std::ranges::find_if(members, [this](candidate const& member)
+                             { return takes_new_work(state_of(member)); });
+    return at == members.end() ? nullptr : &*at;
+}
+
+// The candidate that opens the flow once all have denied it.
+candidate const* flow_table::chooser_of(tunnel_header const& header) const
+{
+    for (std::size_t i = 0; i < header.trail_.size_; ++i)
+    {
+        auto const& value = header.trail_.candidates_[i];
+        bool const denied = (header.denied_ & bit(i)) != 0;
+        if (is_live(value) &&
+            takes_new_work(denied ? value.state_ : state_of(value)))
+        {
+            return &value;
+        }
+    }
+    return nullptr;
+}
+
+candidate const* flow_table::find(target_id target) const
+{
+    auto const members = table_.members();
+    auto const at =
+        std::ranges::lower_bound(members, target, {}, &candidate::target_);
+    return at == members.end() || at->target_ != target ? nullptr : &*at;
+}
+
+candidate const* flow_table::pointer_of(flow_key const& flow) const
+{
+    auto const at = pointers_.find(flow);
+    return at == pointers_.end() ? nullptr : find(at->second);
+}
+
+candidate const* flow_table::intent_of(flow_key const& flow,
+                                       time_point now) const
+{
+    auto const at = intents_.find(flow);
+    return at == intents_.end() || at->second.expires_ <= now ? nullptr
+                                                              : &at->second.to_;
+}
+
+void flow_table::remember_intent(flow_key const& flow, candidate const& to,
+                                 time_point now)
+{
+    if (intents_.size() < max_intents)
+    {
+        intents_[flow] = {to, now + intent_lifetime};
+    }
+}
+
+bool flow_table::owns(flow_key const& flow) const
+{
+    auto const at = flows_.find(flow);
+    return at != flows_.end() && at->second.phase_ != phase::ended;
+}
+
+} // namespace daisytrail
--- a/src/lwip/splice.cpp
+++ b/src/lwip/splice.cpp
@@ -16,7 +16,7 @@
 {
 }
 
-void splice::start(std::span<std::byte const> early)
+void splice::start(std::span<std::byte const> early, bool flow_ended)
 {
     auto const self = shared_from_this();
     tcp_handlers handlers;
@@ -47,6 +47,11 @@
     {
         on_flow_data(early);
     }
+    if (flow_ended)
+    {
+        flow_ended_ = true;
+        write_socket();
+    }
     read_socket();
 }
 
--- a/src/lwip/splice.hpp
+++ b/src/lwip/splice.hpp
@@ -45,8 +45,8 @@
            end_handler on_end);
 
     // `early` are bytes of the flow that arrived before the splice began; they
-    // were not consumed yet.
-    void start(std::span<std::byte const> early = {});
+    // were not consumed yet. `flow_ended` tells that its FIN came too.
+    void start(std::span<std::byte const> early = {}, bool flow_ended = false);
 
     // Resets both ends.
     void abort();
--- a/src/lwip/tcp_stack.cpp
+++ b/src/lwip/tcp_stack.cpp
@@ -302,6 +302,36 @@
         });
 }
 
+void tcp_stack::release_time_wait(flow_key const& key)
+{
+    for (auto* pcb = tcp_tw_pcbs; pcb != nullptr; pcb = pcb->next)
+    {
+        if (pcb->remote_port == key.caller_.port_ &&
+            pcb->local_port == key.vip_.port_ &&
+            from_lwip(pcb->remote_ip) == key.caller_.address_ &&
+            from_lwip(pcb->local_ip) == key.vip_.address_)
+        {
+            tcp_abort(pcb); // sends nothing in TIME-WAIT
+            return;
+        }
+    }
+}
+
+void tcp_stack::bound_time_wait(std::size_t limit)
+{
+    auto* pcb = tcp_tw_pcbs; // newest first
+    for (std::size_t kept = 0; pcb != nullptr && kept < limit; ++kept)
+    {
+        pcb = pcb->next;
+    }
+    while (pcb != nullptr)
+    {
+        auto* const next = pcb->next;
+        tcp_abort(pcb);
+        pcb = next;
+    }
+}
+
 void tcp_stack::stop()
 {
     timer_.cancel();
--- a/src/lwip/tcp_stack.hpp
+++ b/src/lwip/tcp_stack.hpp
@@ -111,6 +111,13 @@
     std::shared_ptr<tcp_flow> connect(flow_key const& key,
                                       tcp_handlers handlers);
 
+    // Frees the state of a flow in TIME-WAIT, so that the caller may use its
+    // port again at once.
+    void release_time_wait(flow_key const& key);
+
+    // Frees all but the newest flows in TIME-WAIT.
+    void bound_time_wait(std::size_t limit);
+
     void stop();
 
 private:
--- a/src/rpc/messages.capnp
+++ b/src/rpc/messages.capnp
@@ -22,3 +22,32 @@
   denied @5 :UInt8;
   trail @6 :List(Candidate);
 }
+
+# The sender owns the flow, or no longer does.
+struct FlowChange {
+  caller @0 :UInt32;
+  vip @1 :UInt32;
+  callerPort @2 :UInt16;
+  vipPort @3 :UInt16;
+  removed @4 :Bool;
+}
+
+struct FlowBatch {
+  view @0 :UInt64;
+  complete @1 :Bool;
+  changes @2 :List(FlowChange);
+}
+
+# A datagram between two agents of a service.
+struct FlowMessage {
+  from @0 :UInt64;
+  to @1 :UInt64;
+  fromEpoch @2 :UInt64;
+  toEpoch @3 :UInt64;
+  stream @4 :UInt64;
+  sequence @5 :UInt64;
+  union {
+    acknowledgement @6 :Void;
+    batch @7 :FlowBatch;
+  }
+}
--- /dev/null
+++ b/test/unit/flow_fleet.hpp
@@ -0,0 +1,242 @@
+// A service's agents on virtual time, joined by a network that may lose,
+// duplicate and reorder the datagrams between them.
+#pragma once
+
+#include <daisytrail/flows.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace daisytrail::test
+{
+
+using records = std::vector<target_record>;
+
+inline target_record make_record(std::uint32_t number,
+                                 member_state state = member_state::ready)
+{
+    target_record record;
+    record.name_ = "target-" + std::to_string(number);
+    record.target_ = hash_name(record.name_);
+    record.version_.incarnation_ = 1'000;
+    record.tunnel_ = {0x7F000001, static_cast<std::uint16_t>(number)};
+    record.weight_ = 16;
+    record.state_ = state;
+    return record;
+}
+
+inline records make_records(std::uint32_t count)
+{
+    records result;
+    for (std::uint32_t i = 1; i <= count; ++i)
+    {
+        result.push_back(make_record(i));
+    }
+    return result;
+}
+
+inline packet_info make_packet(std::uint16_t port, std::uint8_t flags)
+{
+    packet_info info;
+    info.flow_ = {{0x0A000001, port}, {0x0A640001, 80}};
+    info.flags_ = flags;
+    return info;
+}
+
+inline packet_info make_syn(std::uint16_t port)
+{
+    return make_packet(port, tcp_flags::syn);
+}
+
+inline packet_info make_ack(std::uint16_t port)
+{
+    return make_packet(port, tcp_flags::ack);
+}
+
+// How a packet ended, and where.
+struct outcome
+{
+    flow_verdict verdict_ = flow_verdict::drop;
+    drop_reason drop_ = drop_reason::none;
+    target_id at_ = 0;
+    unsigned hops_ = 0;
+
+    bool operator==(outcome const&) const = default;
+};
+
+class fleet
+{
+public:
+    explicit fleet(std::uint64_t seed = 1) : random_(seed) {}
+
+    // Starts an agent process with a view of its own.
+    flow_table& start(target_record const& record, records const& view,
+                      flow_options options = {})
+    {
+        options.self_ = record.target_;
+        options.epoch_ = record.version_.incarnation_;
+        auto& table = agents_[record.target_];
+        table = std::make_unique<flow_table>(options);
+        table->set_view(view, now_);
+        return *table;
+    }
+
+    void start_all(records const& view, flow_options const& options = {})
+    {
+        for (auto const& record : view)
+        {
+            start(record, view, options);
+        }
+    }
+
+    void kill(target_id target)
+    {
+        agents_.erase(target);
+    }
+
+    void set_view(records const& view)
+    {
+        for (auto& [id, table] : agents_)
+        {
+            table->set_view(view, now_);
+        }
+    }
+
+    flow_table& at(target_id target)
+    {
+        return *agents_.at(target);
+    }
+
+    // Sends a packet as a balancer with this view would.
+    outcome send(records const& view, packet_info const& info)
+    {
+        tunnel_header header;
+        header.trail_ = service_table(view).pick(hash_flow(info.flow_));
+        if (info.opens_flow())
+        {
+            while (header.position_ + 1 < header.trail_.size_ &&
+                   !takes_new_work(
+                       header.trail_.candidates_[header.position_].state_))
+            {
+                ++header.position_;
+            }
+        }
+        header.target_ = header.trail_.candidates_[header.position_].target_;
+        return carry(header, info);
+    }
+
+    // Follows a packet to its end; it is lost at a process that is gone.
+    outcome carry(tunnel_header header, packet_info const& info)
+    {
+        for (;;)
+        {
+            auto const agent = agents_.find(header.target_);
+            if (agent == agents_.end())
+            {
+                return {flow_verdict::drop, drop_reason::none, header.target_,
+                        header.hops_};
+            }
+            auto const decision = agent->second->decide(header, info, now_);
+            if (decision.verdict_ != flow_verdict::pass)
+            {
+                return {decision.verdict_, decision.drop_, agent->first,
+                        header.hops_};
+            }
+            header = decision.header_;
+        }
+    }
+
+    // Opens a flow and ends its handshake; returns the owner, or 0.
+    target_id open(records const& view, std::uint16_t port)
+    {
+        auto const result = send(view, make_syn(port));
+        if (result.verdict_ != flow_verdict::deliver)
+        {
+            return 0;
+        }
+        at(result.at_).on_established(make_syn(port).flow_, now_);
+        return result.at_;
+    }
+
+    // Lets time pass with ticks and datagrams between the agents.
+    void run(std::chrono::milliseconds time)
+    {
+        constexpr auto step = std::chrono::milliseconds(20);
+        for (auto const end = now_ + time; now_ < end;)
+        {
+            now_ += step;
+            tick();
+        }
+    }
+
+    time_point now() const
+    {
+        return now_;
+    }
+
+    double loss_ = 0;        // probability for each datagram
+    double duplication_ = 0; // probability for each datagram
+    bool reorder_ = false;
+    std::vector<flow_key> probes_; // all so far
+    std::size_t batches_ = 0;
+    std::size_t changes_ = 0;
+
+private:
+    bool chance(double probability)
+    {
+        return std::uniform_real_distribution<>(0, 1)(random_) < probability;
+    }
+
+    void tick()
+    {
+        std::vector<flow_batch> batches;
+        for (auto& [id, table] : agents_)
+        {
+            auto output = table->tick(now_);
+            probes_.insert(probes_.end(), output.probes_.begin(),
+                           output.probes_.end());
+            for (auto& entry : output.batches_)
+            {
+                changes_ += entry.batch_.changes_.size();
+                batches.push_back(std::move(entry.batch_));
+            }
+        }
+        batches_ += batches.size();
+        if (reorder_)
+        {
+            std::shuffle(batches.begin(), batches.end(), random_);
+        }
+        for (auto const& batch : batches)
+        {
+            deliver(batch);
+        }
+    }
+
+    void deliver(flow_batch const& batch)
+    {
+        int const copies = chance(duplication_) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy)
+        {
+            auto const to = agents_.find(batch.to_);
+            if (chance(loss_) || to == agents_.end())
+            {
+                continue;
+            }
+            auto const answer = to->second->on_batch(batch, now_);
+            auto const from = agents_.find(batch.from_);
+            if (!chance(loss_) && from != agents_.end())
+            {
+                from->second->on_acknowledgement(answer);
+            }
+        }
+    }
+
+    std::mt19937_64 random_;
+    time_point now_{std::chrono::hours(1)};
+    std::map<target_id, std::unique_ptr<flow_table>> agents_;
+};
+
+} // namespace daisytrail::test
--- /dev/null
+++ b/test/unit/flows_test.cpp
@@ -0,0 +1,575 @@
+// Tests of flow ownership with several views at once.
+#include "flow_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace daisytrail;
+using namespace daisytrail::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto settle_time = 600ms;
+
+std::uint16_t port_of(int number)
+{
+    return static_cast<std::uint16_t>(10'000 + number);
+}
+
+void set_state(records& view, target_id target, member_state state)
+{
+    for (auto& record : view)
+    {
+        if (record.target_ == target)
+        {
+            record.state_ = state;
+            ++record.version_.sequence_;
+        }
+    }
+}
+
+// Opens flows through the view; returns the owner of each.
+std::map<std::uint16_t, target_id> open_flows(fleet& agents,
+                                              records const& view, int count)
+{
+    std::map<std::uint16_t, target_id> owners;
+    for (int i = 0; i < count; ++i)
+    {
+        owners[port_of(i)] = agents.open(view, port_of(i));
+    }
+    return owners;
+}
+
+int count_broken(fleet& agents, records const& view,
+                 std::map<std::uint16_t, target_id> const& owners)
+{
+    int broken = 0;
+    for (auto const& [port, owner] : owners)
+    {
+        auto const result = agents.send(view, make_ack(port));
+        broken +=
+            result.verdict_ != flow_verdict::deliver || result.at_ != owner ? 1
+                                                                            : 0;
+    }
+    return broken;
+}
+
+} // namespace
+
+TEST_CASE("a new flow is owned by its first candidate")
+{
+    fleet agents;
+    auto const view = make_records(7);
+    agents.start_all(view);
+    agents.run(settle_time);
+    for (int i = 0; i < 500; ++i)
+    {
+        auto const flow = make_syn(port_of(i)).flow_;
+        auto const first = service_table(view).pick(hash_flow(flow));
+        auto const result = agents.send(view, make_syn(port_of(i)));
+        CHECK(result.verdict_ == flow_verdict::deliver);
+        CHECK(result.at_ == first.candidates_[0].target_);
+        CHECK(result.hops_ == 0);
+    }
+}
+
+TEST_CASE("a single agent without peers owns every flow")
+{
+    fleet agents;
+    auto const view = make_records(1);
+    agents.start_all(view);
+    CHECK(agents.open(view, 1) == view[0].target_);
+    CHECK(agents.send(view, make_ack(1)).verdict_ == flow_verdict::deliver);
+    CHECK(agents.send(view, make_ack(2)).verdict_ == flow_verdict::reset);
+}
+
+TEST_CASE("a feed outlives more joins than the trail is long")
+{
+    fleet agents;
+    auto view = make_records(2);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 300);
+    for (std::uint32_t joined = 3; joined <= 3 + 4 * trail_length; ++joined)
+    {
+        view.push_back(make_record(joined));
+        agents.start(view.back(), view);
+        agents.set_view(view);
+        agents.run(settle_time);
+        CHECK(count_broken(agents, view, owners) == 0);
+    }
+}
+
+TEST_CASE("flows survive joins while views are 5 s apart")
+{
+    fleet agents;
+    agents.loss_ = 0.2;
+    agents.duplication_ = 0.2;
+    agents.reorder_ = true;
+    auto view = make_records(3);
+    agents.start_all(view);
+    agents.run(settle_time * 4);
+    auto const owners = open_flows(agents, view, 300);
+    for (std::uint32_t joined = 4; joined < 14; ++joined)
+    {
+        auto const older = view;
+        view.push_back(make_record(joined));
+        agents.start(view.back(), view);
+        std::size_t informed = 0;
+        for (int quarter = 0; quarter < 20; ++quarter)
+        {
+            // One more agent learns of the join each quarter of a second.
+            if (informed < older.size())
+            {
+                agents.at(older[informed++].target_)
+                    .set_view(view, agents.now());
+            }
+            agents.run(250ms);
+            CHECK(count_broken(agents, quarter % 2 == 0 ? older : view,
+                               owners) == 0);
+        }
+    }
+}
+
+TEST_CASE("no flow is reset while views differ")
+{
+    fleet agents;
+    auto view = make_records(4);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 500);
+    auto newer = view;
+    newer.push_back(make_record(5));
+    newer.push_back(make_record(6));
+    agents.start(newer[4], newer);
+    agents.start(newer[5], newer);
+    // The old agents know nothing of the new ones yet.
+    for (auto const& [port, owner] : owners)
+    {
+        auto const result = agents.send(newer, make_ack(port));
+        CHECK(result.verdict_ != flow_verdict::reset);
+    }
+}
+
+TEST_CASE("a SYN through balancers with two views gives one connection")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fleet agents(seed);
+        std::mt19937_64 random(seed);
+        auto const older = make_records(4);
+        auto newer = older;
+        newer.push_back(make_record(5));
+        agents.start_all(older);
+        agents.run(settle_time);
+        agents.start(newer.back(), newer);
+        for (int i = 0; i < 200; ++i)
+        {
+            if (i % 40 == 20)
+            {
+                auto const& learner =
+                    older[static_cast<std::size_t>(i / 40) % older.size()];
+                agents.at(learner.target_).set_view(newer, agents.now());
+                agents.run(100ms);
+            }
+            std::set<target_id> owners;
+            for (int attempt = 0; attempt < 3; ++attempt)
+            {
+                auto const& view = random() % 2 == 0 ? older : newer;
+                auto const result = agents.send(view, make_syn(port_of(i)));
+                if (result.verdict_ == flow_verdict::deliver)
+                {
+                    owners.insert(result.at_);
+                }
+            }
+            CHECK(owners.size() == 1);
+        }
+    }
+}
+
+TEST_CASE("two SYNs that cross on their way give one connection")
+{
+    for (int i = 0; i < 200; ++i)
+    {
+        fleet agents;
+        auto const older = make_records(3);
+        auto newer = older;
+        newer.push_back(make_record(4));
+        agents.start_all(older);
+        agents.start(newer.back(), newer);
+        // Nobody is complete: each first candidate asks the others.
+        auto const syn = make_syn(port_of(i));
+        std::vector<tunnel_header> under_way;
+        for (records const* view :
+             {&older, static_cast<records const*>(&newer)})
+        {
+            tunnel_header header;
+            header.trail_ = service_table(*view).pick(hash_flow(syn.flow_));
+            header.target_ = header.trail_.candidates_[0].target_;
+            under_way.push_back(header);
+        }
+        std::set<target_id> owners;
+        std::mt19937_64 random(static_cast<std::uint64_t>(i));
+        while (!under_way.empty())
+        {
+            auto const which = random() % under_way.size();
+            auto const header = under_way[which];
+            auto const decision =
+                agents.at(header.target_).decide(header, syn, agents.now());
+            under_way.erase(under_way.begin() +
+                            static_cast<std::ptrdiff_t>(which));
+            if (decision.verdict_ == flow_verdict::pass)
+            {
+                under_way.push_back(decision.header_);
+            }
+            else if (decision.verdict_ == flow_verdict::deliver)
+            {
+                owners.insert(header.target_);
+            }
+        }
+        CHECK(owners.size() == 1);
+    }
+}
+
+TEST_CASE("a draining agent keeps its flows and gets no new one")
+{
+    fleet agents;
+    auto view = make_records(4);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 400);
+    auto const older = view;
+    auto const leaving = view[1].target_;
+    set_state(view, leaving, member_state::draining);
+    agents.at(leaving).set_view(view, agents.now());
+    for (int i = 1'000; i < 1'400; ++i)
+    {
+        // The balancer and the other agents don't know it yet.
+        auto const owner = agents.open(older, port_of(i));
+        CHECK(owner != 0);
+        CHECK(owner != leaving);
+    }
+    CHECK(count_broken(agents, older, owners) == 0);
+    agents.set_view(view);
+    agents.run(settle_time);
+    CHECK(count_broken(agents, view, owners) == 0);
+    for (int i = 2'000; i < 2'400; ++i)
+    {
+        CHECK(agents.open(view, port_of(i)) != leaving);
+    }
+}
+
+TEST_CASE("a drained agent that comes back to ready keeps its flows")
+{
+    fleet agents;
+    auto view = make_records(3);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto owners = open_flows(agents, view, 200);
+    set_state(view, view[0].target_, member_state::draining);
+    agents.set_view(view);
+    agents.run(settle_time);
+    auto const later = open_flows(agents, view, 400);
+    owners.insert(later.begin(), later.end());
+    set_state(view, view[0].target_, member_state::ready);
+    agents.set_view(view);
+    agents.run(settle_time);
+    CHECK(count_broken(agents, view, owners) == 0);
+}
+
+TEST_CASE("a change of weights breaks no flow")
+{
+    fleet agents;
+    auto view = make_records(5);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 500);
+    for (std::uint32_t const weight : {4U, 8U, 64U, 1U})
+    {
+        auto const older = view;
+        view[2].weight_ = weight;
+        ++view[2].version_.sequence_;
+        agents.at(view[0].target_).set_view(view, agents.now());
+        agents.run(settle_time);
+        CHECK(count_broken(agents, older, owners) == 0);
+        CHECK(count_broken(agents, view, owners) == 0);
+        agents.set_view(view);
+        agents.run(settle_time);
+        CHECK(count_broken(agents, view, owners) == 0);
+    }
+}
+
+TEST_CASE("callers of a dead agent are probed and reset, no others")
+{
+    fleet agents;
+    agents.loss_ = 0.2;
+    auto view = make_records(5);
+    agents.start_all(view);
+    agents.run(settle_time * 4);
+    auto const owners = open_flows(agents, view, 500);
+    agents.run(settle_time * 4);
+    auto const dead = view[3].target_;
+    agents.kill(dead);
+    auto const older = view;
+    set_state(view, dead, member_state::dead);
+    agents.set_view(view);
+    agents.run(3s);
+    std::set<flow_key> const probed(agents.probes_.begin(),
+                                    agents.probes_.end());
+    for (auto const& [port, owner] : owners)
+    {
+        CHECK(probed.contains(make_ack(port).flow_) == (owner == dead));
+        // The caller's answer to a probe.
+        auto const result = agents.send(view, make_ack(port));
+        CHECK(result.verdict_ ==
+              (owner == dead ? flow_verdict::reset : flow_verdict::deliver));
+    }
+}
+
+TEST_CASE("an agent that restarts has its former callers reset")
+{
+    fleet agents;
+    auto view = make_records(4);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 200);
+    agents.run(settle_time);
+    auto const again = view[0].target_;
+    view[0].version_.incarnation_ += 60'000;
+    agents.start(view[0], view);
+    agents.set_view(view);
+    agents.run(settle_time * 2);
+    for (auto const& [port, owner] : owners)
+    {
+        auto const result = agents.send(view, make_ack(port));
+        CHECK(result.verdict_ ==
+              (owner == again ? flow_verdict::reset : flow_verdict::deliver));
+    }
+}
+
+TEST_CASE("a refuted death keeps the flows that their owner still has")
+{
+    fleet agents;
+    auto view = make_records(4);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 200);
+    agents.run(settle_time);
+    set_state(view, view[0].target_, member_state::dead);
+    agents.set_view(view);
+    agents.run(40ms);
+    set_state(view, view[0].target_, member_state::ready);
+    ++view[0].version_.incarnation_;
+    agents.set_view(view);
+    agents.run(settle_time);
+    CHECK(count_broken(agents, view, owners) == 0);
+}
+
+TEST_CASE("an unknown flow isn't reset before every peer has told its flows")
+{
+    fleet agents;
+    auto const view = make_records(3);
+    agents.start_all(view);
+    CHECK(agents.send(view, make_ack(1)).verdict_ == flow_verdict::drop);
+    agents.run(settle_time);
+    CHECK(agents.send(view, make_ack(1)).verdict_ == flow_verdict::reset);
+}
+
+TEST_CASE("an agent without a view of its peers resets nothing")
+{
+    fleet agents;
+    auto const view = make_records(3);
+    for (auto const& record : view)
+    {
+        agents.start(record, {record});
+    }
+    agents.run(settle_time);
+    for (int i = 0; i < 100; ++i)
+    {
+        CHECK(agents.send(view, make_ack(port_of(i))).verdict_ ==
+              flow_verdict::drop);
+    }
+}
+
+TEST_CASE("a pointer is removed when the flow ends")
+{
+    fleet agents;
+    auto view = make_records(3);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 300);
+    agents.run(settle_time);
+    std::size_t before = 0;
+    for (auto const& record : view)
+    {
+        before += agents.at(record.target_).pointers();
+    }
+    CHECK(before == 300);
+    for (auto const& [port, owner] : owners)
+    {
+        agents.at(owner).on_ended(make_ack(port).flow_, agents.now());
+    }
+    agents.run(settle_time);
+    for (auto const& record : view)
+    {
+        CHECK(agents.at(record.target_).pointers() == 0);
+        CHECK(agents.at(record.target_).open_flows() == 0);
+    }
+}
+
+TEST_CASE("late packets of an ended flow are delivered for a while")
+{
+    fleet agents;
+    auto const view = make_records(2);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owner = agents.open(view, 1);
+    agents.at(owner).on_ended(make_ack(1).flow_, agents.now());
+    CHECK(agents.send(view, make_ack(1)).verdict_ == flow_verdict::deliver);
+    agents.run(10'500ms);
+    CHECK(agents.send(view, make_ack(1)).verdict_ == flow_verdict::reset);
+}
+
+TEST_CASE("a caller's port may be used again at once")
+{
+    fleet agents;
+    auto const view = make_records(2);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto const owner = agents.open(view, 1);
+    agents.at(owner).on_ended(make_ack(1).flow_, agents.now());
+    CHECK(agents.open(view, 1) == owner);
+    CHECK(agents.at(owner).open_flows() == 1);
+    CHECK(agents.at(owner).half_open_flows() == 0);
+}
+
+TEST_CASE("a full agent places new flows on the next candidate")
+{
+    fleet agents;
+    flow_options options;
+    options.connections_ = 50;
+    auto const view = make_records(3);
+    agents.start_all(view, options);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 150);
+    std::map<target_id, int> counts;
+    for (auto const& [port, owner] : owners)
+    {
+        ++counts[owner];
+    }
+    for (auto const& record : view)
+    {
+        CHECK(counts[record.target_] <= 50);
+    }
+    CHECK(counts[0] == 150 - counts[view[0].target_] - counts[view[1].target_] -
+                           counts[view[2].target_]);
+    agents.run(settle_time);
+    for (auto const& [port, owner] : owners)
+    {
+        if (owner != 0)
+        {
+            CHECK(agents.send(view, make_ack(port)).at_ == owner);
+            // A retransmitted SYN finds the flow where it was placed.
+            CHECK(agents.send(view, make_syn(port)).at_ == owner);
+        }
+    }
+}
+
+TEST_CASE("a service without room drops the SYN and counts it")
+{
+    fleet agents;
+    flow_options options;
+    options.connections_ = 1;
+    auto const view = make_records(1);
+    agents.start_all(view, options);
+    CHECK(agents.open(view, 1) == view[0].target_);
+    auto const result = agents.send(view, make_syn(2));
+    CHECK(result.drop_ == drop_reason::connection_limit);
+}
+
+TEST_CASE("a SYN flood can't take more than the half-open limit")
+{
+    fleet agents;
+    flow_options options;
+    options.half_open_ = 16;
+    auto const view = make_records(1);
+    auto& table = agents.start(view[0], view, options);
+    for (int i = 0; i < 16; ++i)
+    {
+        CHECK(agents.send(view, make_syn(port_of(i))).verdict_ ==
+              flow_verdict::deliver);
+    }
+    CHECK(agents.send(view, make_syn(port_of(16))).drop_ ==
+          drop_reason::half_open_limit);
+    agents.run(520ms);
+    CHECK(agents.send(view, make_syn(port_of(17))).verdict_ ==
+          flow_verdict::deliver);
+    CHECK(table.half_open_flows() == 16);
+    auto const output = table.tick(agents.now());
+    REQUIRE(output.evicted_.size() == 1);
+    CHECK(output.evicted_[0].flow_ == make_syn(port_of(0)).flow_);
+}
+
+TEST_CASE("an unfinished handshake expires")
+{
+    fleet agents;
+    auto const view = make_records(1);
+    agents.start_all(view);
+    agents.send(view, make_syn(1));
+    agents.run(20'500ms);
+    CHECK(agents.at(view[0].target_).open_flows() == 0);
+}
+
+TEST_CASE("a packet that is passed on forever is dropped")
+{
+    fleet agents;
+    auto const view = make_records(2);
+    agents.start_all(view);
+    tunnel_header header;
+    header.target_ = view[0].target_;
+    header.trail_ = service_table(view).pick(1);
+    header.hops_ = max_tunnel_hops;
+    CHECK(agents.carry(header, make_ack(1)).drop_ == drop_reason::hop_limit);
+}
+
+TEST_CASE("a reset has the sequence number that the caller expects")
+{
+    std::array<std::byte, 40> packet{};
+    auto info = make_ack(1);
+    info.acknowledgement_ = 77;
+    REQUIRE(write_reset(packet, info) == 40);
+    auto const reading = read_packet(packet);
+    CHECK(reading.info_.sequence_ == 77);
+    CHECK(reading.info_.flags_ == tcp_flags::rst);
+}
+
+TEST_CASE("a reset of a segment without ACK acknowledges all of it")
+{
+    std::array<std::byte, 40> packet{};
+    auto info = make_packet(1, tcp_flags::fin);
+    info.sequence_ = 100;
+    info.payload_bytes_ = 5;
+    REQUIRE(write_reset(packet, info) == 40);
+    auto const reading = read_packet(packet);
+    CHECK(reading.info_.acknowledgement_ == 106);
+    CHECK(reading.info_.flags_ == (tcp_flags::rst | tcp_flags::ack));
+}
+
+TEST_CASE("a reset isn't answered")
+{
+    std::array<std::byte, 40> packet{};
+    CHECK(write_reset(packet, make_packet(1, tcp_flags::rst)) == 0);
+}
+
+TEST_CASE("of two probes one is out of any window")
+{
+    auto const packets = write_probes(make_ack(1).flow_);
+    auto const first = read_packet(packets[0]).info_;
+    auto const second = read_packet(packets[1]).info_;
+    CHECK(second.sequence_ - first.sequence_ == 0x8000'0000U);
+    // From the VIP to the caller.
+    CHECK(first.flow_.caller_ == make_ack(1).flow_.vip_);
+}
