--- a/test/support/topology.sh
+++ b/test/support/topology.sh
@@ -149,8 +149,8 @@
 }
 
 apply_template() {
-    "$DAISYTRAIL_BIN/daisytrail" apply "$1" \
-        --store "127.0.0.1:$store_port" "${@:2}"
+    "$DAISYTRAIL_BIN/daisytrail" --store "127.0.0.1:$store_port" \
+        apply "$1" "${@:2}"
 }
 
 # Waits up to ten seconds for a listening TCP port.
