Requests mode of the agent: flows to the backend server, in order

Cause: the agent needs a strategy that reads HTTP/1.1 from flows. The closed list of outcomes and the state machine decide what a caller is told.

--- /dev/null
+++ b/src/agent/requests_exchange.cpp
@@ -0,0 +1,241 @@
+// HTTP/1.1 client side of one exchange on Boost.Beast.
+#include "agent/requests_exchange.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr std::chrono::seconds connect_timeout{2};
+constexpr std::size_t answer_piece_bytes = 16'384;
+constexpr std::size_t largest_unsent_bytes = 262'144;
+constexpr std::uint32_t largest_answer_header_bytes = 65'536;
+
+class backend_exchange : public exchange,
+                         public std::enable_shared_from_this<backend_exchange>
+{
+public:
+    backend_exchange(asio::io_context& io, request_head const& head,
+                     exchange_events& events)
+        : stream_(io), events_(&events), chunked_(head.chunked_),
+          is_head_request_(head.method_ == "HEAD")
+    {
+        unsent_ = write_request_head(head);
+    }
+
+    void start(endpoint const& backend, std::string_view body, bool complete)
+    {
+        queue_body(body, complete);
+        stream_.expires_after(connect_timeout);
+        stream_.async_connect(
+            asio::ip::tcp::endpoint(asio::ip::address_v4(backend.address_),
+                                    backend.port_),
+            [self = shared_from_this()](beast::error_code code)
+            {
+                self->stream_.expires_never();
+                if (code)
+                {
+                    self->fail(exchange_failure::not_run);
+                    return;
+                }
+                self->connected_ = true;
+                self->write();
+                self->read_head();
+            });
+    }
+
+    bool send_body(std::string_view bytes, bool last) override
+    {
+        queue_body(bytes, last);
+        write();
+        return unsent_.size() < largest_unsent_bytes;
+    }
+
+    void resume() override
+    {
+        if (std::exchange(paused_, false))
+        {
+            read_body();
+        }
+    }
+
+    void cancel() override
+    {
+        events_ = nullptr;
+        stream_.close();
+    }
+
+private:
+    void queue_body(std::string_view bytes, bool last)
+    {
+        if (!chunked_)
+        {
+            unsent_.append(bytes);
+            return;
+        }
+        if (!bytes.empty())
+        {
+            unsent_ += write_chunk(bytes);
+        }
+        if (last)
+        {
+            unsent_ += write_chunk({});
+        }
+    }
+
+    void write()
+    {
+        if (!connected_ || !sending_.empty() || unsent_.empty())
+        {
+            return;
+        }
+        sending_.swap(unsent_);
+        asio::async_write(
+            stream_, asio::buffer(sending_),
+            [self = shared_from_this()](beast::error_code code, std::size_t)
+            {
+                self->sending_.clear();
+                // A backend server may answer early and stop reading, so that
+                // the read side decides how the exchange ends.
+                if (code || self->events_ == nullptr)
+                {
+                    return;
+                }
+                self->write();
+                if (self->unsent_.size() < largest_unsent_bytes)
+                {
+                    self->events_->on_drained();
+                }
+            });
+    }
+
+    void read_head()
+    {
+        parser_.emplace();
+        parser_->header_limit(largest_answer_header_bytes);
+        parser_->body_limit(boost::none);
+        parser_->skip(is_head_request_);
+        http::async_read_header(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code code, std::size_t)
+            {
+                if (code)
+                {
+                    self->fail(exchange_failure::outcome_unknown);
+                    return;
+                }
+                self->finish_head();
+            });
+    }
+
+    void finish_head()
+    {
+        if (parser_->get().result_int() < 200)
+        {
+            read_head(); // an interim answer
+            return;
+        }
+        if (events_ != nullptr)
+        {
+            events_->on_head(
+                read_answer_head(parser_->get().base(), is_head_request_));
+        }
+        read_body();
+    }
+
+    void read_body()
+    {
+        if (events_ == nullptr)
+        {
+            return;
+        }
+        if (parser_->is_done())
+        {
+            auto* const events = std::exchange(events_, nullptr);
+            stream_.close();
+            events->on_end();
+            return;
+        }
+        parser_->get().body().data = piece_.data();
+        parser_->get().body().size = piece_.size();
+        parser_->get().body().more = true;
+        http::async_read_some(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code code, std::size_t)
+            {
+                if (code && code != http::error::need_buffer)
+                {
+                    self->fail(exchange_failure::outcome_unknown);
+                    return;
+                }
+                self->deliver();
+            });
+    }
+
+    void deliver()
+    {
+        auto const size = piece_.size() - parser_->get().body().size;
+        if (size > 0 && events_ != nullptr)
+        {
+            paused_ = !events_->on_body({piece_.data(), size});
+        }
+        if (!paused_)
+        {
+            read_body();
+        }
+    }
+
+    void fail(exchange_failure failure)
+    {
+        auto* const events = std::exchange(events_, nullptr);
+        stream_.close();
+        if (events != nullptr)
+        {
+            events->on_failure(failure);
+        }
+    }
+
+    beast::tcp_stream stream_;
+    exchange_events* events_; // null after the last event
+    bool const chunked_;
+    bool const is_head_request_;
+    bool connected_ = false;
+    bool paused_ = false; // waits for resume()
+    std::string sending_; // under an asynchronous write
+    std::string unsent_;
+    beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
+    std::array<char, answer_piece_bytes> piece_{};
+};
+
+} // namespace
+
+std::shared_ptr<exchange>
+start_exchange(asio::io_context& io, endpoint const& backend,
+               request_head const& head, std::string_view body,
+               bool body_complete, exchange_events& events)
+{
+    auto started = std::make_shared<backend_exchange>(io, head, events);
+    started->start(backend, body, body_complete);
+    return started;
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/agent/requests_message.hpp
@@ -0,0 +1,77 @@
+// Heads of HTTP/1.1 requests and answers as values, without what belongs to one
+// connection only.
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisytrail
+{
+
+struct header_field
+{
+    std::string name_;
+    std::string value_;
+
+    bool operator==(header_field const&) const = default;
+};
+
+using header_fields = std::vector<header_field>;
+
+// Value of the first field of that name, in any case; empty if there is none.
+std::string_view find_field(header_fields const& fields, std::string_view name);
+
+struct request_head
+{
+    std::string method_;
+    std::string target_;
+    header_fields fields_;                // end-to-end fields only
+    std::optional<std::uint64_t> length_; // of the body, if declared
+    bool chunked_ = false;
+    bool keep_alive_ = true;
+    bool expects_continue_ = false;
+    bool is_http_1_0_ = false;
+
+    bool has_body() const
+    {
+        return chunked_ || length_.value_or(0) > 0;
+    }
+
+    // The path without its query.
+    std::string_view path() const;
+};
+
+struct answer_head
+{
+    unsigned status_ = 0;
+    std::string reason_;
+    header_fields fields_;                // end-to-end fields only
+    std::optional<std::uint64_t> length_; // of the body, if declared
+    bool has_body_ = true; // false for HEAD and for 1xx, 204 and 304
+};
+
+request_head
+read_request_head(boost::beast::http::request_header<> const& header);
+answer_head
+read_answer_head(boost::beast::http::response_header<> const& header,
+                 bool to_head_request);
+
+// The head as sent to the backend server on a connection of its own. With no
+// length the body is chunked.
+std::string write_request_head(request_head const& head);
+
+// The head as sent to a caller. A body without a length is chunked, or ends
+// with the connection for HTTP/1.0.
+std::string write_answer_head(answer_head const& head, bool keep_alive,
+                              bool is_http_1_0);
+
+// "5\r\nhello\r\n"; the empty chunk ends a body.
+std::string write_chunk(std::string_view bytes);
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/core/request_state.cpp
@@ -0,0 +1,96 @@
+// Transitions of a request.
+#include <daisytrail/error.hpp>
+#include <daisytrail/request_state.hpp>
+
+#include <string>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+constexpr std::uint8_t bit(request_phase phase)
+{
+    return static_cast<std::uint8_t>(1U << static_cast<unsigned>(phase));
+}
+
+// allowed_next[phase] is the set of phases that may follow it.
+constexpr std::array<std::uint8_t,
+                     static_cast<std::size_t>(request_phase::count)>
+    allowed_next{
+        bit(request_phase::queued) | bit(request_phase::answered),
+        bit(request_phase::reserved) | bit(request_phase::started) |
+            bit(request_phase::answered),
+        bit(request_phase::queued) | bit(request_phase::started) |
+            bit(request_phase::answered),
+        bit(request_phase::queued) | bit(request_phase::answered),
+        0,
+    };
+
+} // namespace
+
+void request_state::advance(request_phase to)
+{
+    if ((allowed_next[static_cast<std::size_t>(phase_)] & bit(to)) == 0)
+    {
+        throw error(
+            error_kind::internal,
+            "request can't go from " +
+                std::string(
+                    request_phase_names[static_cast<std::size_t>(phase_)]) +
+                " to " +
+                std::string(request_phase_names[static_cast<std::size_t>(to)]));
+    }
+    phase_ = to;
+}
+
+void request_state::enqueue()
+{
+    if (phase_ == request_phase::started)
+    {
+        throw error(error_kind::internal, "a started request can't be queued");
+    }
+    advance(request_phase::queued);
+}
+
+void request_state::reserve()
+{
+    advance(request_phase::reserved);
+}
+
+void request_state::start()
+{
+    advance(request_phase::started);
+    ++starts_;
+}
+
+void request_state::withdraw()
+{
+    if (phase_ != request_phase::started)
+    {
+        throw error(error_kind::internal, "only a start can be withdrawn");
+    }
+    advance(request_phase::queued);
+}
+
+void request_state::repeat()
+{
+    if (!may_repeat())
+    {
+        throw error(error_kind::internal, "request may not run again");
+    }
+    may_have_run_ = true;
+    advance(request_phase::queued);
+}
+
+request_outcome request_state::settle(request_outcome wanted)
+{
+    bool const may_have_run = may_have_run_ || phase_ == request_phase::started;
+    advance(request_phase::answered);
+    bool const claims_not_run =
+        answer_for(wanted).verdict_ == outcome_verdict::not_run;
+    return claims_not_run && may_have_run ? request_outcome::lost : wanted;
+}
+
+} // namespace daisytrail
