--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,6 +1,7 @@
 // Events of the agent: announcements, templates, records, drain.
 #include "agent/agent.hpp"
 
+#include "agent/requests_service.hpp"
 #include "agent/stream_service.hpp"
 #include "net/log.hpp"
 
@@ -37,15 +38,16 @@
 using make_service = std::unique_ptr<flow_service> (*)(boost::asio::io_context&,
                                                        metrics&);
 
-std::unique_ptr<flow_service> make_stream_service(boost::asio::io_context& io,
-                                                  metrics& metrics)
+template <typename Service>
+std::unique_ptr<flow_service> make_mode(boost::asio::io_context& io,
+                                        metrics& metrics)
 {
-    return std::make_unique<stream_service>(io, metrics);
+    return std::make_unique<Service>(io, metrics);
 }
 
 constexpr std::array<make_service,
                      static_cast<std::size_t>(service_mode::count)>
-    service_makers{make_stream_service, make_stream_service};
+    service_makers{make_mode<stream_service>, make_mode<requests_service>};
 
 } // namespace
 
