Core of requests: order of work, choice of peers, idempotency keys

Change: scheduler (rank by class run time with aging, a slot kept for short work, refusal before the wait, shedding of the newest of the lowest class, a guard against backend servers that shed, fail fast or slow down), peer_choice (four samples, two offers, reports with an age, ramp), dedup (issued and chosen keys, bounded memory, retention).

--- /dev/null
+++ b/include/daisytrail/peer_choice.hpp
@@ -0,0 +1,86 @@
+// Choice of the agents of a service to which a waiting request is offered.
+// Reports are hints with an age; what was sent since a report counts too, so
+// that peers don't herd.
+#pragma once
+
+#include <daisytrail/scheduler.hpp>
+#include <daisytrail/types.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace daisytrail
+{
+
+// Agents to which one request is offered at the same time.
+inline constexpr std::size_t offers_per_request = 2;
+
+struct peer_offer
+{
+    std::size_t count_ = 0;
+    std::array<target_id, offers_per_request> peers_{};
+};
+
+class peer_choice
+{
+public:
+    // Adds a peer, or notes that it still takes new work. A peer seen for the
+    // first time after `start` is ramped up.
+    void add(target_id peer, std::uint32_t slots, time_point now);
+    void remove(target_id peer);
+
+    // The best peers of a few drawn at random. `random` is 64 random bits.
+    peer_offer choose(std::uint64_t random, time_point now) const;
+
+    // A request was offered, and later accepted or refused with a report.
+    void offered(target_id peer);
+    void replied(target_id peer, load_report const& report, time_point now);
+    // An offer got no reply, or a request that the peer had started was lost.
+    void failed(target_id peer, time_point now);
+
+    // True if a request should be offered although a slot is free here, because
+    // this target is used more than its peers. `random` as in choose().
+    bool prefers_peers(double own_utilisation, std::uint64_t random) const;
+
+    // The peers' reports, smoothed over those that replied.
+    load_report const& average() const
+    {
+        return average_;
+    }
+
+    bool has_average() const
+    {
+        return replies_ > 0;
+    }
+
+    std::size_t size() const
+    {
+        return peers_.size();
+    }
+
+private:
+    struct peer
+    {
+        target_id id_ = 0;
+        std::uint32_t slots_ = 0;
+        time_point since_{};
+        time_point reported_{};
+        time_point avoid_until_{};
+        load_report report_;
+        std::uint32_t sent_since_report_ = 0;
+    };
+
+    double cost(peer const& candidate, time_point now) const;
+    bool is_skipped(peer const& candidate, std::uint64_t random,
+                    time_point now) const;
+
+    std::vector<peer> peers_; // index_[peers_[i].id_] == i
+    std::unordered_map<target_id, std::size_t> index_;
+    load_report average_;
+    std::uint64_t replies_ = 0;
+};
+
+} // namespace daisytrail
--- a/src/agent/requests_job.hpp
+++ b/src/agent/requests_job.hpp
@@ -5,7 +5,7 @@
 #include "agent/requests_exchange.hpp"
 #include "agent/requests_message.hpp"
 
-#include <daisytrail/request_state.hpp>
+#include <daisytrail/scheduler.hpp>
 #include <daisytrail/types.hpp>
 
 #include <functional>
@@ -15,8 +15,6 @@
 namespace daisytrail
 {
 
-using request_id = std::uint64_t;
-
 // Takes the answer of one request: a flow, or the agent that handed it over.
 class answer_sink
 {
--- /dev/null
+++ b/src/core/dedup.cpp
@@ -0,0 +1,239 @@
+// Idempotency keys: form, verdicts and retention.
+#include <daisytrail/dedup.hpp>
+
+#include <xxhash.h>
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+constexpr std::string_view key_prefix = "dt1-";
+constexpr std::size_t entry_overhead_bytes = 256;
+
+std::uint64_t milliseconds(time_point now)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            now.time_since_epoch())
+            .count());
+}
+
+// Reads hexadecimal digits up to a dash or the end, and skips the dash.
+bool read_hex(std::string_view& text, std::uint64_t& value)
+{
+    auto const* const end = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), end, value, 16);
+    if (read.ec != std::errc{} || (read.ptr != end && *read.ptr != '-'))
+    {
+        return false;
+    }
+    auto const used = static_cast<std::size_t>(read.ptr - text.data());
+    text.remove_prefix(std::min(used + 1, text.size()));
+    return true;
+}
+
+} // namespace
+
+std::string to_string(issued_key const& key)
+{
+    std::array<char, 100> text{};
+    std::snprintf(text.data(), text.size(), "dt1-%llx-%llx-%llx-%llx-%llx",
+                  static_cast<unsigned long long>(key.target_),
+                  static_cast<unsigned long long>(key.incarnation_),
+                  static_cast<unsigned long long>(key.issued_ms_),
+                  static_cast<unsigned long long>(key.sequence_),
+                  static_cast<unsigned long long>(key.check_));
+    return text.data();
+}
+
+std::optional<issued_key> parse_issued_key(std::string_view text)
+{
+    if (text.substr(0, key_prefix.size()) != key_prefix)
+    {
+        return std::nullopt;
+    }
+    text.remove_prefix(key_prefix.size());
+    issued_key key;
+    for (auto* const part : {&key.target_, &key.incarnation_, &key.issued_ms_,
+                             &key.sequence_, &key.check_})
+    {
+        if (!read_hex(text, *part))
+        {
+            return std::nullopt;
+        }
+    }
+    return text.empty() ? std::optional(key) : std::nullopt;
+}
+
+std::size_t kept_answer::bytes() const
+{
+    auto total = body_.size() + reason_.size();
+    for (auto const& [name, value] : fields_)
+    {
+        total += name.size() + value.size();
+    }
+    return total;
+}
+
+std::uint64_t hash_request(std::string_view method, std::string_view target,
+                           std::string_view body)
+{
+    auto const first = XXH3_64bits(method.data(), method.size());
+    auto const second =
+        XXH3_64bits_withSeed(target.data(), target.size(), first);
+    return XXH3_64bits_withSeed(body.data(), body.size(), second);
+}
+
+dedup_table::dedup_table(target_id self, incarnation own, std::uint64_t secret,
+                         dedup_limits const& limits)
+    : self_(self), incarnation_(own), secret_(secret), limits_(limits)
+{
+}
+
+std::uint64_t dedup_table::check(issued_key const& key) const
+{
+    std::array<std::uint64_t, 4> const parts{key.target_, key.incarnation_,
+                                             key.issued_ms_, key.sequence_};
+    return XXH3_64bits_withSeed(parts.data(), sizeof(parts), secret_);
+}
+
+std::string dedup_table::issue(time_point now)
+{
+    issued_key key{self_, incarnation_, milliseconds(now), next_sequence_++, 0};
+    key.check_ = check(key);
+    return to_string(key);
+}
+
+std::optional<request_outcome> dedup_table::refuse_issued(issued_key const& key,
+                                                          time_point now) const
+{
+    if (key.target_ != self_ || key.incarnation_ != incarnation_)
+    {
+        return request_outcome::key_owner_gone;
+    }
+    if (key.check_ != check(key))
+    {
+        return request_outcome::key_invalid;
+    }
+    auto const kept = std::chrono::duration_cast<std::chrono::milliseconds>(
+        limits_.retention_);
+    if (milliseconds(now) - key.issued_ms_ >
+        static_cast<std::uint64_t>(kept.count()))
+    {
+        return request_outcome::key_expired;
+    }
+    return std::nullopt;
+}
+
+key_decision dedup_table::begin(std::string const& key,
+                                std::uint64_t fingerprint, time_point now)
+{
+    expire(now);
+    if (auto const issued = parse_issued_key(key))
+    {
+        if (auto const refused = refuse_issued(*issued, now))
+        {
+            return {key_verdict::outcome, nullptr, *refused};
+        }
+    }
+    auto const found = entries_.find(key);
+    if (found == entries_.end())
+    {
+        auto const charge =
+            entry_overhead_bytes + key.size() + limits_.answer_bytes_;
+        if (bytes_ + charge > limits_.bytes_)
+        {
+            return {key_verdict::outcome, nullptr,
+                    request_outcome::key_memory_full};
+        }
+        entry added;
+        added.fingerprint_ = fingerprint;
+        added.bytes_ = charge; // room for its answer, until that is known
+        bytes_ += charge;
+        entries_.emplace(key, std::move(added));
+        return {};
+    }
+    auto const& known = found->second;
+    if (known.fingerprint_ != fingerprint)
+    {
+        return {key_verdict::outcome, nullptr, request_outcome::key_mismatch};
+    }
+    if (known.running_)
+    {
+        return {key_verdict::join};
+    }
+    if (known.outcome_ != request_outcome::answered)
+    {
+        return {key_verdict::outcome, nullptr, known.outcome_};
+    }
+    return {key_verdict::replay, &known.answer_};
+}
+
+dedup_table::entry* dedup_table::finish(std::string const& key, time_point now)
+{
+    auto const found = entries_.find(key);
+    if (found == entries_.end() || !found->second.running_)
+    {
+        return nullptr;
+    }
+    auto& known = found->second;
+    known.running_ = false;
+    bytes_ -= limits_.answer_bytes_;
+    known.bytes_ -= limits_.answer_bytes_;
+    expiries_.emplace_back(now + limits_.retention_, key);
+    return &known;
+}
+
+void dedup_table::answered(std::string const& key, kept_answer answer,
+                           time_point now)
+{
+    if (answer.bytes() > limits_.answer_bytes_)
+    {
+        settled(key, request_outcome::key_not_kept, now);
+        return;
+    }
+    if (auto* const known = finish(key, now))
+    {
+        known->bytes_ += answer.bytes();
+        bytes_ += answer.bytes();
+        known->answer_ = std::move(answer);
+    }
+}
+
+void dedup_table::settled(std::string const& key, request_outcome outcome,
+                          time_point now)
+{
+    if (auto* const known = finish(key, now))
+    {
+        known->outcome_ = outcome;
+    }
+}
+
+void dedup_table::released(std::string const& key)
+{
+    auto const found = entries_.find(key);
+    if (found != entries_.end() && found->second.running_)
+    {
+        bytes_ -= found->second.bytes_;
+        entries_.erase(found);
+    }
+}
+
+void dedup_table::expire(time_point now)
+{
+    while (!expiries_.empty() && expiries_.front().first <= now)
+    {
+        auto const found = entries_.find(expiries_.front().second);
+        bytes_ -= found->second.bytes_;
+        entries_.erase(found);
+        expiries_.pop_front();
+    }
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/core/peer_choice.cpp
@@ -0,0 +1,199 @@
+// Sampling of peers and their expected cost.
+#include <daisytrail/peer_choice.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <span>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+constexpr std::size_t samples = 4;
+constexpr double report_time_constant_s = 0.5;
+constexpr std::chrono::seconds ramp_time{10};
+constexpr double least_ramp = 0.1;
+constexpr std::chrono::seconds avoid_time{2};
+constexpr double average_gain = 0.1;
+// Cost of one request sent since the last report, as a share of a slot.
+constexpr double sent_cost_s = 0.02;
+constexpr double utilisation_cost_s = 0.02;
+constexpr double utilisation_margin = 0.02;
+constexpr double utilisation_gain = 2.0;
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+// One step of splitmix64: independent bits from one random value.
+std::uint64_t mix(std::uint64_t value)
+{
+    value += 0x9E3779B97F4A7C15ULL;
+    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
+    return value ^ (value >> 31U);
+}
+
+double unit(std::uint64_t random)
+{
+    return static_cast<double>(random >> 11U) * 0x1.0p-53;
+}
+
+} // namespace
+
+void peer_choice::add(target_id peer_id, std::uint32_t slots, time_point now)
+{
+    auto const [found, is_new] = index_.emplace(peer_id, peers_.size());
+    if (is_new)
+    {
+        peer added;
+        added.id_ = peer_id;
+        added.since_ = now;
+        peers_.push_back(added);
+    }
+    peers_[found->second].slots_ = std::max(slots, 1U);
+}
+
+void peer_choice::remove(target_id peer_id)
+{
+    auto const found = index_.find(peer_id);
+    if (found == index_.end())
+    {
+        return;
+    }
+    auto const position = found->second;
+    index_.erase(found);
+    if (position + 1 != peers_.size())
+    {
+        peers_[position] = peers_.back();
+        index_[peers_[position].id_] = position;
+    }
+    peers_.pop_back();
+}
+
+double peer_choice::cost(peer const& candidate, time_point now) const
+{
+    auto const age = seconds(now - candidate.reported_);
+    auto const trust = std::exp(-std::max(age, 0.0) / report_time_constant_s);
+    auto const& report = candidate.report_;
+    auto const reported =
+        seconds(report.wait_) * trust + seconds(average_.wait_) * (1.0 - trust);
+    auto const usage =
+        (report.utilisation_ * trust + average_.utilisation_ * (1.0 - trust)) *
+        utilisation_cost_s;
+    auto const sent = candidate.sent_since_report_ * sent_cost_s /
+                      static_cast<double>(candidate.slots_);
+    return reported + usage + sent;
+}
+
+bool peer_choice::is_skipped(peer const& candidate, std::uint64_t random,
+                             time_point now) const
+{
+    if (now < candidate.avoid_until_)
+    {
+        return true;
+    }
+    auto const age = now - candidate.since_;
+    auto const share = std::max(seconds(age) / seconds(ramp_time), least_ramp);
+    return unit(random) > share;
+}
+
+peer_offer peer_choice::choose(std::uint64_t random, time_point now) const
+{
+    peer_offer offer;
+    std::array<double, offers_per_request> costs{};
+    costs.fill(std::numeric_limits<double>::infinity());
+    for (std::size_t i = 0; i < samples && !peers_.empty(); ++i)
+    {
+        random = mix(random);
+        auto const& candidate = peers_[random % peers_.size()];
+        auto const chosen = std::span(offer.peers_).first(offer.count_);
+        bool const repeated = std::find(chosen.begin(), chosen.end(),
+                                        candidate.id_) != chosen.end();
+        if (repeated || is_skipped(candidate, mix(random + 1), now))
+        {
+            continue;
+        }
+        auto place = candidate.id_;
+        auto cost_here = cost(candidate, now);
+        for (std::size_t j = 0; j < offers_per_request; ++j)
+        {
+            if (j == offer.count_)
+            {
+                ++offer.count_;
+                offer.peers_[j] = place;
+                costs[j] = cost_here;
+                break;
+            }
+            if (cost_here < costs[j])
+            {
+                std::swap(place, offer.peers_[j]);
+                std::swap(cost_here, costs[j]);
+            }
+        }
+    }
+    return offer;
+}
+
+void peer_choice::offered(target_id peer_id)
+{
+    auto const found = index_.find(peer_id);
+    if (found != index_.end())
+    {
+        ++peers_[found->second].sent_since_report_;
+    }
+}
+
+void peer_choice::replied(target_id peer_id, load_report const& report,
+                          time_point now)
+{
+    auto const found = index_.find(peer_id);
+    if (found == index_.end())
+    {
+        return;
+    }
+    auto& known = peers_[found->second];
+    known.report_ = report;
+    known.reported_ = now;
+    known.sent_since_report_ = 0;
+    auto const gain = replies_++ == 0 ? 1.0 : average_gain;
+    auto const towards = [gain](double& value, double sample)
+    {
+        value += gain * (sample - value);
+    };
+    towards(average_.utilisation_, report.utilisation_);
+    towards(average_.failures_, report.failures_);
+    towards(average_.slowdown_, report.slowdown_);
+    auto wait = static_cast<double>(average_.wait_.count());
+    towards(wait, static_cast<double>(report.wait_.count()));
+    average_.wait_ = duration(static_cast<std::int64_t>(wait));
+}
+
+void peer_choice::failed(target_id peer_id, time_point now)
+{
+    auto const found = index_.find(peer_id);
+    if (found != index_.end())
+    {
+        peers_[found->second].avoid_until_ = now + avoid_time;
+        peers_[found->second].sent_since_report_ = 0;
+    }
+}
+
+bool peer_choice::prefers_peers(double own_utilisation,
+                                std::uint64_t random) const
+{
+    if (!has_average() || peers_.empty())
+    {
+        return false;
+    }
+    auto const excess =
+        own_utilisation - average_.utilisation_ - utilisation_margin;
+    return unit(mix(random)) < excess * utilisation_gain;
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/test/unit/peer_choice_test.cpp
@@ -0,0 +1,126 @@
+// Tests of the choice of peers.
+#include <daisytrail/peer_choice.hpp>
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace daisytrail;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+time_point at(std::int64_t ms)
+{
+    return time_point{} + std::chrono::hours(1) + milliseconds(ms);
+}
+
+peer_choice make_peers(target_id count)
+{
+    peer_choice peers;
+    for (target_id id = 1; id <= count; ++id)
+    {
+        peers.add(id, 4, at(0) - std::chrono::minutes(1));
+    }
+    return peers;
+}
+
+// How often each peer is the first of an offer.
+std::array<int, 16> count_first(peer_choice const& peers, time_point now)
+{
+    std::array<int, 16> counts{};
+    for (std::uint64_t draw = 0; draw < 4'000; ++draw)
+    {
+        auto const offer = peers.choose(draw * 7'919, now);
+        if (offer.count_ > 0)
+        {
+            ++counts[offer.peers_[0]];
+        }
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("no peers, no offer")
+{
+    CHECK(peer_choice().choose(1, at(0)).count_ == 0);
+}
+
+TEST_CASE("an offer names each peer once")
+{
+    auto const peers = make_peers(2);
+    for (std::uint64_t draw = 0; draw < 100; ++draw)
+    {
+        auto const offer = peers.choose(draw, at(0));
+        CHECK((offer.count_ < 2 || offer.peers_[0] != offer.peers_[1]));
+    }
+}
+
+TEST_CASE("a peer with a long wait is passed over while the report is fresh")
+{
+    auto peers = make_peers(4);
+    for (target_id id = 1; id <= 4; ++id)
+    {
+        load_report report;
+        report.wait_ = milliseconds(id == 1 ? 500 : 5);
+        peers.replied(id, report, at(0));
+    }
+    CHECK(count_first(peers, at(10))[1] < 100);
+    // An old report counts for no more than the average.
+    CHECK(count_first(peers, at(20'000))[1] > 500);
+}
+
+TEST_CASE("what was sent since the last report counts against a peer")
+{
+    auto peers = make_peers(4);
+    for (int i = 0; i < 20; ++i)
+    {
+        peers.offered(1);
+    }
+    CHECK(count_first(peers, at(0))[1] < 100);
+    peers.replied(1, {}, at(1));
+    CHECK(count_first(peers, at(1))[1] > 500);
+}
+
+TEST_CASE("a cold peer is ramped up")
+{
+    auto peers = make_peers(3);
+    peers.add(4, 4, at(0));
+    auto const cold = count_first(peers, at(100))[4];
+    auto const warm = count_first(peers, at(10'000))[4];
+    CHECK(cold * 3 < warm);
+}
+
+TEST_CASE("a peer that failed is avoided for a while")
+{
+    auto peers = make_peers(3);
+    peers.failed(2, at(0));
+    CHECK(count_first(peers, at(1'999))[2] == 0);
+    CHECK(count_first(peers, at(2'000))[2] > 0);
+}
+
+TEST_CASE("a removed peer is not chosen")
+{
+    auto peers = make_peers(3);
+    peers.remove(1);
+    CHECK(peers.size() == 2);
+    CHECK(count_first(peers, at(0))[1] == 0);
+}
+
+TEST_CASE("work is passed on from a target used more than its peers")
+{
+    auto peers = make_peers(3);
+    CHECK_FALSE(peers.prefers_peers(1.0, 1));
+    load_report report;
+    report.utilisation_ = 0.3;
+    peers.replied(1, report, at(0));
+    int passed = 0;
+    for (std::uint64_t draw = 0; draw < 1'000; ++draw)
+    {
+        passed += peers.prefers_peers(0.9, draw) ? 1 : 0;
+        CHECK_FALSE(peers.prefers_peers(0.3, draw));
+    }
+    CHECK(passed > 500);
+}
