--- a/include/daisytrail/flow_sync.hpp
+++ b/include/daisytrail/flow_sync.hpp
@@ -15,8 +15,9 @@
 namespace daisytrail
 {
 
-// Changes in one batch; the encoded batch fits one datagram.
-inline constexpr std::size_t max_batch_changes = 64;
+// Changes in one batch; the encoded batch fits one datagram, also if each
+// change has its own VIP.
+inline constexpr std::size_t max_batch_changes = 96;
 
 // The sender owns the flow, or no longer does.
 struct flow_change
--- a/src/agent/flow_messages.cpp
+++ b/src/agent/flow_messages.cpp
@@ -26,18 +26,38 @@
 constexpr std::uint64_t traversal_limit_words = 1'024;
 constexpr int nesting_limit = 4;
 
+std::vector<endpoint> list_vips(flow_batch const& batch)
+{
+    std::vector<endpoint> vips;
+    for (auto const& change : batch.changes_)
+    {
+        if (std::ranges::find(vips, change.flow_.vip_) == vips.end())
+        {
+            vips.push_back(change.flow_.vip_);
+        }
+    }
+    return vips;
+}
+
 void write_changes(wire::FlowBatch::Builder to, flow_batch const& from)
 {
     to.setView(from.view_);
     to.setComplete(from.complete_);
+    auto const vips = list_vips(from);
+    auto vip_list = to.initVips(static_cast<unsigned>(vips.size()));
+    for (unsigned i = 0; i < vip_list.size(); ++i)
+    {
+        vip_list[i].setAddress(vips[i].address_);
+        vip_list[i].setPort(vips[i].port_);
+    }
     auto list = to.initChanges(static_cast<unsigned>(from.changes_.size()));
     for (unsigned i = 0; i < list.size(); ++i)
     {
         auto const& change = from.changes_[i];
+        auto const vip = std::ranges::find(vips, change.flow_.vip_);
         list[i].setCaller(change.flow_.caller_.address_);
         list[i].setCallerPort(change.flow_.caller_.port_);
-        list[i].setVip(change.flow_.vip_.address_);
-        list[i].setVipPort(change.flow_.vip_.port_);
+        list[i].setVip(static_cast<std::uint8_t>(vip - vips.begin()));
         list[i].setRemoved(change.removed_);
     }
 }
@@ -46,6 +66,7 @@
 {
     to.view_ = from.getView();
     to.complete_ = from.getComplete();
+    auto const vips = from.getVips();
     auto const list = from.getChanges();
     if (list.size() > max_batch_changes)
     {
@@ -53,8 +74,13 @@
     }
     for (auto const change : list)
     {
+        if (change.getVip() >= vips.size())
+        {
+            throw error(error_kind::invalid_packet, "unlisted VIP");
+        }
+        auto const vip = vips[change.getVip()];
         to.changes_.push_back({{{change.getCaller(), change.getCallerPort()},
-                                {change.getVip(), change.getVipPort()}},
+                                {vip.getAddress(), vip.getPort()}},
                                change.getRemoved()});
     }
 }
--- a/src/rpc/messages.capnp
+++ b/src/rpc/messages.capnp
@@ -23,19 +23,25 @@
   trail @6 :List(Candidate);
 }
 
-# The sender owns the flow, or no longer does.
+# The sender owns the flow, or no longer does. `vip` counts in the batch's list,
+# so that a change takes one word.
 struct FlowChange {
   caller @0 :UInt32;
-  vip @1 :UInt32;
-  callerPort @2 :UInt16;
-  vipPort @3 :UInt16;
-  removed @4 :Bool;
+  callerPort @1 :UInt16;
+  vip @2 :UInt8;
+  removed @3 :Bool;
+}
+
+struct FlowVip {
+  address @0 :UInt32;
+  port @1 :UInt16;
 }
 
 struct FlowBatch {
   view @0 :UInt64;
   complete @1 :Bool;
-  changes @2 :List(FlowChange);
+  vips @2 :List(FlowVip);
+  changes @3 :List(FlowChange);
 }
 
 # A datagram between two agents of a service.
--- a/test/unit/data_path_test.cpp
+++ b/test/unit/data_path_test.cpp
@@ -220,7 +220,9 @@
     batch.sequence_ = 6;
     batch.view_ = 7;
     batch.complete_ = true;
-    batch.changes_ = {{make_ack(1).flow_, false}, {make_ack(2).flow_, true}};
+    batch.changes_ = {{make_ack(1).flow_, false},
+                      {make_ack(2).flow_, true},
+                      {{{1, 2}, {3, 4}}, false}};
     auto const bytes = encode_flow_message(batch);
     auto const decoded = std::get<flow_batch>(decode_flow_message(bytes));
     CHECK(decoded.stream_ == 5);
@@ -237,9 +239,15 @@
 TEST_CASE("a truncated flow message is refused")
 {
     flow_batch batch;
-    batch.changes_.resize(max_batch_changes);
+    for (std::size_t i = 0; i < max_batch_changes; ++i)
+    {
+        auto flow = make_ack(1).flow_;
+        flow.vip_.port_ = static_cast<std::uint16_t>(i);
+        batch.changes_.push_back({flow, false});
+    }
     auto const bytes = encode_flow_message(batch);
-    CHECK(bytes.size() + flow_message_prefix_bytes + seal_bytes <= 1'400);
+    CHECK(bytes.size() + flow_message_prefix_bytes + seal_bytes <=
+          max_datagram_bytes);
     for (std::size_t size = 0; size < bytes.size(); size += 8)
     {
         auto const part = std::span(bytes).first(size);
