Operator commands: changes sent at most once, with audit trail and VIP claims

Cause: an answer of the store can be lost after the write, and two operators can change one template, or claim one VIP, at the same moment. Change: a change is one transaction over the template, its audit entry, its change id and the buckets of VIP claims that it touches. After a doubt the template is read before the change id; the same swap is tried again only while the template is at the base, so that a delayed request can't apply the change twice. Tests: 22 cases on a store in memory with lost answers, lost and delayed requests, races and outages.

--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -20,7 +20,8 @@
 // Key of an organisation's template; its value is a stored_template as JSON.
 inline constexpr std::string_view template_prefix = "daisytrail/templates/";
 
-// Keys of the audit trail: audit_prefix + organisation + "/" + change id.
+// Keys of the audit trail: audit_prefix + organisation + "/" + the change's
+// number in the organisation, zero-padded to ten digits.
 inline constexpr std::string_view audit_prefix = "daisytrail/audit/";
 
 // Keys of balancers that may be asked first, held under a lease:
--- /dev/null
+++ b/src/cli/change.cpp
@@ -0,0 +1,423 @@
+// One change of a template: read, decide, swap, and read back after a doubt.
+#include "cli/change.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+// The store's limit for one value.
+constexpr std::size_t max_value_bytes = 1'000'000;
+
+// What the store holds that bears on the change.
+struct store_state
+{
+    std::optional<store_entry> template_;
+    std::optional<store_entry> change_;   // this change id, once accepted
+    std::optional<audit_entry> accepted_; // what it changed
+    std::map<std::string, store_entry> buckets_; // by key
+    std::optional<audit_entry> expiring_;
+};
+
+std::optional<store_entry> first_entry(store_answer const& answer)
+{
+    if (answer.entries_.empty())
+    {
+        return std::nullopt;
+    }
+    return answer.entries_.front();
+}
+
+std::set<std::string> vips_of(organisation_template const& value)
+{
+    std::set<std::string> result;
+    for (auto const& service : value.services_)
+    {
+        for (auto const& vip : service.vips_)
+        {
+            result.insert(to_string(vip));
+        }
+    }
+    return result;
+}
+
+class change_attempt
+{
+public:
+    change_attempt(blocking_store& store, change_request const& request)
+        : store_(store), request_(request), organisation_(request.value_.name_),
+          wanted_(vips_of(request.value_))
+    {
+    }
+
+    change_outcome run()
+    {
+        while (store_.environment().now_() < request_.deadline_)
+        {
+            if (auto outcome = step())
+            {
+                return *outcome;
+            }
+        }
+        return out_of_time();
+    }
+
+private:
+    // One read and, if the change is still possible, one swap.
+    std::optional<change_outcome> step()
+    {
+        if (!read())
+        {
+            pause();
+            return std::nullopt;
+        }
+        if (auto outcome = settled())
+        {
+            return outcome;
+        }
+        if (auto outcome = refusal())
+        {
+            return outcome;
+        }
+        return send();
+    }
+
+    // The template is read before the change id: once the template has moved
+    // on from the base, no delayed swap of ours can succeed any more, so that
+    // the id that is read afterwards is final.
+    bool read()
+    {
+        state_ = {};
+        auto const current = store_.get(template_key(organisation_));
+        if (!accept_read(current))
+        {
+            return false;
+        }
+        state_.template_ = first_entry(current);
+        before_ = state_.template_
+                      ? parse_stored_template(state_.template_->value_)
+                      : stored_template{};
+        auto const change =
+            store_.get(change_key(organisation_, request_.change_id_));
+        if (!accept_read(change))
+        {
+            return false;
+        }
+        state_.change_ = first_entry(change);
+        return read_accepted() && read_buckets() && read_expiring();
+    }
+
+    bool read_accepted()
+    {
+        if (!state_.change_)
+        {
+            return true;
+        }
+        auto const number = std::stoull(state_.change_->value_);
+        auto const answer = store_.get(audit_key(organisation_, number));
+        if (auto const entry = first_entry(answer))
+        {
+            state_.accepted_ = parse_audit_entry(*entry);
+        }
+        return accept_read(answer);
+    }
+
+    bool read_buckets()
+    {
+        auto const buckets = store_.range(std::string(vip_prefix), 0);
+        for (auto const& entry : buckets.entries_)
+        {
+            state_.buckets_[entry.key_] = entry;
+        }
+        return accept_read(buckets);
+    }
+
+    // The entry that falls out of the audit trail with this change.
+    bool read_expiring()
+    {
+        if (before_.number_ < audit_retention)
+        {
+            return true;
+        }
+        auto const number = before_.number_ + 1 - audit_retention;
+        auto const answer = store_.get(audit_key(organisation_, number));
+        if (auto const entry = first_entry(answer))
+        {
+            state_.expiring_ = parse_audit_entry(*entry);
+        }
+        return accept_read(answer);
+    }
+
+    bool accept_read(store_answer const& answer)
+    {
+        if (answer.error_)
+        {
+            last_error_ = *answer.error_;
+            last_detail_ = answer.detail_;
+            return false;
+        }
+        return true;
+    }
+
+    std::optional<change_outcome> settled() const
+    {
+        if (!state_.accepted_)
+        {
+            return std::nullopt;
+        }
+        if (state_.accepted_->after_ != request_.text_)
+        {
+            return refuse(error_kind::conflict,
+                          "change id '" + request_.change_id_ +
+                              "' was used for another change");
+        }
+        change_outcome outcome;
+        outcome.result_ = change_result::accepted;
+        outcome.repeated_ = !doubtful_;
+        outcome.revision_ = state_.accepted_->revision_;
+        outcome.number_ = state_.accepted_->number_;
+        return outcome;
+    }
+
+    std::optional<change_outcome> refusal() const
+    {
+        auto const now = state_.template_ ? state_.template_->modified_ : 0;
+        if (now != request_.base_)
+        {
+            return conflict(now);
+        }
+        if (auto const taken = overlapping_vip(); !taken.empty())
+        {
+            return refuse(error_kind::conflict, taken);
+        }
+        auto const changes = differences_from(before_.template_);
+        if (state_.template_ && changes.empty() &&
+            before_.template_ == request_.text_)
+        {
+            change_outcome outcome;
+            outcome.result_ = change_result::accepted;
+            outcome.unchanged_ = true;
+            outcome.revision_ = now;
+            outcome.number_ = before_.number_;
+            return outcome;
+        }
+        if (breaks_flows(changes) && !request_.allow_breaking_)
+        {
+            auto outcome =
+                refuse(error_kind::invalid_argument,
+                       "the change cuts off open flows; drain them first, or "
+                       "pass --allow-breaking");
+            outcome.differences_ = changes;
+            return outcome;
+        }
+        return std::nullopt;
+    }
+
+    change_outcome conflict(revision now) const
+    {
+        if (now < request_.base_)
+        {
+            auto outcome = refuse(
+                error_kind::stale,
+                "the store holds revision " + std::to_string(now) +
+                    ", older than the base " + std::to_string(request_.base_));
+            // A store that went back can't settle an earlier attempt.
+            outcome.result_ =
+                doubtful_ ? change_result::unknown : change_result::refused;
+            return outcome;
+        }
+        auto outcome = refuse(
+            error_kind::conflict,
+            "the template is at revision " + std::to_string(now) + " by " +
+                before_.who_ + " (change " + before_.change_id_ +
+                "), not at the base " + std::to_string(request_.base_));
+        outcome.differences_ = differences_from(before_.template_);
+        return outcome;
+    }
+
+    std::vector<difference> differences_from(std::string const& text) const
+    {
+        auto const current = text.empty() ? organisation_template{}
+                                          : parse_organisation(text).value_;
+        return diff_templates(current, request_.value_);
+    }
+
+    change_outcome refuse(error_kind kind, std::string detail) const
+    {
+        change_outcome outcome;
+        outcome.result_ = change_result::refused;
+        outcome.kind_ = kind;
+        outcome.detail_ = std::move(detail);
+        outcome.revision_ = state_.template_ ? state_.template_->modified_ : 0;
+        return outcome;
+    }
+
+    vip_claims claims_in(std::string const& bucket) const
+    {
+        auto const found = state_.buckets_.find(bucket);
+        return found == state_.buckets_.end()
+                   ? vip_claims{}
+                   : parse_vip_claims(found->second.value_);
+    }
+
+    // Tells which other organisation has one of the VIPs, or nothing.
+    std::string overlapping_vip() const
+    {
+        for (auto const& vip : wanted_)
+        {
+            auto const claims = claims_in(vip_bucket_key(vip));
+            auto const claim = claims.find(vip);
+            if (claim != claims.end() && claim->second != organisation_)
+            {
+                return "VIP " + vip + " belongs to organisation '" +
+                       claim->second + "'";
+            }
+        }
+        return {};
+    }
+
+    // Every bucket that a claim enters or leaves, as it has to be.
+    std::map<std::string, vip_claims> changed_buckets() const
+    {
+        std::map<std::string, vip_claims> result;
+        for (auto const& [key, entry] : state_.buckets_)
+        {
+            auto claims = parse_vip_claims(entry.value_);
+            auto const gone =
+                std::erase_if(claims,
+                              [this](auto const& claim) {
+                                  return claim.second == organisation_ &&
+                                         !wanted_.contains(claim.first);
+                              });
+            if (gone > 0)
+            {
+                result[key] = std::move(claims);
+            }
+        }
+        for (auto const& vip : wanted_)
+        {
+            auto const key = vip_bucket_key(vip);
+            auto claims =
+                result.contains(key) ? result.at(key) : claims_in(key);
+            if (claims.emplace(vip, organisation_).second)
+            {
+                result[key] = std::move(claims);
+            }
+        }
+        return result;
+    }
+
+    std::optional<change_outcome> send()
+    {
+        std::vector<store_comparison> comparisons{
+            {template_key(organisation_), request_.base_},
+            {change_key(organisation_, request_.change_id_), 0}};
+        auto writes = make_writes();
+        for (auto const& [key, claims] : changed_buckets())
+        {
+            auto const found = state_.buckets_.find(key);
+            auto const seen =
+                found == state_.buckets_.end() ? 0 : found->second.modified_;
+            comparisons.push_back({key, seen});
+            writes.push_back({key, to_json_text(claims), claims.empty(), 0});
+        }
+        if (auto const large =
+                std::find_if(writes.begin(), writes.end(),
+                             [](store_write const& write)
+                             { return write.value_.size() > max_value_bytes; });
+            large != writes.end())
+        {
+            return refuse(error_kind::limit_exceeded,
+                          large->key_ + " would pass the store's limit of " +
+                              std::to_string(max_value_bytes) + " bytes");
+        }
+        return judge(store_.swap(std::move(comparisons), std::move(writes)));
+    }
+
+    std::vector<store_write> make_writes() const
+    {
+        auto const number = before_.number_ + 1;
+        stored_template const value{request_.change_id_, request_.who_,
+                                    request_.when_, number, request_.text_};
+        audit_entry const entry{
+            organisation_, request_.change_id_, request_.who_,  request_.when_,
+            number,        before_.template_,   request_.text_, 0};
+        std::vector<store_write> writes{
+            {template_key(organisation_), to_json_text(value), false, 0},
+            {audit_key(organisation_, number), to_json_text(entry), false, 0},
+            {change_key(organisation_, request_.change_id_),
+             std::to_string(number), false, 0}};
+        if (state_.expiring_)
+        {
+            auto const& old = *state_.expiring_;
+            writes.push_back(
+                {audit_key(organisation_, old.number_), "", true, 0});
+            writes.push_back(
+                {change_key(organisation_, old.change_id_), "", true, 0});
+        }
+        return writes;
+    }
+
+    std::optional<change_outcome> judge(store_answer const& answer)
+    {
+        if (!answer.error_ && answer.succeeded_)
+        {
+            change_outcome outcome;
+            outcome.result_ = change_result::accepted;
+            outcome.revision_ = answer.revision_;
+            outcome.number_ = before_.number_ + 1;
+            return outcome;
+        }
+        if (answer.error_)
+        {
+            last_error_ = *answer.error_;
+            last_detail_ = answer.detail_;
+            // Only `unavailable` says that the store didn't run the swap.
+            doubtful_ = doubtful_ || *answer.error_ != error_kind::unavailable;
+            pause();
+        }
+        return std::nullopt;
+    }
+
+    void pause()
+    {
+        store_.environment().pause_(delays_.next());
+    }
+
+    change_outcome out_of_time() const
+    {
+        auto outcome = refuse(last_error_, last_detail_);
+        if (doubtful_)
+        {
+            outcome.result_ = change_result::unknown;
+            outcome.kind_ = error_kind::outcome_unknown;
+        }
+        return outcome;
+    }
+
+    blocking_store& store_;
+    change_request const& request_;
+    std::string organisation_;
+    std::set<std::string> wanted_; // VIPs of the new template
+    store_state state_;
+    stored_template before_; // empty if there is none
+    backoff delays_;
+    bool doubtful_ = false; // an attempt may have taken effect
+    error_kind last_error_ = error_kind::deadline_exceeded;
+    std::string last_detail_ = "the time was up before the first attempt";
+};
+
+} // namespace
+
+change_outcome apply_change(blocking_store& store,
+                            change_request const& request)
+{
+    return change_attempt(store, request).run();
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/cli/fleet_client.hpp
@@ -0,0 +1,57 @@
+// Questions to the HTTP pages of balancers, all asked at once.
+#pragma once
+
+#include <daisytrail/error.hpp>
+#include <daisytrail/types.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace daisytrail
+{
+
+// One process's answer to a GET; body_ is valid if error_ is empty.
+struct page_answer
+{
+    endpoint process_;
+    std::optional<error_kind> error_;
+    std::string detail_;
+    std::string body_;
+};
+
+// Asks every process for `target` and returns the answers in order.
+using ask_processes = std::function<std::vector<page_answer>(
+    std::vector<endpoint> const&, std::string const& target)>;
+
+ask_processes make_fleet_client(boost::asio::io_context& io,
+                                std::chrono::milliseconds timeout);
+
+// A target as one process sees it.
+struct seen_target
+{
+    std::string service_;
+    std::string name_;
+    std::string state_;
+};
+
+// What one process runs.
+struct process_status
+{
+    endpoint process_;
+    std::string name_;
+    std::string failure_domain_;
+    std::string detail_; // why there is no answer; empty if there is one
+    std::map<std::string, revision> revisions_; // by organisation
+    std::vector<seen_target> targets_;
+};
+
+// Reads the answer of GET /view.
+process_status read_view(page_answer const& answer);
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/cli/status.cpp
@@ -0,0 +1,231 @@
+// Who runs which template revision, and which targets drain.
+#include "cli/status.hpp"
+
+#include "cli/report.hpp"
+
+#include <daisytrail/record.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds poll_interval{250};
+
+std::vector<process_status> ask_all(command_context const& context)
+{
+    std::vector<process_status> result;
+    for (auto const& answer : context.ask_(context.processes_, "/view"))
+    {
+        result.push_back(read_view(answer));
+    }
+    return result;
+}
+
+std::string label(process_status const& process)
+{
+    auto const address = to_string(process.process_);
+    return process.name_.empty() ? address : process.name_ + " " + address;
+}
+
+// Revisions that the store holds; empty if it can't be read.
+std::map<std::string, revision> stored_revisions(command_context const& context)
+{
+    std::map<std::string, revision> result;
+    auto const answer = context.store_.range(std::string(template_prefix), 0);
+    for (auto const& entry : answer.entries_)
+    {
+        result[entry.key_.substr(template_prefix.size())] = entry.modified_;
+    }
+    return result;
+}
+
+// The newest revision that any process runs.
+std::map<std::string, revision>
+newest_revisions(std::vector<process_status> const& processes)
+{
+    std::map<std::string, revision> result;
+    for (auto const& process : processes)
+    {
+        for (auto const& [organisation, at] : process.revisions_)
+        {
+            result[organisation] = std::max(result[organisation], at);
+        }
+    }
+    return result;
+}
+
+// "service/target state" of targets that aren't simply ready.
+std::set<std::string>
+unready_targets(std::vector<process_status> const& processes)
+{
+    std::set<std::string> result;
+    for (auto const& process : processes)
+    {
+        for (auto const& target : process.targets_)
+        {
+            if (target.state_ != to_string(member_state::ready))
+            {
+                result.insert(target.service_ + "/" + target.name_ + " " +
+                              target.state_);
+            }
+        }
+    }
+    return result;
+}
+
+json::object to_json(process_status const& process)
+{
+    json::object revisions;
+    for (auto const& [organisation, at] : process.revisions_)
+    {
+        revisions[organisation] = at;
+    }
+    return {{"process", to_string(process.process_)},
+            {"name", process.name_},
+            {"failure_domain", process.failure_domain_},
+            {"detail", process.detail_},
+            {"revisions", std::move(revisions)},
+            {"targets", process.targets_.size()}};
+}
+
+std::string process_line(process_status const& process)
+{
+    if (!process.detail_.empty())
+    {
+        return label(process) + "  " + process.detail_ + "\n";
+    }
+    std::string text = label(process) + "  " + process.failure_domain_;
+    for (auto const& [organisation, at] : process.revisions_)
+    {
+        text += "  " + organisation + "@" + std::to_string(at);
+    }
+    return text + "  targets " + std::to_string(process.targets_.size()) + "\n";
+}
+
+template <typename Lines>
+json::array lines_to_json(Lines const& lines)
+{
+    json::array result;
+    for (auto const& line : lines)
+    {
+        result.emplace_back(line);
+    }
+    return result;
+}
+
+template <typename Lines>
+std::string section(std::string const& title, Lines const& lines)
+{
+    std::string text;
+    for (auto const& line : lines)
+    {
+        text.append(title).append(": ").append(line).append("\n");
+    }
+    return text;
+}
+
+} // namespace
+
+std::vector<std::string> behind(std::vector<process_status> const& processes,
+                                std::map<std::string, revision> const& wanted)
+{
+    std::vector<std::string> result;
+    for (auto const& process : processes)
+    {
+        if (!process.detail_.empty())
+        {
+            result.push_back(label(process) + " (" + process.detail_ + ")");
+            continue;
+        }
+        for (auto const& [organisation, at] : wanted)
+        {
+            auto const found = process.revisions_.find(organisation);
+            auto const runs =
+                found == process.revisions_.end() ? 0 : found->second;
+            if (runs < at)
+            {
+                result.push_back(label(process) + " (" + organisation + "@" +
+                                 std::to_string(runs) + ", not @" +
+                                 std::to_string(at) + ")");
+            }
+        }
+    }
+    return result;
+}
+
+std::vector<std::string> wait_in_force(command_context const& context,
+                                       std::string const& organisation,
+                                       revision wanted,
+                                       std::chrono::milliseconds timeout)
+{
+    auto const& environment = context.store_.environment();
+    auto const deadline = environment.now_() + timeout;
+    std::size_t reported = context.processes_.size() + 1;
+    while (true)
+    {
+        auto late = behind(ask_all(context), {{organisation, wanted}});
+        if (late.size() != reported)
+        {
+            reported = late.size();
+            context.progress_(
+                "in force on " +
+                std::to_string(context.processes_.size() - reported) + " of " +
+                std::to_string(context.processes_.size()));
+        }
+        if (late.empty() || environment.now_() >= deadline)
+        {
+            return late;
+        }
+        environment.pause_(poll_interval);
+    }
+}
+
+command_result status_command(command_context const& context)
+{
+    if (context.processes_.empty())
+    {
+        return failure(error_kind::invalid_argument,
+                       "nobody to ask; pass --process ADDRESS:PORT");
+    }
+    auto const processes = ask_all(context);
+    auto wanted = stored_revisions(context);
+    bool const has_store = !wanted.empty();
+    if (!has_store)
+    {
+        wanted = newest_revisions(processes);
+    }
+    auto const late = behind(processes, wanted);
+    auto const unready = unready_targets(processes);
+    command_result result;
+    json::array list;
+    for (auto const& process : processes)
+    {
+        list.emplace_back(to_json(process));
+        result.text_ += process_line(process);
+    }
+    result.text_ += section("behind", late) + section("target", unready);
+    if (!has_store)
+    {
+        result.text_ += "no revisions from the store: compared with the "
+                        "newest that any process runs\n";
+    }
+    result.json_ = {{"processes", std::move(list)},
+                    {"store_read", has_store},
+                    {"behind", lines_to_json(late)},
+                    {"targets_not_ready", lines_to_json(unready)}};
+    if (!late.empty())
+    {
+        result.exit_code_ =
+            answer_for(error_kind::deadline_exceeded).exit_code_;
+    }
+    return result;
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/cli/template_diff.cpp
@@ -0,0 +1,220 @@
+// Templates are flattened to paths and values, and the two lists are compared.
+#include "cli/template_diff.hpp"
+
+#include "config/field_reader.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+using flat_template = std::map<std::string, std::string>;
+
+std::string yes_or_no(bool value)
+{
+    return value ? "true" : "false";
+}
+
+std::string to_text(std::chrono::milliseconds value)
+{
+    return detail::duration_to_string(value);
+}
+
+std::string join(std::vector<std::string> const& values)
+{
+    std::string text;
+    for (auto const& value : values)
+    {
+        text += (text.empty() ? "" : ", ") + value;
+    }
+    return "[" + text + "]";
+}
+
+// Classes are matched in order, so that the position is part of the path.
+void flatten(request_class const& value, std::size_t position,
+             std::string const& path, flat_template& out)
+{
+    auto const base = path + ".classes[" + value.name_ + "]";
+    out[base + ".position"] = std::to_string(position);
+    out[base + ".methods"] = join(value.methods_);
+    out[base + ".path_prefix"] = value.path_prefix_;
+    out[base + ".repeatable"] = yes_or_no(value.repeatable_);
+    out[base + ".long_running"] = yes_or_no(value.long_running_);
+    out[base + ".priority"] = std::to_string(value.priority_);
+    out[base + ".deadline"] = to_text(value.deadline_);
+    out[base + ".expected"] = to_text(value.expected_);
+}
+
+void flatten(service_limits const& value, std::string const& path,
+             flat_template& out)
+{
+    auto const base = path + ".limits.";
+    out[base + "connections"] = std::to_string(value.connections_);
+    out[base + "half_open"] = std::to_string(value.half_open_);
+    out[base + "queue"] = std::to_string(value.queue_);
+    out[base + "body_bytes"] = std::to_string(value.body_bytes_);
+    out[base + "header_bytes"] = std::to_string(value.header_bytes_);
+    out[base + "header_timeout"] = to_text(value.header_timeout_);
+    out[base + "idle_timeout"] = to_text(value.idle_timeout_);
+    out[base + "drain_timeout"] = to_text(value.drain_timeout_);
+}
+
+void flatten(service_template const& value, flat_template& out)
+{
+    auto const path = "services[" + value.name_ + "]";
+    out[path + ".mode"] =
+        service_mode_names[static_cast<std::size_t>(value.mode_)];
+    out[path + ".failure_domains"] = join(value.failure_domains_);
+    out[path + ".retry_budget"] = std::to_string(value.retry_budget_);
+    for (auto const& vip : value.vips_)
+    {
+        out[path + ".vips[" + to_string(vip) + "]"] = "present";
+    }
+    for (std::size_t i = 0; i < value.classes_.size(); ++i)
+    {
+        flatten(value.classes_[i], i, path, out);
+    }
+    flatten(value.limits_, path, out);
+}
+
+flat_template flatten(organisation_template const& value)
+{
+    flat_template out;
+    for (auto const& service : value.services_)
+    {
+        flatten(service, out);
+    }
+    return out;
+}
+
+enum class edit : std::uint8_t
+{
+    added,
+    removed,
+    changed
+};
+
+struct effect_rule
+{
+    std::string_view part_; // of the path
+    edit edit_;
+    flow_effect effect_;
+    std::string_view consequence_;
+};
+
+// The first rule whose part occurs in the path decides.
+constexpr std::array<effect_rule, 9> effect_rules{{
+    {".vips[", edit::removed, flow_effect::broken,
+     "packets to this VIP are dropped from now on: open flows to it break"},
+    {".mode", edit::changed, flow_effect::broken,
+     "open flows can't change their mode and are cut off"},
+    {".mode", edit::removed, flow_effect::broken,
+     "the service ends: its open flows break"},
+    {".vips[", edit::added, flow_effect::none,
+     "new flows to this VIP are accepted"},
+    {".limits.connections", edit::changed, flow_effect::none,
+     "open flows stay; the limit holds for new ones"},
+    {".limits.drain_timeout", edit::changed, flow_effect::drained,
+     "targets that drain end their flows by the new limit"},
+    {".limits.idle_timeout", edit::changed, flow_effect::drained,
+     "open flows that are idle for longer end gracefully"},
+    {".classes[", edit::changed, flow_effect::none,
+     "running requests keep their class; new ones get the new"},
+    {".limits.", edit::changed, flow_effect::none,
+     "holds for new requests and flows"},
+}};
+
+edit edit_of(difference const& value)
+{
+    if (value.before_.empty())
+    {
+        return edit::added;
+    }
+    return value.after_.empty() ? edit::removed : edit::changed;
+}
+
+difference make_difference(std::string path, std::string before,
+                           std::string after)
+{
+    difference result{std::move(path), std::move(before), std::move(after),
+                      flow_effect::none, "open flows are untouched"};
+    auto const rule = std::find_if(
+        effect_rules.begin(), effect_rules.end(),
+        [&](effect_rule const& candidate)
+        {
+            return candidate.edit_ == edit_of(result) &&
+                   result.path_.find(candidate.part_) != std::string::npos;
+        });
+    if (rule != effect_rules.end())
+    {
+        result.effect_ = rule->effect_;
+        result.consequence_ = rule->consequence_;
+    }
+    return result;
+}
+
+std::string value_at(flat_template const& values, std::string const& path)
+{
+    auto const found = values.find(path);
+    return found == values.end() ? std::string() : found->second;
+}
+
+char sign_of(edit value)
+{
+    constexpr std::array<char, 3> signs{'+', '-', '~'};
+    return signs[static_cast<std::size_t>(value)];
+}
+
+} // namespace
+
+std::vector<difference> diff_templates(organisation_template const& before,
+                                       organisation_template const& after)
+{
+    auto const old_values = flatten(before);
+    auto const new_values = flatten(after);
+    auto paths = old_values;
+    paths.insert(new_values.begin(), new_values.end());
+    std::vector<difference> result;
+    for (auto const& entry : paths)
+    {
+        auto const& path = entry.first;
+        auto from = value_at(old_values, path);
+        auto to = value_at(new_values, path);
+        if (from != to)
+        {
+            result.push_back(
+                make_difference(path, std::move(from), std::move(to)));
+        }
+    }
+    return result;
+}
+
+bool breaks_flows(std::vector<difference> const& differences)
+{
+    return std::any_of(differences.begin(), differences.end(),
+                       [](difference const& value)
+                       { return value.effect_ == flow_effect::broken; });
+}
+
+std::string to_string(std::vector<difference> const& differences)
+{
+    std::string text;
+    for (auto const& value : differences)
+    {
+        auto const kind = edit_of(value);
+        text += sign_of(kind);
+        text += " " + value.path_ + ": ";
+        text += kind == edit::changed ? value.before_ + " -> " + value.after_
+                                      : value.before_ + value.after_;
+        text += "\n    ";
+        text += flow_effect_names[static_cast<std::size_t>(value.effect_)];
+        text += ": " + value.consequence_ + "\n";
+    }
+    return text;
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/test/support/fake_store.hpp
@@ -0,0 +1,158 @@
+// A configuration store in memory, with faults by command.
+#pragma once
+
+#include <daisytrail/store.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace daisytrail
+{
+
+class fake_store : public config_store
+{
+public:
+    // What happens to the next swaps, in order; then they run as usual.
+    enum class swap_fault
+    {
+        none,
+        lost_answer,  // takes effect, the caller hears outcome_unknown
+        lost_request, // doesn't take effect, the caller hears outcome_unknown
+        unavailable,  // doesn't take effect, and the caller is told so
+        delayed       // takes effect when release_delayed() is called
+    };
+
+    std::map<std::string, store_entry> entries_;
+    revision revision_ = 0;
+    std::deque<swap_fault> swap_faults_;
+    bool down_ = false;                 // every call fails as unavailable
+    std::function<void()> before_swap_; // run once, before the next swap
+    std::size_t applied_ = 0;           // swaps that took effect
+
+    void range(std::string const& prefix, std::size_t limit,
+               store_handler handler) override
+    {
+        store_answer answer;
+        answer.revision_ = revision_;
+        answer.error_ =
+            down_ ? std::optional(error_kind::unavailable) : std::nullopt;
+        for (auto at = entries_.lower_bound(prefix);
+             !down_ && at != entries_.end() && at->first.starts_with(prefix);
+             ++at)
+        {
+            if (limit != 0 && answer.entries_.size() == limit)
+            {
+                break;
+            }
+            answer.entries_.push_back(at->second);
+        }
+        post(std::move(handler), std::move(answer));
+    }
+
+    void swap(std::vector<store_comparison> comparisons,
+              std::vector<store_write> writes, store_handler handler) override
+    {
+        if (auto const hook = std::exchange(before_swap_, nullptr))
+        {
+            hook();
+        }
+        auto fault = down_ ? swap_fault::unavailable : swap_fault::none;
+        if (!down_ && !swap_faults_.empty())
+        {
+            fault = swap_faults_.front();
+            swap_faults_.pop_front();
+        }
+        store_answer answer;
+        if (fault == swap_fault::delayed)
+        {
+            delayed_ = [this, comparisons, writes]
+            {
+                return run(comparisons, writes);
+            };
+        }
+        if (fault == swap_fault::none || fault == swap_fault::lost_answer)
+        {
+            answer.succeeded_ = run(comparisons, writes);
+        }
+        if (fault != swap_fault::none)
+        {
+            answer.succeeded_ = false;
+            answer.error_ = fault == swap_fault::unavailable
+                                ? error_kind::unavailable
+                                : error_kind::outcome_unknown;
+        }
+        answer.revision_ = revision_;
+        post(std::move(handler), std::move(answer));
+    }
+
+    bool release_delayed()
+    {
+        return delayed_();
+    }
+
+    void grant_lease(std::chrono::seconds, store_handler handler) override
+    {
+        post(std::move(handler), {});
+    }
+
+    void keep_alive(std::int64_t, store_handler handler) override
+    {
+        post(std::move(handler), {});
+    }
+
+    void watch(std::string const&, revision, store_handler) override {}
+
+    void run_one()
+    {
+        auto const event = std::move(events_.front());
+        events_.pop_front();
+        event();
+    }
+
+private:
+    void post(store_handler handler, store_answer answer)
+    {
+        events_.push_back([handler = std::move(handler),
+                           answer = std::move(answer)] { handler(answer); });
+    }
+
+    revision modified(std::string const& key) const
+    {
+        auto const found = entries_.find(key);
+        return found == entries_.end() ? 0 : found->second.modified_;
+    }
+
+    bool run(std::vector<store_comparison> const& comparisons,
+             std::vector<store_write> const& writes)
+    {
+        bool const holds = std::all_of(
+            comparisons.begin(), comparisons.end(),
+            [this](store_comparison const& comparison)
+            { return modified(comparison.key_) == comparison.modified_; });
+        if (!holds)
+        {
+            return false;
+        }
+        ++revision_;
+        ++applied_;
+        for (auto const& write : writes)
+        {
+            entries_.erase(write.key_);
+            if (!write.remove_)
+            {
+                entries_[write.key_] = {write.key_, write.value_, revision_};
+            }
+        }
+        return true;
+    }
+
+    std::deque<std::function<void()>> events_;
+    std::function<bool()> delayed_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/test/unit/change_test.cpp
@@ -0,0 +1,414 @@
+// Changes of templates against a store that loses answers, delays requests,
+// goes away and is changed by others.
+#include "../support/fake_store.hpp"
+#include "cli/change.hpp"
+#include "cli/commands.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using fault = fake_store::swap_fault;
+
+std::string template_text(std::string const& name, std::string const& vip,
+                          int queue = 64)
+{
+    return R"({"name": ")" + name +
+           R"(", "services": [{"name": "s", "mode": "requests", "vips": [")" +
+           vip + R"("], "limits": {"queue": )" + std::to_string(queue) + "}}]}";
+}
+
+struct bench
+{
+    fake_store store_;
+    time_point now_{};
+    blocking_store calls_{store_,
+                          {[this] { store_.run_one(); },
+                           [this](std::chrono::milliseconds delay)
+                           { now_ += delay; },
+                           [this]
+                           {
+                               return now_;
+                           }}};
+    std::vector<endpoint> processes_;
+    std::vector<std::string> progress_;
+
+    change_request request(std::string const& text, std::string const& id,
+                           revision base)
+    {
+        change_request result;
+        result.text_ = text;
+        result.value_ = parse_organisation(text).value_;
+        result.change_id_ = id;
+        result.who_ = "amutenya";
+        result.when_ = "2026-12-04T01:02:03Z";
+        result.base_ = base;
+        result.deadline_ = now_ + 10s;
+        return result;
+    }
+
+    change_outcome apply(std::string const& text, std::string const& id,
+                         revision base)
+    {
+        return apply_change(calls_, request(text, id, base));
+    }
+
+    command_context context(ask_processes ask = nullptr)
+    {
+        return {calls_, std::move(ask), processes_, 10s,
+                [this](std::string const& line)
+                {
+                    progress_.push_back(line);
+                }};
+    }
+};
+
+std::string const first = template_text("a", "203.0.113.1:80");
+std::string const second = template_text("a", "203.0.113.1:80", 32);
+
+} // namespace
+
+TEST_CASE("an accepted change is stored with its audit entry and id")
+{
+    bench b;
+    auto const outcome = b.apply(first, "one", 0);
+    REQUIRE(outcome.result_ == change_result::accepted);
+    CHECK(outcome.number_ == 1);
+    CHECK(outcome.revision_ == 1);
+    auto const stored =
+        parse_stored_template(b.store_.entries_.at(template_key("a")).value_);
+    CHECK(stored.template_ == first);
+    CHECK(stored.change_id_ == "one");
+    auto const entry =
+        parse_audit_entry(b.store_.entries_.at(audit_key("a", 1)));
+    CHECK(entry.before_.empty());
+    CHECK(entry.after_ == first);
+    CHECK(entry.who_ == "amutenya");
+    CHECK(b.store_.applied_ == 1);
+}
+
+TEST_CASE("an answer lost after the write is settled by reading back")
+{
+    bench b;
+    b.store_.swap_faults_ = {fault::lost_answer};
+    auto const outcome = b.apply(first, "one", 0);
+    CHECK(outcome.result_ == change_result::accepted);
+    CHECK_FALSE(outcome.repeated_);
+    CHECK(b.store_.applied_ == 1);
+}
+
+TEST_CASE("a request lost before the write is sent again")
+{
+    bench b;
+    b.store_.swap_faults_ = {fault::lost_request, fault::unavailable};
+    CHECK(b.apply(first, "one", 0).result_ == change_result::accepted);
+    CHECK(b.store_.applied_ == 1);
+}
+
+TEST_CASE("a delayed request never applies the change a second time")
+{
+    bench b;
+    b.store_.swap_faults_ = {fault::delayed};
+    CHECK(b.apply(first, "one", 0).result_ == change_result::accepted);
+    CHECK_FALSE(b.store_.release_delayed());
+    CHECK(b.store_.applied_ == 1);
+}
+
+TEST_CASE("a lost answer below another operator's change is still accepted")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    b.store_.swap_faults_ = {fault::lost_answer};
+    bool meddled = false;
+    bench* const bench_pointer = &b;
+    // The other operator changes the template before the answer is read back.
+    auto environment = b.calls_.environment();
+    auto const pause = environment.pause_;
+    environment.pause_ = [&](std::chrono::milliseconds delay)
+    {
+        pause(delay);
+        if (!std::exchange(meddled, true))
+        {
+            auto const other = bench_pointer->apply(first, "other", 2);
+            CHECK(other.result_ == change_result::accepted);
+        }
+    };
+    blocking_store calls(b.store_, environment);
+    auto const outcome = apply_change(calls, b.request(second, "two", 1));
+    CHECK(meddled);
+    CHECK(outcome.result_ == change_result::accepted);
+    CHECK(outcome.number_ == 2);
+    CHECK(outcome.revision_ == 2);
+}
+
+TEST_CASE("a store that is down before any attempt: refused, nothing written")
+{
+    bench b;
+    b.store_.down_ = true;
+    auto const outcome = b.apply(first, "one", 0);
+    CHECK(outcome.result_ == change_result::refused);
+    CHECK(outcome.kind_ == error_kind::unavailable);
+    CHECK(b.store_.entries_.empty());
+}
+
+TEST_CASE("a store that goes down during the write: unknown, then settled")
+{
+    bench b;
+    b.store_.swap_faults_ = {fault::lost_answer};
+    auto environment = b.calls_.environment();
+    auto const pause = environment.pause_;
+    environment.pause_ = [&](std::chrono::milliseconds delay)
+    {
+        pause(delay);
+        b.store_.down_ = true;
+    };
+    blocking_store calls(b.store_, environment);
+    auto const outcome = apply_change(calls, b.request(first, "one", 0));
+    CHECK(outcome.result_ == change_result::unknown);
+    CHECK(outcome.kind_ == error_kind::outcome_unknown);
+    b.store_.down_ = false;
+    auto const settled = b.apply(first, "one", 0);
+    CHECK(settled.result_ == change_result::accepted);
+    CHECK(settled.repeated_);
+    CHECK(b.store_.applied_ == 1);
+}
+
+TEST_CASE("two operators at once: one accepted, one conflict with difference")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    b.store_.before_swap_ = [&]
+    {
+        auto const other = b.apply(second, "other", 1);
+        CHECK(other.result_ == change_result::accepted);
+    };
+    auto const third = template_text("a", "203.0.113.1:80", 16);
+    auto const outcome = b.apply(third, "two", 1);
+    CHECK(outcome.result_ == change_result::refused);
+    CHECK(outcome.kind_ == error_kind::conflict);
+    REQUIRE(outcome.differences_.size() == 1);
+    CHECK(outcome.differences_[0].path_ == "services[s].limits.queue");
+    CHECK(outcome.differences_[0].before_ == "32");
+    CHECK(outcome.differences_[0].after_ == "16");
+    CHECK(b.store_.applied_ == 2);
+}
+
+TEST_CASE("a VIP of another organisation is refused")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    auto const outcome =
+        b.apply(template_text("b", "203.0.113.1:80"), "two", 0);
+    CHECK(outcome.result_ == change_result::refused);
+    CHECK(outcome.detail_.find("belongs to organisation 'a'") !=
+          std::string::npos);
+    // Another port of the same address is another VIP.
+    CHECK(b.apply(template_text("b", "203.0.113.1:81"), "three", 0).result_ ==
+          change_result::accepted);
+}
+
+TEST_CASE("of two organisations that claim one VIP at once, one is refused")
+{
+    bench b;
+    b.store_.before_swap_ = [&]
+    {
+        CHECK(
+            b.apply(template_text("b", "203.0.113.1:80"), "other", 0).result_ ==
+            change_result::accepted);
+    };
+    auto const outcome = b.apply(first, "one", 0);
+    CHECK(outcome.result_ == change_result::refused);
+    CHECK_FALSE(b.store_.entries_.contains(template_key("a")));
+}
+
+TEST_CASE("a race for other VIPs of the same bucket is no conflict")
+{
+    bench b;
+    std::string const mine = "203.0.113.1:80";
+    std::string other;
+    for (int port = 81; other.empty(); ++port)
+    {
+        auto const vip = "203.0.113.1:" + std::to_string(port);
+        other = vip_bucket_key(vip) == vip_bucket_key(mine) ? vip : "";
+    }
+    b.store_.before_swap_ = [&]
+    {
+        CHECK(b.apply(template_text("b", other), "other", 0).result_ ==
+              change_result::accepted);
+    };
+    CHECK(b.apply(first, "one", 0).result_ == change_result::accepted);
+    auto const claims =
+        parse_vip_claims(b.store_.entries_.at(vip_bucket_key(mine)).value_);
+    CHECK(claims.size() == 2);
+}
+
+TEST_CASE("a VIP that is given up can be claimed by another organisation")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    auto moved = b.request(template_text("a", "203.0.113.2:80"), "two", 1);
+    CHECK(apply_change(b.calls_, moved).kind_ == error_kind::invalid_argument);
+    moved.allow_breaking_ = true;
+    REQUIRE(apply_change(b.calls_, moved).result_ == change_result::accepted);
+    CHECK(b.apply(template_text("b", "203.0.113.1:80"), "three", 0).result_ ==
+          change_result::accepted);
+}
+
+TEST_CASE("a change id is used once, whatever the change")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    auto const outcome = b.apply(second, "one", 1);
+    CHECK(outcome.result_ == change_result::refused);
+    CHECK(outcome.kind_ == error_kind::conflict);
+    CHECK(b.store_.applied_ == 1);
+}
+
+TEST_CASE("a store that went back to an older state is refused as stale")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    auto const outcome = b.apply(second, "two", 7);
+    CHECK(outcome.result_ == change_result::refused);
+    CHECK(outcome.kind_ == error_kind::stale);
+}
+
+TEST_CASE("the audit trail keeps a bounded number of entries")
+{
+    bench b;
+    revision base = 0;
+    for (std::uint64_t i = 1; i <= audit_retention + 2; ++i)
+    {
+        auto const text =
+            template_text("a", "203.0.113.1:80", static_cast<int>(i));
+        auto const outcome = b.apply(text, "c" + std::to_string(i), base);
+        REQUIRE(outcome.result_ == change_result::accepted);
+        base = outcome.revision_;
+    }
+    CHECK_FALSE(b.store_.entries_.contains(audit_key("a", 2)));
+    CHECK_FALSE(b.store_.entries_.contains(change_key("a", "c2")));
+    CHECK(b.store_.entries_.contains(audit_key("a", 3)));
+    CHECK(b.store_.entries_.contains(change_key("a", "c3")));
+}
+
+TEST_CASE("history is paged, and each page names the next")
+{
+    bench b;
+    for (revision i = 0; i < 12; ++i)
+    {
+        auto const text =
+            template_text("a", "203.0.113.1:80", static_cast<int>(i));
+        REQUIRE(b.apply(text, "c" + std::to_string(i), i).result_ ==
+                change_result::accepted);
+    }
+    auto const context = b.context();
+    auto const latest = history_command(context, "a", 0);
+    CHECK(latest.json_.at("changes").as_array().size() == 3);
+    CHECK(latest.json_.at("before").to_number<int>() == 9);
+    auto const older = history_command(context, "a", 9);
+    CHECK(older.json_.at("changes").as_array().size() == 9);
+    CHECK(older.json_.at("before").to_number<int>() == 0);
+}
+
+TEST_CASE("a rollback is a new change with the old template")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    REQUIRE(b.apply(second, "two", 1).result_ == change_result::accepted);
+    change_options options;
+    options.change_id_ = "three";
+    auto const result = rollback_command(b.context(), "a", 1, options);
+    CHECK(result.exit_code_ == 0);
+    auto const& entry = b.store_.entries_.at(template_key("a"));
+    CHECK(entry.modified_ == 3);
+    CHECK(parse_stored_template(entry.value_).template_ == first);
+    CHECK(parse_stored_template(entry.value_).number_ == 3);
+}
+
+TEST_CASE("an unknown outcome names the command that settles it")
+{
+    bench b;
+    b.store_.swap_faults_ = std::deque<fault>(100, fault::lost_request);
+    change_options options;
+    options.change_id_ = "one";
+    auto const result = apply_command(b.context(), {"a.json", first}, options);
+    CHECK(result.exit_code_ == 9);
+    CHECK(result.json_.at("command").as_string() ==
+          "daisytrail apply a.json --change-id one");
+    // The command was told before the first attempt as well.
+    REQUIRE(b.progress_.size() == 1);
+    CHECK(b.progress_[0].find("--change-id one") != std::string::npos);
+}
+
+TEST_CASE("apply without a base never replaces what the operator hasn't seen")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    change_options options;
+    options.change_id_ = "two";
+    auto const result = apply_command(b.context(), {"a.json", second}, options);
+    CHECK(result.exit_code_ == 4);
+    CHECK(b.store_.applied_ == 1);
+}
+
+TEST_CASE("apply --wait tells which processes are behind")
+{
+    bench b;
+    b.processes_ = {parse_endpoint("127.0.0.1:1"),
+                    parse_endpoint("127.0.0.1:2")};
+    int asked = 0;
+    ask_processes const ask =
+        [&](std::vector<endpoint> const& processes, std::string const&)
+    {
+        ++asked;
+        std::vector<page_answer> answers;
+        answers.push_back({processes[0], std::nullopt, "",
+                           R"({"name": "x", "revisions": {"a": 1}})"});
+        answers.push_back({processes[1], std::nullopt, "",
+                           asked < 3 ? R"({"name": "y", "revisions": {}})"
+                                     : R"({"name": "y",)"
+                                       R"( "revisions": {"a": 1}})"});
+        return answers;
+    };
+    change_options options;
+    options.change_id_ = "one";
+    options.wait_ = true;
+    auto const context = b.context(ask);
+    auto const result = apply_command(context, {"a.json", first}, options);
+    CHECK(result.exit_code_ == 0);
+    CHECK(asked == 3);
+    asked = -1'000'000;
+    options.change_id_ = "two";
+    options.base_ = 1;
+    auto const late = apply_command(context, {"a.json", second}, options);
+    CHECK(late.exit_code_ == 7);
+    CHECK(late.json_.at("outcome").as_string() == "accepted");
+    CHECK(late.json_.at("behind").as_array().size() == 2);
+}
+
+TEST_CASE("plan tells what a change does to open flows")
+{
+    bench b;
+    REQUIRE(b.apply(first, "one", 0).result_ == change_result::accepted);
+    auto const harmless = plan_command(b.context(), {"a.json", second});
+    CHECK_FALSE(harmless.json_.at("breaks_flows").as_bool());
+    CHECK(harmless.json_.at("command").as_string() ==
+          "daisytrail apply a.json --base 1");
+    auto const breaking = plan_command(
+        b.context(), {"a.json", template_text("a", "203.0.113.2:80")});
+    CHECK(breaking.json_.at("breaks_flows").as_bool());
+    CHECK(breaking.json_.at("differences").as_array().size() == 2);
+}
+
+TEST_CASE("check finds VIPs that two files share")
+{
+    auto const result =
+        check_command({{"a", template_text("a", "203.0.113.1:80")},
+                       {"b", template_text("b", "203.0.113.1:80")}});
+    CHECK(result.exit_code_ == 2);
+    CHECK(result.json_.at("errors").as_array().size() == 1);
+}
