Control plane: membership, gossip, failure detection, template spread

Cause: balancers and agents have to learn of each other and of templates without a list and with the store down. Change: core on virtual time (records, hash tree, ring of observers, indirect failure detection, revisions fetched in parts), packed Cap'n Proto messages, UDP link with a byte budget, store duties of two watchers.

--- /dev/null
+++ b/include/daisytrail/revisions.hpp
@@ -0,0 +1,142 @@
+// The templates in force at one process: adopted by revision only, fetched
+// from peers in parts, with a bounded record of what was adopted from whom.
+#pragma once
+
+#include <daisytrail/control_messages.hpp>
+#include <daisytrail/types.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisytrail
+{
+
+enum class adoption : std::uint8_t
+{
+    adopted,
+    already_held,     // this revision with this value
+    refused_older,    // an older revision than the one in force
+    refused_conflict, // the same revision with another value
+    refused_invalid,  // failed the check; the last good one stays
+    count
+};
+
+inline constexpr std::array<std::string_view,
+                            static_cast<std::size_t>(adoption::count)>
+    adoption_names{"adopted", "already_held", "refused_older",
+                   "refused_conflict", "refused_invalid"};
+
+// One line of a process's own record.
+struct adoption_record
+{
+    std::string organisation_;
+    revision revision_ = 0;
+    adoption outcome_ = adoption::adopted;
+    std::string source_; // "store" or the control endpoint of a peer
+    time_point at_;
+    std::string detail_;
+};
+
+// Lines that a process keeps; older ones are dropped.
+inline constexpr std::size_t max_adoption_records = 256;
+
+// Largest value of the store.
+inline constexpr std::size_t max_template_bytes = 1ULL << 20U;
+
+// Bytes of a template in one datagram.
+inline constexpr std::size_t template_chunk_bytes = 1'000;
+
+// Returns what is wrong with a stored value, or nothing.
+using template_check =
+    std::function<std::optional<std::string>(std::string_view value)>;
+
+// A template in force.
+struct held_template
+{
+    std::string organisation_;
+    revision revision_ = 0;
+    std::string value_; // as in the store
+};
+
+class revision_book
+{
+public:
+    // Called before an organisation's item changes and after; either may be
+    // empty.
+    using item_change = std::function<void(std::optional<item> const& before,
+                                           std::optional<item> const& after)>;
+
+    explicit revision_book(template_check check, item_change changed = {});
+
+    // Keeps only this organisation's template.
+    void restrict_to(std::uint64_t organisation)
+    {
+        only_ = organisation;
+    }
+
+    // Offers a whole value, from the store or from a peer.
+    adoption offer(std::string const& organisation, revision at,
+                   std::string value, std::string const& source, time_point now,
+                   std::vector<control_action>& out);
+
+    // A peer holds this version: fetches it if it is newer.
+    void offered(item const& theirs, endpoint const& from, time_point now,
+                 std::vector<control_action>& out);
+
+    // Answers a peer's request.
+    void answer(template_request const& request, endpoint const& from,
+                std::vector<control_action>& out) const;
+
+    void receive(template_chunk const& chunk, endpoint const& from,
+                 time_point now, std::vector<control_action>& out);
+
+    // Repeats requests that got no answer.
+    void tick(time_point now, std::vector<control_action>& out);
+
+    std::optional<item> find(std::uint64_t organisation) const;
+
+    // Items whose id lies in the leaf of the hash tree; all without one.
+    std::vector<item> items(std::optional<std::uint32_t> leaf = {}) const;
+
+    std::vector<held_template> held() const;
+
+    std::deque<adoption_record> const& records() const
+    {
+        return records_;
+    }
+
+private:
+    // An unfinished transfer from one peer.
+    struct transfer
+    {
+        revision revision_ = 0;
+        endpoint from_;
+        std::uint32_t next_ = 0; // index of the first part that is missing
+        std::string value_;
+        time_point asked_;
+        int attempts_ = 0;
+    };
+
+    static item to_item(std::uint64_t id, revision at);
+    void note(adoption_record line);
+    void ask(std::uint64_t id, transfer& open, time_point now,
+             std::vector<control_action>& out);
+    adoption judge(std::uint64_t id, revision at, std::string const& value,
+                   std::string& detail) const;
+
+    template_check check_;
+    item_change changed_;
+    std::optional<std::uint64_t> only_;
+    std::map<std::uint64_t, held_template> held_;
+    std::map<std::uint64_t, transfer> transfers_;
+    // Newest revision that failed the check; it isn't fetched again.
+    std::map<std::uint64_t, revision> invalid_;
+    std::deque<adoption_record> records_;
+};
+
+} // namespace daisytrail
--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -92,6 +92,9 @@
     // The handler is called once with an error when the watch ends.
     virtual void watch(std::string const& prefix, revision from,
                        store_handler handler) = 0;
+
+    // Ends every watch without a call of its handler.
+    virtual void cancel_watches() {}
 };
 
 } // namespace daisytrail
--- /dev/null
+++ b/src/core/balancer_messages.cpp
@@ -0,0 +1,408 @@
+// A balancer's answers to control messages.
+#include <daisytrail/membership.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds pull_repeat{300};
+constexpr std::size_t records_in_message = 7;
+constexpr std::size_t items_in_leaf = 40;
+constexpr std::size_t peers_in_digest = 30;
+constexpr std::size_t children_followed = 8;
+
+} // namespace
+
+std::vector<control_action>
+balancer_membership::receive(time_point now, endpoint const& from,
+                             std::uint64_t sender,
+                             control_message const& message)
+{
+    now_ = std::max(now_, now);
+    sender_ = sender;
+    detector_.heard(sender, now_);
+    if (auto const at = observed_.find(sender); at != observed_.end())
+    {
+        at->second.heard_ = now_;
+    }
+    else if (auto const* record = table_.find(sender);
+             record != nullptr && record->service_ == balancer_service)
+    {
+        heard_[sender] = now_;
+    }
+    std::visit([&](auto const& body) { on(body, from); }, message);
+    return std::exchange(out_, {});
+}
+
+void balancer_membership::send(endpoint const& to, control_message message)
+{
+    out_.emplace_back(send_action{to, std::move(message)});
+}
+
+void balancer_membership::on(ping_message const& message, endpoint const& from)
+{
+    if (message.subject_ == self_.target_)
+    {
+        send(from, pong_message{to_item(self_)});
+    }
+}
+
+void balancer_membership::on(pong_message const& message, endpoint const& from)
+{
+    for (auto& send : relay_.heard(sender_))
+    {
+        out_.emplace_back(std::move(send));
+    }
+    take_items({message.self_}, from);
+}
+
+void balancer_membership::on(probe_request const& message, endpoint const& from)
+{
+    out_.emplace_back(relay_.request(message.subject_, from, now_));
+}
+
+void balancer_membership::on(probe_answer const& message, endpoint const&)
+{
+    detector_.answered(sender_, message, now_);
+}
+
+void balancer_membership::on(digest_message const& message,
+                             endpoint const& from)
+{
+    take_items(message.items_, from);
+    if (message.root_ != 0 && message.root_ != table_.tree().root())
+    {
+        send(from, tree_message{1, 0, table_.tree().children(1, 0)});
+    }
+}
+
+void balancer_membership::take_items(std::vector<item> const& items,
+                                     endpoint const& from)
+{
+    pull_message pull;
+    digest_message newer;
+    for (auto const& theirs : items)
+    {
+        compare(theirs, from, pull, newer);
+    }
+    if (!pull.ids_.empty())
+    {
+        send(from, std::move(pull));
+    }
+    if (!newer.items_.empty())
+    {
+        send(from, std::move(newer));
+    }
+}
+
+void balancer_membership::compare(item const& theirs, endpoint const& from,
+                                  pull_message& pull, digest_message& newer)
+{
+    if (theirs.kind_ == item_kind::organisation)
+    {
+        auto const mine = book_.find(theirs.id_);
+        if (mine && mine->version_ > theirs.version_)
+        {
+            newer.items_.push_back(*mine);
+            return;
+        }
+        book_.offered(theirs, from, now_, out_);
+        return;
+    }
+    if (theirs.id_ == self_.target_)
+    {
+        if (theirs.version_ > self_.version_ ||
+            (theirs.version_ == self_.version_ && theirs.state_ > self_.state_))
+        {
+            refute(theirs.version_);
+        }
+        if (theirs != to_item(self_))
+        {
+            newer.items_.push_back(to_item(self_));
+        }
+        return;
+    }
+    bool const ended = !may_own_flows(theirs.state_);
+    auto const* mine = table_.find(theirs.id_);
+    if (mine != nullptr &&
+        (mine->version_ > theirs.version_ ||
+         (mine->version_ == theirs.version_ && mine->state_ > theirs.state_)))
+    {
+        newer.items_.push_back(to_item(*mine));
+        return;
+    }
+    // The end of a member needs no body.
+    if (ended || (mine != nullptr && mine->version_ == theirs.version_))
+    {
+        if (table_.merge(theirs, now_))
+        {
+            changed(*table_.find(theirs.id_));
+        }
+        return;
+    }
+    auto& pulled = pulled_[theirs.id_];
+    if (pulled.first != theirs.version_ || now_ > pulled.second + pull_repeat)
+    {
+        pulled = {theirs.version_, now_};
+        pull.ids_.push_back(theirs.id_);
+    }
+}
+
+void balancer_membership::on(pull_message const& message, endpoint const& from)
+{
+    records_message answer;
+    for (auto const id : message.ids_)
+    {
+        if (auto const* record = table_.find(id))
+        {
+            answer.records_.push_back(*record);
+        }
+        if (answer.records_.size() == records_in_message)
+        {
+            send(from, std::exchange(answer, {}));
+        }
+    }
+    if (!answer.records_.empty())
+    {
+        send(from, std::move(answer));
+    }
+}
+
+void balancer_membership::on(records_message const& message, endpoint const&)
+{
+    for (auto const& record : message.records_)
+    {
+        merge(record);
+    }
+}
+
+void balancer_membership::on(tree_message const& message, endpoint const& from)
+{
+    auto const mine = table_.tree().children(message.level_, message.prefix_);
+    if (mine.empty() || mine.size() != message.hashes_.size())
+    {
+        return;
+    }
+    std::uniform_int_distribution<std::uint32_t> pick(0, tree_fanout - 1);
+    auto const first = pick(random_);
+    std::size_t followed = 0;
+    for (std::uint32_t i = 0; i < tree_fanout; ++i)
+    {
+        auto const child = (first + i) % tree_fanout;
+        if (mine[child] == message.hashes_[child] ||
+            followed >= children_followed)
+        {
+            continue;
+        }
+        ++followed;
+        auto const prefix = message.prefix_ * tree_fanout + child;
+        if (message.level_ < tree_levels)
+        {
+            auto const level = static_cast<std::uint8_t>(message.level_ + 1);
+            send(from, tree_message{level, prefix,
+                                    table_.tree().children(level, prefix)});
+            continue;
+        }
+        leaf_message leaf{prefix, table_.items(prefix)};
+        auto const templates = book_.items(prefix);
+        leaf.items_.insert(leaf.items_.end(), templates.begin(),
+                           templates.end());
+        leaf.items_.resize(std::min(leaf.items_.size(), items_in_leaf));
+        send(from, std::move(leaf));
+    }
+}
+
+void balancer_membership::on(leaf_message const& message, endpoint const& from)
+{
+    take_items(message.items_, from);
+    auto mine = table_.items(message.leaf_);
+    auto const templates = book_.items(message.leaf_);
+    mine.insert(mine.end(), templates.begin(), templates.end());
+    digest_message missing;
+    for (auto const& value : mine)
+    {
+        bool const listed =
+            std::ranges::find(message.items_, value.id_, &item::id_) !=
+            message.items_.end();
+        if (!listed && missing.items_.size() < items_in_leaf)
+        {
+            missing.items_.push_back(value);
+        }
+    }
+    if (!missing.items_.empty())
+    {
+        send(from, std::move(missing));
+    }
+}
+
+void balancer_membership::on(heartbeat_message const& message,
+                             endpoint const& from)
+{
+    auto const& record = message.record_;
+    if (record.target_ != sender_ || record.service_ == balancer_service)
+    {
+        return;
+    }
+    merge(record);
+    auto const& held = *table_.find(record.target_);
+    if (observe(held))
+    {
+        auto& watched = observed_[record.target_];
+        watched.heard_ = now_;
+        watched.organisation_ = message.organisation_;
+    }
+    heartbeat_ack ack;
+    ack.known_ = to_item(held);
+    std::uint64_t hash = 0;
+    for (auto const id : table_.observers(record.target_, timing_.observers_))
+    {
+        hash ^= id;
+        ack.observers_.push_back({id, table_.find(id)->control_});
+    }
+    if (hash == message.observers_hash_)
+    {
+        ack.observers_.clear();
+    }
+    send(from, std::move(ack));
+    send_peers(message, from);
+}
+
+// Tells the agent what differs in its service and its template.
+void balancer_membership::send_peers(heartbeat_message const& message,
+                                     endpoint const& from)
+{
+    auto const& record = message.record_;
+    digest_message digest;
+    if (table_.service_hash(record.service_, record.target_) !=
+        message.peers_hash_)
+    {
+        std::vector<member_table::entry const*> peers;
+        for (auto const id : table_.service_members(record.service_))
+        {
+            if (id != record.target_)
+            {
+                peers.push_back(&table_.all().at(id));
+            }
+        }
+        digest.complete_ = peers.size() <= peers_in_digest;
+        if (!digest.complete_)
+        {
+            // The latest changes, and some at random against lost ones.
+            std::ranges::shuffle(peers, random_);
+            std::ranges::partial_sort(
+                peers, peers.begin() + peers_in_digest / 2,
+                std::ranges::greater{}, &member_table::entry::changed_);
+            peers.resize(peers_in_digest);
+        }
+        for (auto const* peer : peers)
+        {
+            digest.items_.push_back(to_item(peer->record_));
+        }
+    }
+    auto const held = book_.find(message.organisation_);
+    auto const at = held ? held->version_.incarnation_ : 0;
+    if (at > message.revision_)
+    {
+        digest.items_.push_back(*held);
+    }
+    else if (message.revision_ > at)
+    {
+        book_.offered({item_kind::organisation,
+                       message.organisation_,
+                       {message.revision_, 0},
+                       member_state::ready},
+                      from, now_, out_);
+    }
+    if (!digest.items_.empty() || digest.complete_)
+    {
+        send(from, std::move(digest));
+    }
+}
+
+// Balancers take no acknowledgements.
+void balancer_membership::on(heartbeat_ack const&, endpoint const&) {}
+
+void balancer_membership::on(template_request const& message,
+                             endpoint const& from)
+{
+    book_.answer(message, from, out_);
+}
+
+void balancer_membership::on(template_chunk const& message,
+                             endpoint const& from)
+{
+    book_.receive(message, from, now_, out_);
+}
+
+bool balancer_membership::merge(target_record const& record)
+{
+    if (record.target_ == self_.target_ &&
+        (record.version_ > self_.version_ ||
+         (record.version_ == self_.version_ && record.state_ > self_.state_)))
+    {
+        refute(record.version_);
+        return false;
+    }
+    if (!table_.merge(record, now_))
+    {
+        return false;
+    }
+    changed(*table_.find(record.target_));
+    return true;
+}
+
+// Comes back under a higher incarnation than the one that was declared dead.
+void balancer_membership::refute(record_version const& version)
+{
+    if (!may_own_flows(self_.state_))
+    {
+        return;
+    }
+    self_.version_ = {
+        std::max(version.incarnation_, self_.version_.incarnation_) + 1, 0};
+    out_.emplace_back(report_action{report_kind::declared_dead, self_.name_});
+    merge(self_);
+}
+
+void balancer_membership::changed(target_record const& record)
+{
+    out_.emplace_back(member_action{record});
+    make_hot(to_item(record));
+    push_to_observed(record);
+    if (!may_own_flows(record.state_))
+    {
+        observed_.erase(record.target_);
+    }
+}
+
+void balancer_membership::push_to_observed(target_record const& record)
+{
+    for (auto const id : table_.service_members(record.service_))
+    {
+        auto const at = observed_.find(id);
+        if (at != observed_.end() && id != record.target_)
+        {
+            send(at->second.control_, records_message{{record}});
+        }
+    }
+}
+
+void balancer_membership::offer_to_observed(item const& value)
+{
+    for (auto const& [id, watched] : observed_)
+    {
+        if (watched.organisation_ == value.id_)
+        {
+            send(watched.control_, digest_message{0, {value}, false});
+        }
+    }
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/core/member_table.cpp
@@ -0,0 +1,201 @@
+// Records and their indexes.
+#include <daisytrail/member_table.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+// Points of one balancer on the ring: the spread of the arcs shrinks with
+// their square root.
+constexpr std::uint64_t ring_points = 16;
+
+std::uint64_t ring_point(std::uint64_t balancer, std::uint64_t index)
+{
+    std::uint64_t const words[2] = {balancer, index};
+    return XXH3_64bits(words, sizeof(words));
+}
+
+} // namespace
+
+item to_item(target_record const& record)
+{
+    return {item_kind::member, record.target_, record.version_, record.state_};
+}
+
+bool member_table::merge(target_record const& record, time_point now)
+{
+    auto const [at, fresh] = entries_.try_emplace(record.target_);
+    if (fresh)
+    {
+        at->second = {record, now};
+        services_[record.service_].members_.push_back(record.target_);
+        count_in_or_out(record);
+        update_balancer(record);
+        return true;
+    }
+    if (!supersedes(record, at->second.record_))
+    {
+        return false;
+    }
+    replace(at->second, record, now);
+    return true;
+}
+
+bool member_table::merge(item const& version, time_point now)
+{
+    auto const at = entries_.find(version.id_);
+    if (at == entries_.end())
+    {
+        return false;
+    }
+    auto record = at->second.record_;
+    record.version_ = version.version_;
+    record.state_ = version.state_;
+    if (!supersedes(record, at->second.record_))
+    {
+        return false;
+    }
+    replace(at->second, record, now);
+    return true;
+}
+
+void member_table::replace(entry& held, target_record const& record,
+                           time_point now)
+{
+    count_in_or_out(held.record_);
+    if (held.record_.service_ != record.service_)
+    {
+        std::erase(services_[held.record_.service_].members_, record.target_);
+        services_[record.service_].members_.push_back(record.target_);
+    }
+    held = {record, now};
+    count_in_or_out(record);
+    update_balancer(record);
+}
+
+void member_table::count_in_or_out(target_record const& record)
+{
+    if (!may_own_flows(record.state_))
+    {
+        return;
+    }
+    auto const value = to_item(record);
+    tree_.toggle(value);
+    services_[record.service_].hash_ ^= hash_item(value);
+}
+
+void member_table::update_balancer(target_record const& record)
+{
+    auto const at = std::ranges::lower_bound(balancers_, record.target_);
+    bool const held = at != balancers_.end() && *at == record.target_;
+    bool const live =
+        record.service_ == balancer_service && may_own_flows(record.state_);
+    if (live && !held)
+    {
+        balancers_.insert(at, record.target_);
+        add_points(record.target_);
+    }
+    else if (!live && held)
+    {
+        balancers_.erase(at);
+        std::erase_if(ring_, [&](auto const& point)
+                      { return point.second == record.target_; });
+    }
+}
+
+void member_table::add_points(std::uint64_t balancer)
+{
+    auto const old_size = static_cast<std::ptrdiff_t>(ring_.size());
+    for (std::uint64_t i = 0; i < ring_points; ++i)
+    {
+        ring_.emplace_back(ring_point(balancer, i), balancer);
+    }
+    std::sort(ring_.begin() + old_size, ring_.end());
+    std::inplace_merge(ring_.begin(), ring_.begin() + old_size, ring_.end());
+}
+
+void member_table::forget(time_point limit)
+{
+    for (auto at = entries_.begin(); at != entries_.end();)
+    {
+        auto const& record = at->second.record_;
+        if (may_own_flows(record.state_) || at->second.changed_ > limit)
+        {
+            ++at;
+            continue;
+        }
+        std::erase(services_[record.service_].members_, record.target_);
+        at = entries_.erase(at);
+    }
+}
+
+target_record const* member_table::find(std::uint64_t id) const
+{
+    auto const at = entries_.find(id);
+    return at == entries_.end() ? nullptr : &at->second.record_;
+}
+
+std::vector<item> member_table::items(std::uint32_t leaf) const
+{
+    constexpr unsigned shift = 64U - tree_levels * tree_fanout_bits;
+    std::vector<item> result;
+    for (auto at = entries_.lower_bound(std::uint64_t{leaf} << shift);
+         at != entries_.end() && leaf_of(at->first) == leaf; ++at)
+    {
+        if (may_own_flows(at->second.record_.state_))
+        {
+            result.push_back(to_item(at->second.record_));
+        }
+    }
+    return result;
+}
+
+std::uint64_t member_table::service_hash(service_id service,
+                                         std::uint64_t except) const
+{
+    auto const at = services_.find(service);
+    if (at == services_.end())
+    {
+        return 0;
+    }
+    auto const* left_out = find(except);
+    bool const counted = left_out != nullptr && left_out->service_ == service &&
+                         may_own_flows(left_out->state_);
+    return at->second.hash_ ^ (counted ? hash_item(to_item(*left_out)) : 0);
+}
+
+std::span<std::uint64_t const>
+member_table::service_members(service_id service) const
+{
+    auto const at = services_.find(service);
+    return at == services_.end() ? std::span<std::uint64_t const>{}
+                                 : std::span(at->second.members_);
+}
+
+std::vector<std::uint64_t> member_table::observers(std::uint64_t id,
+                                                   std::size_t count) const
+{
+    std::vector<std::uint64_t> result;
+    count = std::min(count, balancers_.size());
+    auto const first = std::ranges::lower_bound(
+        ring_, id, {}, [](auto const& point) { return point.first; });
+    auto at = static_cast<std::size_t>(std::distance(ring_.begin(), first));
+    while (result.size() < count)
+    {
+        auto const balancer = ring_[at++ % ring_.size()].second;
+        if (std::ranges::find(result, balancer) == result.end())
+        {
+            result.push_back(balancer);
+        }
+    }
+    return result;
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/agent_control.cpp
@@ -0,0 +1,112 @@
+// Timer and socket around the agent's announcements.
+#include "net/agent_control.hpp"
+
+#include "net/stored_template.hpp"
+
+#include <random>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds tick_interval{50};
+constexpr milliseconds stop_timeout{1'500};
+
+target_record make_record(agent_settings const& settings, incarnation start)
+{
+    target_record record;
+    record.name_ = settings.common_.name_;
+    record.target_ = hash_name(record.name_);
+    record.version_ = {start, 0};
+    record.service_ =
+        hash_name(settings.organisation_ + "/" + settings.service_);
+    record.failure_domain_ = settings.common_.failure_domain_;
+    record.tunnel_ = settings.tunnel_;
+    record.control_ = settings.common_.control_;
+    record.rpc_ = settings.rpc_;
+    record.weight_ = 1;
+    return record;
+}
+
+} // namespace
+
+agent_control::agent_control(boost::asio::io_context& io,
+                             agent_settings const& settings, metrics& counters,
+                             control_events& events)
+    : link_(io, settings.common_, detail::start_incarnation(), counters),
+      runner_(link_, events, counters),
+      core_(make_record(settings, detail::start_incarnation()),
+            settings.organisation_, settings.common_.seeds_,
+            check_stored_template, std::random_device{}()),
+      timer_(io)
+{
+    counters.gauge("daisytrail_control_observers", [this]
+                   { return static_cast<double>(core_.observer_count()); });
+}
+
+void agent_control::start()
+{
+    link_.start(
+        [this](endpoint const& from, std::uint64_t sender,
+               control_message const& message) {
+            runner_.run(
+                core_.receive(steady_clock::now(), from, sender, message));
+        });
+    tick();
+}
+
+void agent_control::publish(target_status const& status)
+{
+    runner_.run(core_.publish(status, steady_clock::now()));
+}
+
+void agent_control::stop(std::function<void()> done)
+{
+    auto const& self = core_.self();
+    done_ = std::move(done);
+    stop_deadline_ = steady_clock::now() + stop_timeout;
+    publish({self.slots_, self.connections_, self.weight_, member_state::left});
+}
+
+boost::json::value agent_control::adopted() const
+{
+    return detail::to_json(core_.templates(), core_.self().name_);
+}
+
+void agent_control::schedule()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code)
+            {
+                tick();
+            }
+        });
+}
+
+void agent_control::tick()
+{
+    auto const now = steady_clock::now();
+    if (done_ && (core_.is_acknowledged() || now >= stop_deadline_))
+    {
+        finish();
+        return;
+    }
+    runner_.run(core_.tick(now));
+    schedule();
+}
+
+void agent_control::finish()
+{
+    link_.stop();
+    std::exchange(done_, nullptr)();
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/agent_control.hpp
@@ -0,0 +1,50 @@
+// An agent's side of the control plane, on UDP.
+#pragma once
+
+#include "net/control_outputs.hpp"
+
+#include <daisytrail/membership.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace daisytrail
+{
+
+class agent_control : public agent_membership
+{
+public:
+    // Binds at once; throws error(unavailable) if the address is taken.
+    agent_control(boost::asio::io_context& io, agent_settings const& settings,
+                  metrics& counters, control_events& events);
+
+    void start();
+
+    // Publishes that the target has left; calls `done` when a balancer knows,
+    // or after a short while.
+    void stop(std::function<void()> done);
+
+    void publish(target_status const& status) override;
+
+    target_record const& self() const override
+    {
+        return core_.self();
+    }
+
+    // The process's own record, for GET /adopted.
+    boost::json::value adopted() const;
+
+private:
+    void schedule();
+    void tick();
+    void finish();
+
+    control_link link_;
+    detail::action_runner runner_;
+    agent_announcer core_;
+    boost::asio::steady_timer timer_;
+    std::function<void()> done_; // set while stopping
+    time_point stop_deadline_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/balancer_control.cpp
@@ -0,0 +1,177 @@
+// Timer, socket and store around a balancer's membership.
+#include "net/balancer_control.hpp"
+
+#include "net/stored_template.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <random>
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds tick_interval{50};
+constexpr milliseconds stop_time{300};
+constexpr milliseconds duties_interval{500};
+constexpr std::size_t watchers = 2;
+constexpr std::size_t contacts_per_domain = 2;
+
+target_record make_record(balancer_settings const& settings, incarnation start)
+{
+    target_record record;
+    record.name_ = settings.common_.name_;
+    record.target_ = hash_name(record.name_);
+    record.version_ = {start, 0};
+    record.service_ = balancer_service;
+    record.failure_domain_ = settings.common_.failure_domain_;
+    record.tunnel_ = settings.data_;
+    record.control_ = settings.common_.control_;
+    record.state_ = member_state::ready;
+    return record;
+}
+
+} // namespace
+
+balancer_control::balancer_control(boost::asio::io_context& io,
+                                   balancer_settings const& settings,
+                                   metrics& counters, control_events& events,
+                                   std::unique_ptr<config_store> store)
+    : link_(io, settings.common_, detail::start_incarnation(), counters),
+      runner_(link_, events, counters),
+      core_(make_record(settings, detail::start_incarnation()),
+            settings.common_.seeds_, check_stored_template,
+            std::random_device{}()),
+      timer_(io)
+{
+    counters.gauge(
+        "daisytrail_balancers", [this]
+        { return static_cast<double>(core_.members().balancers().size()); });
+    if (store)
+    {
+        watcher_ = std::make_unique<store_watcher>(
+            io, std::move(store), settings.common_.control_, counters);
+    }
+}
+
+void balancer_control::start()
+{
+    link_.start(
+        [this](endpoint const& from, std::uint64_t sender,
+               control_message const& message) {
+            runner_.run(
+                core_.receive(steady_clock::now(), from, sender, message));
+        });
+    if (watcher_)
+    {
+        watcher_->start([this](store_entry const& entry)
+                        { take_template(entry); },
+                        [this](std::vector<endpoint> const& found)
+                        { core_.add_seeds(found); });
+    }
+    tick();
+}
+
+void balancer_control::stop(std::function<void()> done)
+{
+    done_ = std::move(done);
+    stop_deadline_ = steady_clock::now() + stop_time;
+    runner_.run(core_.publish(member_state::left, steady_clock::now()));
+}
+
+json::value balancer_control::adopted() const
+{
+    return detail::to_json(core_.templates(), core_.self().name_);
+}
+
+json::value balancer_control::members() const
+{
+    json::array list;
+    for (auto const& [id, entry] : core_.members().all())
+    {
+        auto const& record = entry.record_;
+        list.push_back(
+            json::object{{"name", record.name_},
+                         {"balancer", record.service_ == balancer_service},
+                         {"service", record.service_},
+                         {"failure_domain", record.failure_domain_},
+                         {"state", to_string(record.state_)},
+                         {"incarnation", record.version_.incarnation_},
+                         {"sequence", record.version_.sequence_},
+                         {"control", to_string(record.control_)},
+                         {"tunnel", to_string(record.tunnel_)},
+                         {"weight", record.weight_}});
+    }
+    return list;
+}
+
+void balancer_control::schedule()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code)
+            {
+                tick();
+            }
+        });
+}
+
+void balancer_control::tick()
+{
+    auto const now = steady_clock::now();
+    if (done_ && now >= stop_deadline_)
+    {
+        link_.stop();
+        if (watcher_)
+        {
+            watcher_->stop();
+        }
+        std::exchange(done_, nullptr)();
+        return;
+    }
+    runner_.run(core_.tick(now));
+    if (watcher_ && now >= duties_checked_ + duties_interval)
+    {
+        duties_checked_ = now;
+        update_duties();
+    }
+    schedule();
+}
+
+void balancer_control::update_duties()
+{
+    store_duties duties;
+    duties.watches_ = core_.has_duty(hash_name(template_prefix), watchers);
+    duties.seeks_contacts_ = core_.members().balancers().size() < 2;
+    if (auto const slot = core_.contact_slot(contacts_per_domain))
+    {
+        duties.contact_key_ = std::string(contact_prefix) +
+                              core_.self().failure_domain_ + "/" +
+                              std::to_string(*slot);
+    }
+    watcher_->set_duties(std::move(duties));
+}
+
+void balancer_control::take_template(store_entry const& entry)
+{
+    // A removed key takes nothing out of force.
+    if (entry.value_.empty())
+    {
+        return;
+    }
+    runner_.run(core_.offer(entry.key_.substr(template_prefix.size()),
+                            entry.modified_, entry.value_,
+                            steady_clock::now()));
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/balancer_control.hpp
@@ -0,0 +1,54 @@
+// A balancer's side of the control plane, on UDP and the store.
+#pragma once
+
+#include "net/control_outputs.hpp"
+#include "net/store_watcher.hpp"
+
+#include <daisytrail/membership.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace daisytrail
+{
+
+class balancer_control
+{
+public:
+    // Binds at once; throws error(unavailable) if the address is taken.
+    // `store` may be empty: templates then come from other balancers alone.
+    balancer_control(boost::asio::io_context& io,
+                     balancer_settings const& settings, metrics& counters,
+                     control_events& events,
+                     std::unique_ptr<config_store> store);
+
+    void start();
+
+    // Tells others that this balancer leaves, then calls `done`.
+    void stop(std::function<void()> done);
+
+    // The process's own record, for GET /adopted.
+    boost::json::value adopted() const;
+
+    // Every member as this balancer holds it, for GET /members.
+    boost::json::value members() const;
+
+private:
+    void schedule();
+    void tick();
+    void take_template(store_entry const& entry);
+    void update_duties();
+
+    control_link link_;
+    detail::action_runner runner_;
+    balancer_membership core_;
+    std::unique_ptr<store_watcher> watcher_; // empty without a store
+    boost::asio::steady_timer timer_;
+    std::function<void()> done_; // set while stopping
+    time_point stop_deadline_;
+    time_point duties_checked_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/control_link.hpp
@@ -0,0 +1,57 @@
+// The UDP socket of the control plane: authenticated, encoded and held to its
+// byte budget.
+#pragma once
+
+#include "net/metrics.hpp"
+#include "rpc/authenticator.hpp"
+
+#include <daisytrail/byte_budget.hpp>
+#include <daisytrail/control_messages.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+
+namespace daisytrail
+{
+
+class control_link
+{
+public:
+    using receiver = std::function<void(
+        endpoint const& from, std::uint64_t sender, control_message const&)>;
+
+    // Binds at once; throws error(unavailable) if the address is taken.
+    // `session` is the start time of the process.
+    control_link(boost::asio::io_context& io, common_settings const& settings,
+                 std::uint64_t session, metrics& counters);
+
+    void start(receiver handler);
+    void stop();
+
+    // Drops and counts the message if the budget doesn't allow it.
+    void send(endpoint const& to, control_message const& message);
+
+private:
+    void receive();
+    void take(std::size_t bytes);
+
+    boost::asio::ip::udp::socket socket_;
+    authenticator authenticator_;
+    byte_budget budget_;
+    receiver handler_;
+    boost::asio::ip::udp::endpoint from_;
+    alignas(8) std::array<std::byte, 2'048> buffer_{};
+    std::array<std::uint64_t*, static_cast<std::size_t>(open_verdict::count)>
+        verdicts_{};
+    std::uint64_t& malformed_;
+    std::uint64_t& sent_bytes_;
+    std::uint64_t& received_bytes_;
+    std::uint64_t& over_budget_;
+    std::uint64_t& send_errors_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/store_watcher.cpp
@@ -0,0 +1,320 @@
+// Duties of a balancer at the configuration store.
+#include "net/store_watcher.hpp"
+
+#include "net/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds tick_interval{100};
+constexpr milliseconds first_backoff{200};
+constexpr milliseconds max_backoff{10'000};
+// Templates are read again now and then, in case a watch is silent but broken.
+constexpr milliseconds read_interval{30'000};
+constexpr milliseconds contacts_interval{2'000};
+constexpr milliseconds renew_interval{20'000};
+constexpr std::chrono::seconds lease_time{60};
+// Calls at the store: one a second, and twice that many at once.
+constexpr std::uint32_t calls_per_second = 1;
+constexpr std::size_t max_contacts = 64;
+
+} // namespace
+
+store_watcher::store_watcher(boost::asio::io_context& io,
+                             std::unique_ptr<config_store> store,
+                             endpoint const& contact, metrics& counters)
+    : store_(std::move(store)), contact_(contact), timer_(io),
+      calls_(calls_per_second), random_(std::random_device{}()),
+      alive_(std::make_shared<bool>(true)),
+      call_count_(counters.counter("daisytrail_store_calls_total")),
+      failure_count_(counters.counter("daisytrail_store_failures_total")),
+      refused_calls_(
+          counters.counter("daisytrail_store_calls_over_budget_total"))
+{
+    counters.gauge("daisytrail_store_healthy", [this] { return healthy_; });
+}
+
+store_watcher::~store_watcher() = default;
+
+void store_watcher::start(template_handler on_template,
+                          contacts_handler on_contacts)
+{
+    on_template_ = std::move(on_template);
+    on_contacts_ = std::move(on_contacts);
+    schedule();
+}
+
+void store_watcher::stop()
+{
+    stopped_ = true;
+    alive_.reset();
+    timer_.cancel();
+    store_.reset();
+}
+
+void store_watcher::set_duties(store_duties duties)
+{
+    if (duties.watches_ != duties_.watches_)
+    {
+        log_event(log_level::info, "store_duty",
+                  {{"watches", duties.watches_}});
+        templates_ = {};
+    }
+    if (!duties.watches_ && watching_)
+    {
+        // The open watch goes on until it ends; its events are ignored.
+        ++watch_epoch_;
+        watching_ = false;
+        store_->cancel_watches();
+    }
+    duties_ = std::move(duties);
+}
+
+void store_watcher::schedule()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code && !stopped_)
+            {
+                tick();
+                schedule();
+            }
+        });
+}
+
+void store_watcher::tick()
+{
+    if (duties_.watches_ && !reading_ && may_call(templates_))
+    {
+        read_templates();
+    }
+    if (duties_.seeks_contacts_ && !seeking_ && may_call(contacts_))
+    {
+        read_contacts();
+    }
+    if (!leasing_ && (duties_.contact_key_ || lease_id_ != 0) &&
+        may_call(lease_))
+    {
+        hold_contact();
+    }
+}
+
+bool store_watcher::may_call(backoff const& state)
+{
+    auto const now = steady_clock::now();
+    if (now < state.next_)
+    {
+        return false;
+    }
+    if (!calls_.take(1, send_class::urgent, now))
+    {
+        ++refused_calls_;
+        return false;
+    }
+    ++call_count_;
+    return true;
+}
+
+void store_watcher::succeeded(backoff& state, milliseconds next)
+{
+    healthy_ = 1;
+    state.wait_ = milliseconds(0);
+    state.next_ = steady_clock::now() + next;
+}
+
+// Doubles the wait up to a bound; half of it is random, so that balancers
+// don't return together.
+void store_watcher::failed(backoff& state, store_answer const& answer)
+{
+    ++failure_count_;
+    if (healthy_ != 0 || state.wait_ == milliseconds(0))
+    {
+        log_event(log_level::warning, "store_failed",
+                  {{"detail", answer.detail_}});
+    }
+    healthy_ = 0;
+    state.wait_ = std::clamp(2 * state.wait_, first_backoff, max_backoff);
+    std::uniform_int_distribution<milliseconds::rep> jitter(
+        state.wait_.count() / 2, state.wait_.count());
+    state.next_ = steady_clock::now() + milliseconds(jitter(random_));
+}
+
+store_handler
+store_watcher::guarded(std::function<void(store_answer const&)> handler)
+{
+    return [weak = std::weak_ptr(alive_),
+            handler = std::move(handler)](store_answer const& answer)
+    {
+        if (!weak.expired())
+        {
+            handler(answer);
+        }
+    };
+}
+
+void store_watcher::read_templates()
+{
+    reading_ = true;
+    store_->range(std::string(template_prefix), 0,
+                  guarded(
+                      [this](store_answer const& answer)
+                      {
+                          reading_ = false;
+                          if (answer.error_)
+                          {
+                              failed(templates_, answer);
+                              return;
+                          }
+                          succeeded(templates_, read_interval);
+                          for (auto const& entry : answer.entries_)
+                          {
+                              on_template_(entry);
+                          }
+                          if (!watching_ && duties_.watches_)
+                          {
+                              watch(answer.revision_ + 1);
+                          }
+                      }));
+}
+
+void store_watcher::watch(revision from)
+{
+    watching_ = true;
+    ++call_count_;
+    auto const epoch = ++watch_epoch_;
+    store_->watch(std::string(template_prefix), from,
+                  guarded(
+                      [this, epoch](store_answer const& answer)
+                      {
+                          if (epoch == watch_epoch_)
+                          {
+                              on_watch(answer);
+                          }
+                      }));
+}
+
+void store_watcher::on_watch(store_answer const& answer)
+{
+    if (answer.error_)
+    {
+        watching_ = false;
+        failed(templates_, answer);
+        return;
+    }
+    for (auto const& entry : answer.entries_)
+    {
+        on_template_(entry);
+    }
+}
+
+void store_watcher::hold_contact()
+{
+    if (!duties_.contact_key_ || held_key_ != *duties_.contact_key_)
+    {
+        // An unused lease lapses by itself.
+        lease_id_ = 0;
+        held_key_.clear();
+    }
+    if (!duties_.contact_key_)
+    {
+        return;
+    }
+    leasing_ = true;
+    if (lease_id_ == 0)
+    {
+        grant();
+        return;
+    }
+    store_->keep_alive(lease_id_,
+                       guarded(
+                           [this](store_answer const& answer)
+                           {
+                               leasing_ = false;
+                               if (!answer.error_)
+                               {
+                                   succeeded(lease_, renew_interval);
+                                   return;
+                               }
+                               if (answer.error_ == error_kind::not_found)
+                               {
+                                   lease_id_ = 0;
+                               }
+                               failed(lease_, answer);
+                           }));
+}
+
+void store_watcher::grant()
+{
+    auto const put = [this](store_answer const& granted)
+    {
+        leasing_ = false;
+        if (granted.error_ || !duties_.contact_key_)
+        {
+            failed(lease_, granted);
+            return;
+        }
+        leasing_ = true;
+        auto const lease = static_cast<std::int64_t>(granted.revision_);
+        auto const key = *duties_.contact_key_;
+        ++call_count_;
+        store_->swap({}, {{key, to_string(contact_), false, lease}},
+                     guarded(
+                         [this, lease, key](store_answer const& answer)
+                         {
+                             leasing_ = false;
+                             if (answer.error_)
+                             {
+                                 failed(lease_, answer);
+                                 return;
+                             }
+                             lease_id_ = lease;
+                             held_key_ = key;
+                             succeeded(lease_, renew_interval);
+                         }));
+    };
+    store_->grant_lease(lease_time, guarded(put));
+}
+
+void store_watcher::read_contacts()
+{
+    seeking_ = true;
+    store_->range(std::string(contact_prefix), max_contacts,
+                  guarded(
+                      [this](store_answer const& answer)
+                      {
+                          seeking_ = false;
+                          if (answer.error_)
+                          {
+                              failed(contacts_, answer);
+                              return;
+                          }
+                          succeeded(contacts_, contacts_interval);
+                          std::vector<endpoint> found;
+                          for (auto const& entry : answer.entries_)
+                          {
+                              try
+                              {
+                                  found.push_back(parse_endpoint(entry.value_));
+                              }
+                              catch (error const& fault)
+                              {
+                                  log_event(log_level::warning, "bad_contact",
+                                            {{"detail", fault.what()}});
+                              }
+                          }
+                          on_contacts_(found);
+                      }));
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/store_watcher.hpp
@@ -0,0 +1,94 @@
+// Reads templates from the store and keeps this balancer's contact key, with
+// backoff and within a budget of calls.
+#pragma once
+
+#include "net/metrics.hpp"
+
+#include <daisytrail/byte_budget.hpp>
+#include <daisytrail/store.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace daisytrail
+{
+
+// What a balancer does at the store at present.
+struct store_duties
+{
+    bool watches_ = false;                   // templates
+    std::optional<std::string> contact_key_; // to be held under a lease
+    bool seeks_contacts_ = false;            // knows no other balancer
+};
+
+class store_watcher
+{
+public:
+    // A template as the store holds it.
+    using template_handler = std::function<void(store_entry const&)>;
+    using contacts_handler = std::function<void(std::vector<endpoint> const&)>;
+
+    store_watcher(boost::asio::io_context& io,
+                  std::unique_ptr<config_store> store, endpoint const& contact,
+                  metrics& counters);
+    ~store_watcher();
+
+    void start(template_handler on_template, contacts_handler on_contacts);
+    void stop();
+    void set_duties(store_duties duties);
+
+private:
+    // Waits between calls of one sort; grows after each failure.
+    struct backoff
+    {
+        std::chrono::milliseconds wait_{0};
+        time_point next_;
+    };
+
+    void schedule();
+    void tick();
+    bool may_call(backoff const& state);
+    void succeeded(backoff& state, std::chrono::milliseconds next);
+    void failed(backoff& state, store_answer const& answer);
+    void read_templates();
+    void watch(revision from);
+    void on_watch(store_answer const& answer);
+    void hold_contact();
+    void grant();
+    void read_contacts();
+    store_handler guarded(std::function<void(store_answer const&)> handler);
+
+    std::unique_ptr<config_store> store_;
+    endpoint contact_;
+    boost::asio::steady_timer timer_;
+    byte_budget calls_; // one unit a call
+    std::mt19937 random_;
+    template_handler on_template_;
+    contacts_handler on_contacts_;
+    store_duties duties_;
+    backoff templates_;
+    backoff contacts_;
+    backoff lease_;
+    std::uint64_t watch_epoch_ = 0; // events of earlier watches are ignored
+    bool watching_ = false;
+    bool reading_ = false;
+    bool seeking_ = false;
+    bool leasing_ = false;
+    std::int64_t lease_id_ = 0;
+    std::string held_key_;
+    bool stopped_ = false;
+    std::shared_ptr<bool> alive_;
+    std::uint64_t& call_count_;
+    std::uint64_t& failure_count_;
+    std::uint64_t& refused_calls_;
+    double healthy_ = 0; // 1 after the last call succeeded
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/net/stored_template.cpp
@@ -0,0 +1,73 @@
+// Reading of a template's value.
+#include "net/stored_template.hpp"
+
+#include <daisytrail/error.hpp>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+std::string read_text(json::object const& object, std::string_view name)
+{
+    auto const* value = object.if_contains(name);
+    if (value == nullptr)
+    {
+        throw error(error_kind::invalid_argument,
+                    "the stored value has no member '" + std::string(name) +
+                        "'");
+    }
+    return value->is_string() ? std::string(value->get_string())
+                              : json::serialize(*value);
+}
+
+} // namespace
+
+stored_template parse_stored_template(std::string_view value)
+{
+    boost::system::error_code code;
+    auto const parsed = json::parse(value, code);
+    if (code || !parsed.is_object())
+    {
+        throw error(error_kind::invalid_argument,
+                    "the stored value isn't a JSON object");
+    }
+    auto const& object = parsed.get_object();
+    stored_template result;
+    result.change_id_ = read_text(object, "change_id");
+    result.who_ = read_text(object, "who");
+    result.when_ = read_text(object, "when");
+    auto organisation = parse_organisation(read_text(object, "template"));
+    std::string faults;
+    for (auto const& fault : organisation.errors_)
+    {
+        faults += (faults.empty() ? "" : "; ") + to_string(fault);
+    }
+    if (!faults.empty())
+    {
+        throw error(error_kind::invalid_argument, faults);
+    }
+    result.value_ = std::move(organisation.value_);
+    return result;
+}
+
+std::optional<std::string> check_stored_template(std::string_view value)
+{
+    try
+    {
+        parse_stored_template(value);
+        return std::nullopt;
+    }
+    catch (error const& fault)
+    {
+        return fault.what();
+    }
+}
+
+} // namespace daisytrail
--- a/src/store/etcd_store.hpp
+++ b/src/store/etcd_store.hpp
@@ -39,8 +39,7 @@
     void watch(std::string const& prefix, revision from,
                store_handler handler) override;
 
-    // Ends every watch without a call of its handler.
-    void cancel_watches();
+    void cancel_watches() override;
 
     // Calls started so far; a watch counts as one.
     std::uint64_t calls() const
