--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -37,6 +37,11 @@
 
     void stop();
 
+    http_page& page()
+    {
+        return page_;
+    }
+
     void on_target(target_record const& record) override;
     void on_organisation(organisation_template const& value,
                          revision at) override;
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -2,6 +2,9 @@
 #include "balancer/balancer.hpp"
 
 #include "net/log.hpp"
+#include "store/etcd_store.hpp"
+
+#include <boost/json/serialize.hpp>
 
 #include <chrono>
 #include <csignal>
@@ -16,6 +19,16 @@
 // sends packets to it.
 constexpr std::chrono::seconds linger_time{2};
 
+std::unique_ptr<config_store> make_store(boost::asio::io_context& io,
+                                         balancer_settings const& settings)
+{
+    if (settings.stores_.empty())
+    {
+        return nullptr;
+    }
+    return std::make_unique<etcd_store>(io, settings.stores_);
+}
+
 } // namespace
 
 balancer::balancer(boost::asio::io_context& io,
@@ -23,12 +36,15 @@
     : settings_(settings), events_(view_, metrics_),
       page_(io, settings.common_.http_),
       forwarder_(io, settings.data_, view_, metrics_),
+      control_(io, settings, metrics_, events_, make_store(io, settings)),
       signals_(io, SIGTERM, SIGINT), linger_timer_(io)
 {
     add_gauges();
     add_balancer_pages(page_, {settings_, view_, events_, metrics_, stopping_});
+    add_control_pages();
     wait_for_signal();
     forwarder_.start();
+    control_.start();
     log_event(log_level::info, "started",
               {{"version", DAISYTRAIL_VERSION},
                {"data", to_string(settings_.data_)},
@@ -44,6 +60,20 @@
                    { return static_cast<double>(view_.target_count()); });
 }
 
+void balancer::add_control_pages()
+{
+    page_.route("GET", "/adopted",
+                [this](http_request const&) {
+                    return make_response(
+                        200, boost::json::serialize(control_.adopted()));
+                });
+    page_.route("GET", "/members",
+                [this](http_request const&) {
+                    return make_response(
+                        200, boost::json::serialize(control_.members()));
+                });
+}
+
 void balancer::wait_for_signal()
 {
     signals_.async_wait(
@@ -60,7 +90,7 @@
 {
     stopping_ = true;
     log_event(log_level::info, "stopping");
-    linger();
+    control_.stop([this] { linger(); });
 }
 
 // The fabric learns of the stop by the health page and goes on sending for a
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -5,6 +5,7 @@
 #include "balancer/forwarder.hpp"
 #include "balancer/pages.hpp"
 #include "balancer/view_events.hpp"
+#include "net/balancer_control.hpp"
 #include "net/http_page.hpp"
 #include "net/metrics.hpp"
 
@@ -28,6 +29,7 @@
 
 private:
     void add_gauges();
+    void add_control_pages();
     void wait_for_signal();
     void begin_stop();
     void linger();
@@ -40,6 +42,7 @@
     bool stopping_ = false;
     http_page page_;
     forwarder forwarder_;
+    balancer_control control_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer linger_timer_;
 };
--- /dev/null
+++ b/src/net/daemon.cpp
@@ -0,0 +1,51 @@
+// Command line and exit status of the daemons.
+#include "net/daemon.hpp"
+
+#include "net/log.hpp"
+
+#include <daisytrail/error.hpp>
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+namespace daisytrail
+{
+
+int run_daemon(int argc, char** argv, daemon_parts const& parts)
+{
+    CLI::App app(parts.description_, parts.name_);
+    std::string settings_path;
+    bool check_only = false;
+    app.add_option("--settings", settings_path,
+                   "settings file: JSON with comments")
+        ->required();
+    app.add_flag("--check-settings", check_only,
+                 "check the settings file and exit");
+    app.set_version_flag("--version", DAISYTRAIL_VERSION);
+    CLI11_PARSE(app, argc, argv);
+    try
+    {
+        parts.load_(settings_path);
+        if (check_only)
+        {
+            std::cout << settings_path << ": settings are valid\n";
+            return 0;
+        }
+        parts.run_();
+        log_event(log_level::info, "stopped");
+        return 0;
+    }
+    catch (error const& failure)
+    {
+        std::cerr << failure.what() << '\n';
+        return answer_for(failure.kind()).exit_code_;
+    }
+    catch (std::exception const& failure)
+    {
+        std::cerr << "internal error: " << failure.what() << '\n';
+        return answer_for(error_kind::internal).exit_code_;
+    }
+}
+
+} // namespace daisytrail
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -114,6 +114,8 @@
         event();
     }
 
+    void cancel_watches() override {}
+
 private:
     void post(store_handler handler, store_answer answer)
     {
