Requests: scheduled, passed between agents, and answered once by key

Cause: the plain mode ran requests in order of arrival on one backend server. Change: requests_service drives the scheduler, offers waiting requests to two peers (reserve, then start, over Cap'n Proto RPC on a KJ thread), retries what may be repeated or provably didn't run within a budget, keeps idempotency keys at one owner, hands queued work over while draining, and passes cancellation on. Conclusion: a test of two agents first showed a doubled order: a key forwarded to an owner that could not be reached was retried without its key.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -181,6 +181,7 @@
     if (data_)
     {
         data_->set_service(service);
+        update_view();
     }
 }
 
@@ -264,6 +265,10 @@
         records.push_back(record);
     }
     data_->set_view(records);
+    if (mode_ && membership_ != nullptr)
+    {
+        mode_->set_targets(records, membership_->self());
+    }
 }
 
 void agent::drain(std::function<void()> done)
--- a/src/agent/flow_service.hpp
+++ b/src/agent/flow_service.hpp
@@ -4,9 +4,11 @@
 #include "lwip/tcp_stack.hpp"
 
 #include <daisytrail/organisation.hpp>
+#include <daisytrail/record.hpp>
 
 #include <cstddef>
 #include <memory>
+#include <vector>
 
 namespace daisytrail
 {
@@ -33,6 +35,12 @@
     virtual void update(service_template const& service,
                         backend_status const& backend) = 0;
 
+    // The records of the service's targets, the own one among them.
+    virtual void set_targets(std::vector<target_record> const& /*records*/,
+                             target_record const& /*self*/)
+    {
+    }
+
     // Stops taking new work and ends idle flows gracefully; `deadline` bounds
     // the work that is running.
     virtual void drain(time_point deadline) = 0;
--- /dev/null
+++ b/src/agent/peer_rpc.hpp
@@ -0,0 +1,37 @@
+// Cap'n Proto RPC between agents. KJ's event loop runs on a thread of its own;
+// only values pass between it and the Asio loop.
+#pragma once
+
+#include "agent/peer_link.hpp"
+#include "net/metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+namespace daisytrail
+{
+
+class peer_rpc : public peer_link
+{
+public:
+    // Listens at `address`; logs an error and serves nothing if it is taken.
+    peer_rpc(boost::asio::io_context& io, endpoint const& address,
+             peer_events& events, metrics& numbers);
+    ~peer_rpc() override;
+
+    void reserve(endpoint const& peer, peer_offer_request const& offer,
+                 std::function<void(offer_reply)> reply) override;
+    void release(endpoint const& peer, target_id home,
+                 request_id request) override;
+    std::shared_ptr<exchange> start(endpoint const& peer,
+                                    std::uint64_t reservation,
+                                    peer_request request,
+                                    exchange_events& events) override;
+
+private:
+    std::shared_ptr<struct peer_rpc_bridge> bridge_;
+    std::unique_ptr<class peer_rpc_thread> thread_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/agent/requests_events.hpp
@@ -0,0 +1,52 @@
+// Passes the events of one exchange on to the service.
+#pragma once
+
+#include "agent/requests_service.hpp"
+
+namespace daisytrail
+{
+
+class requests_service::job_events : public exchange_events
+{
+public:
+    job_events(requests_service& service, request_job& job)
+        : service_(service), job_(job)
+    {
+    }
+
+    void on_head(answer_head head) override
+    {
+        service_.on_answer_head(job_, std::move(head));
+    }
+
+    bool on_body(std::string_view bytes) override
+    {
+        return service_.on_answer_body(job_, bytes);
+    }
+
+    void on_end() override
+    {
+        service_.finish(job_, request_outcome::answered);
+    }
+
+    void on_failure(exchange_failure failure) override
+    {
+        service_.on_lost(job_, failure);
+    }
+
+    void on_refusal(request_outcome outcome, duration retry_after) override;
+
+    void on_drained() override
+    {
+        if (job_.sink_ != nullptr)
+        {
+            job_.sink_->on_body_drained();
+        }
+    }
+
+private:
+    requests_service& service_;
+    request_job& job_;
+};
+
+} // namespace daisytrail
--- a/src/agent/requests_exchange.hpp
+++ b/src/agent/requests_exchange.hpp
@@ -4,6 +4,7 @@
 
 #include "agent/requests_message.hpp"
 
+#include <daisytrail/request_state.hpp>
 #include <daisytrail/types.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -22,7 +23,8 @@
     outcome_unknown // lost after the request was sent
 };
 
-// Receiver of an answer. No call comes after on_end() or on_failure().
+// Receiver of an answer. Nothing comes after on_end(), on_failure() or
+// on_refusal().
 class exchange_events
 {
 public:
@@ -33,6 +35,9 @@
     virtual bool on_body(std::string_view bytes) = 0;
     virtual void on_end() = 0;
     virtual void on_failure(exchange_failure failure) = 0;
+    // Another agent settled the request without an answer of its backend
+    // server.
+    virtual void on_refusal(request_outcome outcome, duration retry_after) = 0;
     // More of the request's body may be sent.
     virtual void on_drained() = 0;
 };
--- a/src/agent/requests_job.hpp
+++ b/src/agent/requests_job.hpp
@@ -5,12 +5,16 @@
 #include "agent/requests_exchange.hpp"
 #include "agent/requests_message.hpp"
 
+#include <daisytrail/dedup.hpp>
 #include <daisytrail/scheduler.hpp>
 #include <daisytrail/types.hpp>
 
-#include <functional>
+#include <boost/asio/steady_timer.hpp>
+
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace daisytrail
 {
@@ -64,19 +68,46 @@
     // so that a slow sender holds no slot; a longer one is streamed.
     static constexpr std::size_t buffered_body_bytes = 65'536;
 
+    // True if the body can be handed to another agent, or sent again.
+    bool is_movable() const
+    {
+        return body_complete_ && !sent_live_body_ &&
+               body_.size() <= buffered_body_bytes;
+    }
+
     request_id id_;
     request_head head_;
     request_state state_;
     std::size_t class_ = 0; // index into the service's classes
+    bool standing_ = false; // holds no slot
     time_point received_{};
     time_point deadline_{};
     std::string body_; // what hasn't been given to an exchange
     bool body_complete_ = false;
     bool sent_live_body_ = false; // body_ no longer holds all of the body
+    bool admitted_ = false;       // had its one decision about its key
     bool answer_begun_ = false;
     answer_sink* sink_ = nullptr; // null once the caller is gone
     std::shared_ptr<exchange> exchange_;
     std::unique_ptr<exchange_events> events_; // receives from exchange_
+
+    bool holds_slot_ = false;   // of the own scheduler, under id_
+    bool is_guest_ = false;     // runs for another agent, which retries
+    bool is_forwarded_ = false; // came to this agent as its key's owner
+    std::shared_ptr<answer_sink> kept_sink_; // sink_ of an answer to a peer
+    std::uint32_t attempts_ = 0;
+    bool failed_ = false; // the answer is an error of the backend server
+    bool reserved_at_peer_ = false; // rather than forwarded to a key's owner
+    std::optional<target_id> peer_; // runs there
+    std::vector<target_id> offers_; // without a reply yet
+    std::uint32_t offers_made_ = 0;
+    bool asked_peers_first_ = false;
+    bool waits_for_peers_ = false; // isn't in the own queue meanwhile
+    std::optional<boost::asio::steady_timer> timer_; // deadline of the answer
+
+    std::string key_;        // empty unless the own table holds it
+    kept_answer kept_;       // grows while the answer comes
+    bool kept_whole_ = true; // kept_ isn't over its limit
 };
 
 } // namespace daisytrail
--- /dev/null
+++ b/src/agent/requests_keys.cpp
@@ -0,0 +1,216 @@
+// Idempotency keys: who owns one, and what a repeat of it hears.
+#include "agent/requests_events.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <xxhash.h>
+
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+answer_head head_of(kept_answer const& kept)
+{
+    answer_head head;
+    head.status_ = kept.status_;
+    head.reason_ = kept.reason_;
+    for (auto const& [name, value] : kept.fields_)
+    {
+        head.fields_.push_back({name, value});
+    }
+    head.length_ = kept.body_.size();
+    return head;
+}
+
+std::uint64_t fingerprint(request_job const& job)
+{
+    // A long body is streamed, so that only its length is known here.
+    auto const& head = job.head_;
+    auto const body =
+        job.is_movable() ? job.body_ : std::to_string(head.length_.value_or(0));
+    return hash_request(head.method_, head.target_, body);
+}
+
+} // namespace
+
+void requests_service::issue_key(request_job& job)
+{
+    if (!keys_)
+    {
+        finish(job, request_outcome::no_backend);
+        return;
+    }
+    auto const key = keys_->issue(current_time());
+    kept_answer answer{201, "Created", {}, {}};
+    answer.fields_ = {{"Content-Type", "application/json"},
+                      {"Idempotency-Key", key}};
+    answer.body_ =
+        boost::json::serialize(boost::json::object{{"key", key}}) + '\n';
+    replay(job, answer);
+}
+
+// The owner of a key that a caller has chosen: the highest hash among the
+// targets that may still hold it. Leaving targets keep theirs until they left.
+std::optional<target_id>
+requests_service::owner_of(std::string const& key) const
+{
+    if (auto const issued = parse_issued_key(key))
+    {
+        return issued->target_;
+    }
+    auto const score = [&key](target_id target)
+    {
+        return XXH3_64bits_withSeed(key.data(), key.size(), target);
+    };
+    auto best = self_.target_;
+    for (auto const& [target, record] : targets_)
+    {
+        if (score(target) > score(best))
+        {
+            best = target;
+        }
+    }
+    return best;
+}
+
+bool requests_service::claim_key(job_pointer const& job, std::string const& key)
+{
+    if (!keys_)
+    {
+        finish(*job, request_outcome::no_backend);
+        return false;
+    }
+    auto const owner = owner_of(key);
+    if (!job->is_forwarded_ && owner != self_.target_)
+    {
+        forward(job, *owner);
+        return false;
+    }
+    auto const decision = keys_->begin(key, fingerprint(*job), current_time());
+    switch (decision.verdict_)
+    {
+    case key_verdict::run:
+        job->key_ = key;
+        return true;
+    case key_verdict::join:
+        join(job, key);
+        return false;
+    case key_verdict::replay:
+        replay(*job, kept_answer(*decision.answer_));
+        return false;
+    case key_verdict::outcome:
+        finish(*job, decision.outcome_);
+        return false;
+    }
+    return false;
+}
+
+void requests_service::forward(job_pointer const& job, target_id owner)
+{
+    if (!link_ || targets_.count(owner) == 0)
+    {
+        finish(*job, request_outcome::key_owner_gone);
+        return;
+    }
+    if (!job->is_movable())
+    {
+        // Only a whole body can be handed on.
+        finish(*job, request_outcome::body_too_large);
+        return;
+    }
+    start_at_peer(*job, owner, 0);
+}
+
+void requests_service::join(job_pointer const& job, std::string const& key)
+{
+    joined_[key].push_back(job);
+    job->timer_.emplace(io_, job->deadline_);
+    job->timer_->async_wait(
+        [this, weak = job->weak_from_this()](boost::system::error_code code)
+        {
+            auto const late = weak.lock();
+            if (!code && late)
+            {
+                finish(*late, request_outcome::overdue);
+            }
+        });
+}
+
+// Settles the key of a request with its outcome and answers those that joined.
+void requests_service::settle_key(request_job& job, request_outcome outcome)
+{
+    if (job.key_.empty())
+    {
+        return;
+    }
+    auto const key = std::exchange(job.key_, {});
+    auto const now = current_time();
+    if (outcome == request_outcome::answered && !job.kept_whole_)
+    {
+        outcome = request_outcome::key_not_kept;
+    }
+    else if (outcome == request_outcome::truncated)
+    {
+        outcome = request_outcome::lost;
+    }
+    auto const verdict = answer_for(outcome).verdict_;
+    if (outcome == request_outcome::answered)
+    {
+        keys_->answered(key, job.kept_, now);
+    }
+    else if (verdict == outcome_verdict::not_run ||
+             verdict == outcome_verdict::none)
+    {
+        keys_->released(key);
+    }
+    else
+    {
+        keys_->settled(key, outcome, now);
+    }
+    auto const waiting = joined_.extract(key);
+    if (waiting.empty())
+    {
+        return;
+    }
+    for (auto const& other : waiting.mapped())
+    {
+        if (other->state_.phase() == request_phase::answered)
+        {
+            continue;
+        }
+        other->timer_.reset();
+        if (verdict == outcome_verdict::none && claim_key(other, key))
+        {
+            schedule(other);
+        }
+        else if (outcome == request_outcome::answered)
+        {
+            replay(*other, job.kept_);
+        }
+        else if (verdict != outcome_verdict::none)
+        {
+            finish(*other, outcome);
+        }
+    }
+}
+
+void requests_service::replay(request_job& job, kept_answer const& answer)
+{
+    if (job.sink_ != nullptr)
+    {
+        job.sink_->on_answer_head(head_of(answer));
+        job.sink_->on_answer_body(answer.body_);
+    }
+    finish(job, request_outcome::answered);
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/agent/requests_peers.cpp
@@ -0,0 +1,349 @@
+// Requests that pass between this agent and the others of its service: late
+// binding by reserve and start, on both sides.
+#include "agent/requests_events.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+// A granted slot that isn't started on is free again after this time.
+constexpr std::chrono::milliseconds grant_timeout{500};
+constexpr std::chrono::milliseconds offer_interval{20};
+// A wait below this isn't worth a message.
+constexpr std::chrono::milliseconds shortest_offered_wait{2};
+constexpr std::uint32_t most_rounds = 2;
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+void requests_service::ask_peers_first(job_pointer const& job)
+{
+    job->asked_peers_first_ = true;
+    job->waits_for_peers_ = true;
+    if (offer(job, true))
+    {
+        return;
+    }
+    if (may_run_here(*job, current_time()))
+    {
+        job->waits_for_peers_ = false;
+        schedule_here(job);
+    }
+}
+
+// Offers a waiting request to a few peers; returns false if there are none.
+bool requests_service::offer(job_pointer const& job, bool immediate)
+{
+    auto const now = current_time();
+    auto const wait = may_run_here(*job, now)
+                          ? scheduler_.expected_wait(job->class_, now)
+                          : job->deadline_ - now;
+    if (!link_ || (!immediate && wait < shortest_offered_wait))
+    {
+        return false;
+    }
+    auto const chosen = peers_.choose(random_(), now);
+    peer_offer_request const message{
+        service_.id_,         self_.target_,        job->id_, job->class_,
+        now - job->received_, job->deadline_ - now, wait,     immediate};
+    for (std::size_t i = 0; i < chosen.count_; ++i)
+    {
+        auto const peer = chosen.peers_[i];
+        job->offers_.push_back(peer);
+        peers_.offered(peer);
+        ++metrics_.counter("daisytrail_peer_offers_total");
+        link_->reserve(targets_.at(peer).rpc_, message,
+                       [this, peer, id = job->id_](offer_reply const& reply)
+                       { on_offer_reply(peer, id, reply); });
+    }
+    job->offers_made_ += chosen.count_ > 0 ? 1 : 0;
+    return chosen.count_ > 0;
+}
+
+void requests_service::on_offer_reply(target_id peer, request_id id,
+                                      offer_reply const& reply)
+{
+    auto const now = current_time();
+    if (reply.result_ == offer_result::unreachable)
+    {
+        peers_.failed(peer, now);
+    }
+    else
+    {
+        peers_.replied(peer, reply.load_, now);
+    }
+    bool const granted = reply.result_ == offer_result::granted;
+    auto const found = jobs_.find(id);
+    bool const waits = found != jobs_.end() &&
+                       found->second->state_.phase() == request_phase::queued;
+    if (!waits)
+    {
+        if (granted)
+        {
+            ++metrics_.counter("daisytrail_peer_late_total{kind=\"grant\"}");
+            auto const known = targets_.find(peer);
+            if (known != targets_.end())
+            {
+                link_->release(known->second.rpc_, self_.target_, id);
+            }
+        }
+        return;
+    }
+    auto const job = found->second;
+    std::erase(job->offers_, peer);
+    if (granted && targets_.count(peer) != 0)
+    {
+        start_at_peer(*job, peer, reply.reservation_);
+    }
+    else if (job->offers_.empty() && job->waits_for_peers_ &&
+             may_run_here(*job, now))
+    {
+        job->waits_for_peers_ = false;
+        schedule_here(job);
+    }
+}
+
+void requests_service::withdraw_offers(request_job& job)
+{
+    for (auto const peer : std::exchange(job.offers_, {}))
+    {
+        auto const known = targets_.find(peer);
+        if (known != targets_.end() && link_)
+        {
+            link_->release(known->second.rpc_, self_.target_, job.id_);
+        }
+    }
+}
+
+// Offers waiting requests again: those that can't run here until their
+// deadline, the others for a bounded number of rounds.
+void requests_service::offer_waiting()
+{
+    auto const now = current_time();
+    auto const jobs = jobs_;
+    for (auto const& [id, job] : jobs)
+    {
+        bool const idle = job->admitted_ && job->is_movable() &&
+                          job->state_.phase() == request_phase::queued &&
+                          job->offers_.empty();
+        if (!idle)
+        {
+            continue;
+        }
+        if (!job->waits_for_peers_)
+        {
+            bool const here = may_run_here(*job, now);
+            if (scheduler_.is_queued(id) &&
+                (!here || job->offers_made_ < most_rounds))
+            {
+                offer(job, false);
+            }
+            continue;
+        }
+        if (now >= job->deadline_)
+        {
+            finish(*job, draining_ ? request_outcome::draining
+                                   : request_outcome::no_backend);
+        }
+        else
+        {
+            ask_peers_first(job);
+        }
+    }
+}
+
+void requests_service::run_offer_timer()
+{
+    offer_timer_.expires_after(offer_interval);
+    offer_timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code)
+            {
+                offer_waiting();
+                run_offer_timer();
+            }
+        });
+}
+
+peer_request requests_service::make_peer_request(request_job const& job,
+                                                 time_point now) const
+{
+    return {service_.id_,        self_.target_,       job.id_,   job.class_,
+            now - job.received_, job.deadline_ - now, job.head_, job.body_};
+}
+
+void requests_service::start_at_peer(request_job& job, target_id peer,
+                                     std::uint64_t reservation)
+{
+    scheduler_.remove(job.id_, current_time(), true);
+    withdraw_offers(job);
+    job.waits_for_peers_ = false;
+    job.peer_ = peer;
+    job.reserved_at_peer_ = reservation != 0;
+    job.state_.reserve();
+    job.state_.start();
+    begin_exchange(job);
+    job.events_ = std::make_unique<job_events>(*this, job);
+    ++metrics_.counter("daisytrail_peer_starts_total");
+    job.exchange_ =
+        link_->start(targets_.at(peer).rpc_, reservation,
+                     make_peer_request(job, current_time()), *job.events_);
+}
+
+void requests_service::on_reserve(peer_offer_request const& offer_message,
+                                  std::function<void(offer_reply)> reply)
+{
+    auto const now = current_time();
+    auto const wait = scheduler_.expected_wait(offer_message.class_, now);
+    auto const class_index = offer_message.class_;
+    bool const busy = offer_message.immediate_
+                          ? !scheduler_.has_free_slot(class_index, now)
+                          : wait >= offer_message.home_wait_;
+    bool const refused = offer_message.service_ != service_.id_ || draining_ ||
+                         !is_backend_up(now) || scheduler_.is_suspect() || busy;
+    auto const id = next_id_++;
+    scheduled_request const request{id, class_index,
+                                    now - offer_message.waited_,
+                                    now + offer_message.deadline_, true};
+    auto const from = std::pair(offer_message.home_, offer_message.request_);
+    if (refused || guests_.count(from) != 0 ||
+        scheduler_.queued() >= service_.limits_.queue_)
+    {
+        reply({offer_result::refused, 0, scheduler_.report(now)});
+        return;
+    }
+    scheduler_.offer(request, now);
+    reservations_[id] = {from, std::move(reply), std::nullopt};
+    guests_[from] = id;
+    pump();
+}
+
+void requests_service::grant(request_id reservation)
+{
+    auto const found = reservations_.find(reservation);
+    if (found == reservations_.end())
+    {
+        scheduler_.finish(reservation, completion::vacated, current_time());
+        return;
+    }
+    auto& held = found->second;
+    held.timer_.emplace(io_, grant_timeout);
+    held.timer_->async_wait(
+        [this, reservation](boost::system::error_code code)
+        {
+            if (!code)
+            {
+                ++metrics_.counter(
+                    "daisytrail_peer_late_total{kind=\"unused\"}");
+                end_reservation(reservation);
+            }
+        });
+    std::exchange(held.reply_, nullptr)({offer_result::granted, reservation,
+                                         scheduler_.report(current_time())});
+}
+
+// Gives up a slot or a place in the queue that was held for another agent.
+void requests_service::end_reservation(request_id reservation)
+{
+    auto const found = reservations_.find(reservation);
+    if (found == reservations_.end())
+    {
+        return;
+    }
+    auto const now = current_time();
+    auto const reply = std::move(found->second.reply_);
+    guests_.erase(found->second.from_);
+    reservations_.erase(found);
+    scheduler_.remove(reservation, now, false);
+    scheduler_.finish(reservation, completion::vacated, now);
+    if (reply)
+    {
+        reply({offer_result::refused, 0, scheduler_.report(now)});
+    }
+    post_pump();
+}
+
+void requests_service::on_release(target_id home, request_id request)
+{
+    auto const found = guests_.find({home, request});
+    if (found != guests_.end())
+    {
+        end_reservation(found->second);
+    }
+}
+
+void requests_service::on_start(std::uint64_t reservation, peer_request request,
+                                std::shared_ptr<peer_answer> answer)
+{
+    auto const held = reservations_.find(reservation);
+    std::pair const from(request.home_, request.request_);
+    bool const is_guest = reservation != 0;
+    bool const usable = held != reservations_.end() && !held->second.reply_ &&
+                        held->second.from_ == from;
+    if (request.service_ != service_.id_ || (is_guest && !usable))
+    {
+        ++metrics_.counter("daisytrail_peer_late_total{kind=\"start\"}");
+        answer->on_outcome(request_outcome::shed, std::chrono::seconds(1));
+        return;
+    }
+    auto const now = current_time();
+    auto const id = is_guest ? request_id{reservation} : next_id_++;
+    if (is_guest)
+    {
+        guests_.erase(from);
+        reservations_.erase(held);
+    }
+    auto const job = make_job(id, std::move(request.head_), request.class_);
+    job->received_ = now - request.waited_;
+    job->deadline_ = now + request.deadline_;
+    job->body_ = std::move(request.body_);
+    job->body_complete_ = true;
+    job->sink_ = answer.get();
+    job->kept_sink_ = answer;
+    answer->on_cancel_ = [this, weak = job->weak_from_this()]
+    {
+        auto const alive = weak.lock();
+        if (alive && alive->state_.phase() != request_phase::answered)
+        {
+            cancel(*alive);
+        }
+    };
+    answer->on_resume_ = [weak = job->weak_from_this()]
+    {
+        if (auto const alive = weak.lock())
+        {
+            alive->resume();
+        }
+    };
+    job->state_.enqueue();
+    if (!is_guest)
+    {
+        job->is_forwarded_ = true;
+        body_arrived(*job);
+        return;
+    }
+    job->is_guest_ = true;
+    job->admitted_ = true;
+    job->holds_slot_ = true;
+    job->state_.reserve();
+    job->state_.start();
+    begin_exchange(*job);
+    if (job->standing_)
+    {
+        free_slot(*job, completion::vacated);
+    }
+}
+
+} // namespace daisytrail
--- a/src/agent/requests_service.cpp
+++ b/src/agent/requests_service.cpp
@@ -1,6 +1,8 @@
-// Requests of one agent, from their head to their outcome.
+// Sessions, settings and the drain of the `requests` mode.
 #include "agent/requests_service.hpp"
 
+#include "agent/peer_rpc.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -12,94 +14,66 @@
 namespace
 {
 
-constexpr std::string_view outcome_field = "Daisytrail-Outcome";
-
-time_point now()
+time_point current_time()
 {
     return std::chrono::steady_clock::now();
 }
 
-// Only the system says what became of a request.
-void mark_as_run(answer_head& head)
+std::vector<scheduler_class>
+scheduler_classes(std::vector<request_class> const& classes)
 {
-    std::erase_if(
-        head.fields_, [](header_field const& field)
-        { return find_field({field}, outcome_field).data() != nullptr; });
-    head.fields_.push_back({std::string(outcome_field),
-                            std::string(to_string(outcome_verdict::ran))});
+    std::vector<scheduler_class> result;
+    result.reserve(classes.size() + 1);
+    for (auto const& config : classes)
+    {
+        result.push_back(
+            {config.long_running_, config.priority_, config.expected_});
+    }
+    // Requests that no class matches.
+    request_class const rest;
+    result.push_back({false, rest.priority_, rest.expected_});
+    return result;
 }
 
 } // namespace
 
-// Passes the answer of one exchange on to the job's sink.
-class requests_service::job_events : public exchange_events
+requests_service::requests_service(boost::asio::io_context& io,
+                                   metrics& numbers)
+    : io_(io), metrics_(numbers), drain_timer_(io), pump_timer_(io),
+      offer_timer_(io), random_(std::random_device{}()), scheduler_({}, {}),
+      retry_tokens_(1.0)
 {
-public:
-    job_events(requests_service& service, request_job& job)
-        : service_(service), job_(job)
+    auto const gauge = [this](char const* name, auto read)
     {
-    }
-
-    void on_head(answer_head head) override
-    {
-        mark_as_run(head);
-        job_.answer_begun_ = true;
-        if (job_.sink_ != nullptr)
-        {
-            job_.sink_->on_answer_head(head);
-        }
-    }
-
-    bool on_body(std::string_view bytes) override
-    {
-        return job_.sink_ == nullptr || job_.sink_->on_answer_body(bytes);
-    }
-
-    void on_end() override
-    {
-        service_.finish(job_, request_outcome::answered);
-    }
+        metrics_.gauge(name, [read] { return static_cast<double>(read()); });
+    };
+    gauge("daisytrail_requests_open", [this] { return jobs_.size(); });
+    gauge("daisytrail_requests_queued", [this] { return scheduler_.queued(); });
+    gauge("daisytrail_requests_running",
+          [this] { return scheduler_.running(); });
+    gauge("daisytrail_keys_held", [this] { return keys_ ? keys_->size() : 0; });
+    gauge("daisytrail_backend_suspect",
+          [this] { return scheduler_.is_suspect() ? 1 : 0; });
+    run_offer_timer();
+}
 
-    void on_failure(exchange_failure failure) override
+requests_service::~requests_service()
+{
+    alive_.reset();
+    auto const open = sessions_;
+    for (auto const& [key, session] : open)
     {
-        if (job_.answer_begun_)
-        {
-            service_.finish(job_, request_outcome::truncated);
-        }
-        else if (failure == exchange_failure::not_run)
-        {
-            job_.state_.withdraw();
-            service_.finish(job_, request_outcome::no_backend);
-        }
-        else
-        {
-            service_.finish(job_, request_outcome::lost);
-        }
+        session->abort();
     }
-
-    void on_drained() override
+    for (auto const& [id, job] : jobs_)
     {
-        if (job_.sink_ != nullptr)
+        if (job->exchange_)
         {
-            job_.sink_->on_body_drained();
+            job->exchange_->cancel();
         }
     }
-
-private:
-    requests_service& service_;
-    request_job& job_;
-};
-
-requests_service::requests_service(boost::asio::io_context& io,
-                                   metrics& numbers)
-    : io_(io), metrics_(numbers), drain_timer_(io)
-{
-    metrics_.gauge("daisytrail_requests_open",
-                   [this] { return static_cast<double>(jobs_.size()); });
 }
 
-requests_service::~requests_service() = default;
-
 void requests_service::accept(std::shared_ptr<tcp_flow> flow)
 {
     accept(make_session_flow(std::move(flow)));
@@ -118,21 +92,60 @@
 {
     service_ = service;
     backend_ = backend;
+    backend_down_until_ = {};
+    scheduler_.configure(
+        scheduler_classes(service.classes_),
+        {std::max(backend.slots_, 1U), service.limits_.queue_});
+    post_pump();
 }
 
-void requests_service::drain(time_point deadline)
+void requests_service::set_targets(std::vector<target_record> const& records,
+                                   target_record const& self)
 {
-    draining_ = true;
-    std::vector<std::shared_ptr<requests_session>> open;
-    open.reserve(sessions_.size());
-    for (auto const& [key, session] : sessions_)
+    self_ = self;
+    if (!keys_)
+    {
+        keys_.emplace(self.target_, self.version_.incarnation_, random_());
+    }
+    if (!link_ && self.rpc_.port_ != 0)
     {
-        open.push_back(session);
+        link_ = std::make_shared<peer_rpc>(io_, self.rpc_, *this, metrics_);
+    }
+    targets_.clear();
+    for (auto const& record : records)
+    {
+        bool const askable = record.target_ != self.target_ &&
+                             may_own_flows(record.state_) &&
+                             record.rpc_.port_ != 0;
+        if (askable)
+        {
+            targets_.emplace(record.target_, record);
+        }
+        if (askable && takes_new_work(record.state_))
+        {
+            peers_.add(record.target_, record.slots_, current_time());
+        }
+        else
+        {
+            peers_.remove(record.target_);
+        }
     }
-    for (auto const& session : open)
+}
+
+void requests_service::set_peer_link(std::shared_ptr<peer_link> link)
+{
+    link_ = std::move(link);
+}
+
+void requests_service::drain(time_point deadline)
+{
+    draining_ = true;
+    auto const open = sessions_;
+    for (auto const& [key, session] : open)
     {
         session->drain();
     }
+    offer_waiting();
     drain_timer_.expires_at(deadline);
     drain_timer_.async_wait(
         [this](boost::system::error_code code)
@@ -154,6 +167,18 @@
     return sessions_.size() + jobs_.size();
 }
 
+void requests_service::post(std::function<void()> task)
+{
+    boost::asio::post(io_,
+                      [alive = std::weak_ptr(alive_), task = std::move(task)]
+                      {
+                          if (!alive.expired())
+                          {
+                              task();
+                          }
+                      });
+}
+
 service_limits const& requests_service::limits() const
 {
     return service_.limits_;
@@ -164,94 +189,10 @@
     return draining_;
 }
 
-std::shared_ptr<request_job> requests_service::submit(request_head head,
-                                                      answer_sink& sink)
-{
-    auto const id = next_id_++;
-    auto job = std::make_shared<request_job>(id, std::move(head), false);
-    job->received_ = now();
-    job->sink_ = &sink;
-    jobs_.emplace(id, job);
-    if (!backend_.ready_)
-    {
-        finish(*job, request_outcome::no_backend);
-        return job;
-    }
-    job->state_.enqueue();
-    return job;
-}
-
-void requests_service::body_arrived(request_job& job)
-{
-    bool const enough = job.body_complete_ ||
-                        job.body_.size() >= request_job::buffered_body_bytes;
-    if (enough && job.state_.phase() == request_phase::queued)
-    {
-        start(job);
-    }
-}
-
-void requests_service::cancel(request_job& job)
-{
-    auto const keep = job.shared_from_this();
-    job.sink_ = nullptr;
-    if (job.exchange_)
-    {
-        job.exchange_->cancel();
-    }
-    count(request_outcome::cancelled);
-    forget(job);
-}
-
 void requests_service::session_closed(requests_session& session)
 {
     // The session is still on the call stack.
-    boost::asio::post(io_, [this, key = &session] { sessions_.erase(key); });
-}
-
-void requests_service::start(request_job& job)
-{
-    job.state_.start();
-    job.events_ = std::make_unique<job_events>(*this, job);
-    job.exchange_ = start_exchange(io_, backend_.address_, job.head_,
-                                   std::exchange(job.body_, {}),
-                                   job.body_complete_, *job.events_);
-    if (!job.body_complete_)
-    {
-        job.sink_->on_body_drained();
-    }
-}
-
-void requests_service::finish(request_job& job, request_outcome outcome)
-{
-    auto const keep = job.shared_from_this();
-    auto const settled = job.state_.settle(outcome);
-    count(settled);
-    forget(job);
-    auto* const sink = std::exchange(job.sink_, nullptr);
-    if (sink == nullptr)
-    {
-        return;
-    }
-    if (settled == request_outcome::answered)
-    {
-        sink->on_answer_end();
-    }
-    else
-    {
-        sink->on_outcome(settled, std::chrono::seconds(1));
-    }
-}
-
-// Events of the job's exchange may be on the call stack.
-void requests_service::forget(request_job& job)
-{
-    auto const found = jobs_.find(job.id_);
-    if (found != jobs_.end())
-    {
-        boost::asio::post(io_, [keep = std::move(found->second)] {});
-        jobs_.erase(found);
-    }
+    post([this, key = &session] { sessions_.erase(key); });
 }
 
 void requests_service::count(request_outcome outcome)
--- a/src/agent/requests_service.hpp
+++ b/src/agent/requests_service.hpp
@@ -1,20 +1,32 @@
-// The agent's `requests` mode: reads HTTP/1.1 requests from flows and runs them
-// on the backend server.
+// The agent's `requests` mode: reads HTTP/1.1 requests from flows, schedules
+// them on the backend server, and passes waiting ones to less loaded agents.
+// The parts: sessions and limits here, admission and slots in
+// requests_schedule.cpp, other agents in requests_peers.cpp, idempotency keys
+// in requests_keys.cpp.
 #pragma once
 
 #include "agent/flow_service.hpp"
+#include "agent/peer_link.hpp"
 #include "agent/requests_session.hpp"
 #include "net/metrics.hpp"
 
+#include <daisytrail/dedup.hpp>
+#include <daisytrail/peer_choice.hpp>
+#include <daisytrail/scheduler.hpp>
+
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
+#include <map>
+#include <random>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace daisytrail
 {
 
-class requests_service : public flow_service, public session_owner
+class requests_service : public flow_service,
+                         public session_owner,
+                         public peer_events
 {
 public:
     requests_service(boost::asio::io_context& io, metrics& numbers);
@@ -24,12 +36,33 @@
     void accept(std::unique_ptr<session_flow> flow);
     void update(service_template const& service,
                 backend_status const& backend) override;
+    void set_targets(std::vector<target_record> const& records,
+                     target_record const& self) override;
     void drain(time_point deadline) override;
     std::size_t open_work() const override;
 
+    // Takes the place of Cap'n Proto RPC in tests; call before set_targets().
+    void set_peer_link(std::shared_ptr<peer_link> link);
+
+    void on_reserve(peer_offer_request const& offer,
+                    std::function<void(offer_reply)> reply) override;
+    void on_release(target_id home, request_id request) override;
+    void on_start(std::uint64_t reservation, peer_request request,
+                  std::shared_ptr<peer_answer> answer) override;
+
 private:
     class job_events;
 
+    using job_pointer = std::shared_ptr<request_job>;
+
+    // A slot or a place in the queue that is held for another agent.
+    struct guest_reservation
+    {
+        std::pair<target_id, request_id> from_;
+        std::function<void(offer_reply)> reply_;         // empty once granted
+        std::optional<boost::asio::steady_timer> timer_; // since it was granted
+    };
+
     service_limits const& limits() const override;
     bool is_draining() const override;
     std::shared_ptr<request_job> submit(request_head head,
@@ -38,21 +71,88 @@
     void cancel(request_job& job) override;
     void session_closed(requests_session& session) override;
 
-    void start(request_job& job);
-    void finish(request_job& job, request_outcome outcome);
+    // Runs a task later on the event loop, if the service is still there.
+    void post(std::function<void()> task);
+
+    // requests_schedule.cpp
+    job_pointer make_job(request_id id, request_head head, std::size_t index);
+    std::size_t class_of(request_head const& head) const;
+    duration deadline_of(request_head const& head, std::size_t index) const;
+    bool may_run_here(request_job const& job, time_point now) const;
+    bool is_backend_up(time_point now) const;
+    void admit(job_pointer const& job);
+    void schedule(job_pointer const& job);
+    void schedule_here(job_pointer const& job);
+    void pump();
+    void post_pump();
+    void set_pump_timer(time_point now);
+    void start_here(request_job& job);
+    void begin_exchange(request_job& job);
+    void free_slot(request_job& job, completion how);
+    bool try_again(request_job& job);
+    void on_answer_head(request_job& job, answer_head head);
+    bool on_answer_body(request_job& job, std::string_view bytes);
+    void on_lost(request_job& job, exchange_failure failure);
+    void on_refused(request_job& job, duration retry_after);
+    void finish(request_job& job, request_outcome outcome,
+                duration retry_after = std::chrono::seconds(1));
     void forget(request_job& job);
     void count(request_outcome outcome);
 
+    // requests_peers.cpp
+    void ask_peers_first(job_pointer const& job);
+    bool offer(job_pointer const& job, bool immediate);
+    void on_offer_reply(target_id peer, request_id id,
+                        offer_reply const& reply);
+    void withdraw_offers(request_job& job);
+    void offer_waiting();
+    void start_at_peer(request_job& job, target_id peer,
+                       std::uint64_t reservation);
+    peer_request make_peer_request(request_job const& job,
+                                   time_point now) const;
+    void grant(request_id reservation);
+    void end_reservation(request_id reservation);
+    void run_offer_timer();
+
+    // requests_keys.cpp
+    void issue_key(request_job& job);
+    // Returns true if the request runs under this agent's rules.
+    bool claim_key(job_pointer const& job, std::string const& key);
+    std::optional<target_id> owner_of(std::string const& key) const;
+    void forward(job_pointer const& job, target_id owner);
+    void join(job_pointer const& job, std::string const& key);
+    void settle_key(request_job& job, request_outcome outcome);
+    void replay(request_job& job, kept_answer const& answer);
+
     boost::asio::io_context& io_;
     metrics& metrics_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
     service_template service_;
     backend_status backend_;
+    time_point backend_down_until_{}; // a connect failed
     bool draining_ = false;
     boost::asio::steady_timer drain_timer_;
+    boost::asio::steady_timer pump_timer_;
+    boost::asio::steady_timer offer_timer_;
+    bool pump_posted_ = false;
+    std::mt19937_64 random_;
+    scheduler scheduler_;
+    double retry_tokens_; // earned by first attempts, spent by retries
     request_id next_id_ = 1;
-    std::unordered_map<request_id, std::shared_ptr<request_job>> jobs_;
+    std::unordered_map<request_id, job_pointer> jobs_;
     std::unordered_map<requests_session*, std::shared_ptr<requests_session>>
         sessions_;
+
+    target_record self_;
+    std::map<target_id, target_record> targets_; // that may be asked
+    peer_choice peers_;
+    std::shared_ptr<peer_link> link_; // null until the own record is known
+    std::unordered_map<request_id, guest_reservation> reservations_;
+    std::map<std::pair<target_id, request_id>, request_id> guests_;
+
+    std::optional<dedup_table> keys_;
+    // Requests that wait for the outcome of an earlier one with their key.
+    std::unordered_map<std::string, std::vector<job_pointer>> joined_;
 };
 
 } // namespace daisytrail
--- a/src/agent/requests_session.cpp
+++ b/src/agent/requests_session.cpp
@@ -348,7 +348,7 @@
 void requests_session::on_answer_head(answer_head const& head)
 {
     timer_.cancel();
-    if (stage_ == stage::body)
+    if (stage_ == stage::body && !parser_->is_done())
     {
         keep_alive_ = false; // the rest of the body isn't read
     }
--- /dev/null
+++ b/test/unit/requests_fixture.hpp
@@ -0,0 +1,247 @@
+// Mock flows, a small backend server and agents' services for tests of the
+// `requests` mode.
+#pragma once
+
+#include "agent/requests_service.hpp"
+#include "net/http_page.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace daisytrail::test
+{
+
+inline service_template make_service()
+{
+    service_template service;
+    service.name_ = "orders";
+    service.limits_.body_bytes_ = 1'000'000;
+    service.limits_.header_bytes_ = 1'024;
+    service.limits_.header_timeout_ = std::chrono::milliseconds(200);
+    return service;
+}
+
+// The caller's side: what the service wrote, and the handlers it set.
+struct mock_flow_state
+{
+    tcp_handlers handlers_;
+    std::string received_;
+    std::size_t consumed_ = 0;
+    std::size_t room_ = 1'000'000; // that write() takes
+    bool over_ = false;
+    bool reset_ = false;
+};
+
+class mock_flow : public session_flow
+{
+public:
+    explicit mock_flow(std::shared_ptr<mock_flow_state> state)
+        : state_(std::move(state))
+    {
+    }
+
+    void set_handlers(tcp_handlers handlers) override
+    {
+        state_->handlers_ = std::move(handlers);
+    }
+
+    std::size_t write(std::span<std::byte const> bytes) override
+    {
+        auto const taken = std::min(bytes.size(), state_->room_);
+        state_->received_.append(reinterpret_cast<char const*>(bytes.data()),
+                                 taken);
+        return taken;
+    }
+
+    void consume(std::size_t bytes) override
+    {
+        state_->consumed_ += bytes;
+    }
+
+    void shutdown() override
+    {
+        state_->over_ = true;
+    }
+
+    void abort() override
+    {
+        state_->over_ = true;
+        state_->reset_ = true;
+    }
+
+private:
+    std::shared_ptr<mock_flow_state> state_;
+};
+
+// Reads a request and hangs up without an answer.
+struct hang_up_server
+{
+    hang_up_server(boost::asio::io_context& io, std::uint16_t port)
+        : acceptor_(io, {boost::asio::ip::address_v4::loopback(), port})
+    {
+        accept();
+    }
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](boost::system::error_code code,
+                   boost::asio::ip::tcp::socket socket)
+            {
+                if (code)
+                {
+                    return;
+                }
+                socket_.emplace(std::move(socket));
+                socket_->async_read_some(
+                    boost::asio::buffer(buffer_),
+                    [this](boost::system::error_code, std::size_t)
+                    {
+                        ++requests_;
+                        socket_.reset();
+                        accept();
+                    });
+            });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::optional<boost::asio::ip::tcp::socket> socket_;
+    std::array<char, 4'096> buffer_{};
+    int requests_ = 0;
+};
+
+// Reads one request, never answers, and notes when the connection ends.
+struct silent_server
+{
+    silent_server(boost::asio::io_context& io, std::uint16_t port)
+        : acceptor_(io, {boost::asio::ip::address_v4::loopback(), port}),
+          socket_(io)
+    {
+        acceptor_.async_accept(socket_,
+                               [this](boost::system::error_code)
+                               {
+                                   ++open_;
+                                   read();
+                               });
+    }
+
+    void read()
+    {
+        socket_.async_read_some(
+            boost::asio::buffer(buffer_),
+            [this](boost::system::error_code code, std::size_t)
+            {
+                if (code)
+                {
+                    ++closed_;
+                    return;
+                }
+                read();
+            });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::socket socket_;
+    std::array<char, 4'096> buffer_{};
+    int open_ = 0;
+    int closed_ = 0;
+};
+
+inline std::string order(std::string const& body,
+                         std::string const& fields = {})
+{
+    return "POST /orders HTTP/1.1\r\nHost: a\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline target_record make_target(target_id target, std::uint16_t rpc_port)
+{
+    target_record record;
+    record.target_ = target;
+    record.version_ = {100 + target, 1};
+    record.rpc_ = {0x7F000001, rpc_port};
+    record.slots_ = 4;
+    record.state_ = member_state::ready;
+    return record;
+}
+
+// One agent's service and its backend server.
+struct service_fixture
+{
+    explicit service_fixture(boost::asio::io_context& io,
+                             std::uint16_t port = 24'901)
+        : io_(io), backend_{0x7F000001, port}, page_(io_, backend_),
+          service_(std::make_unique<requests_service>(io_, numbers_))
+    {
+        page_.route("POST", "/orders",
+                    [this](http_request const& request)
+                    {
+                        ++runs_;
+                        return make_response(201, "got " + request.body());
+                    });
+        page_.route("GET", "/big",
+                    [](http_request const&)
+                    { return make_response(200, std::string(300'000, 'x')); });
+        page_.route("GET", "/shed",
+                    [this](http_request const&)
+                    {
+                        ++runs_;
+                        auto answer = make_response(503, "shed");
+                        answer.set(boost::beast::http::field::retry_after, "2");
+                        return answer;
+                    });
+        service_->update(make_service(), {backend_, true, 4, 100});
+    }
+
+    ~service_fixture()
+    {
+        page_.stop();
+    }
+
+    std::shared_ptr<mock_flow_state> open()
+    {
+        auto state = std::make_shared<mock_flow_state>();
+        service_->accept(std::make_unique<mock_flow>(state));
+        return state;
+    }
+
+    void say(mock_flow_state& flow, std::string const& text)
+    {
+        flow.handlers_.on_data_(std::as_bytes(std::span(text)));
+    }
+
+    template <typename Condition>
+    void run_until(Condition done)
+    {
+        auto const limit =
+            std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!done() && std::chrono::steady_clock::now() < limit)
+        {
+            io_.run_one_for(std::chrono::milliseconds(50));
+        }
+    }
+
+    // Sends bytes on a flow of its own and returns all that came back before
+    // the flow ended or `until` was received.
+    std::string talk(std::string const& request, std::string const& until = {})
+    {
+        auto const flow = open();
+        say(*flow, request);
+        run_until(
+            [&]
+            {
+                return flow->over_ ||
+                       (!until.empty() &&
+                        flow->received_.find(until) != std::string::npos);
+            });
+        return flow->received_;
+    }
+
+    boost::asio::io_context& io_;
+    endpoint backend_;
+    http_page page_;
+    metrics numbers_;
+    std::unique_ptr<requests_service> service_;
+    int runs_ = 0;
+};
+
+} // namespace daisytrail::test
--- /dev/null
+++ b/test/unit/requests_peers_test.cpp
@@ -0,0 +1,157 @@
+// Tests of requests that pass between two agents over Cap'n Proto RPC.
+#include "requests_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace daisytrail::test;
+
+namespace
+{
+
+// Two agents of one service on one event loop, each with a backend server.
+struct pair_fixture
+{
+    pair_fixture() : left_(io_, 24'911), right_(io_, 24'912)
+    {
+        meet(left_, left_record_, right_record_);
+        meet(right_, right_record_, left_record_);
+        // The threads of Cap'n Proto RPC begin to listen meanwhile.
+        io_.run_for(std::chrono::milliseconds(30));
+    }
+
+    static void meet(service_fixture& own, target_record const& self,
+                     target_record const& other)
+    {
+        own.service_->set_targets({self, other}, self);
+    }
+
+    // Runs requests on the other agent only.
+    static void stop_backend(service_fixture& own)
+    {
+        own.service_->update(make_service(), {own.backend_, false, 4, 100});
+    }
+
+    boost::asio::io_context io_;
+    target_record left_record_ = make_target(1, 24'913);
+    target_record right_record_ = make_target(2, 24'914);
+    service_fixture left_;
+    service_fixture right_;
+};
+
+std::string key_in(std::string const& answer)
+{
+    auto const begin = answer.find("dt1-");
+    auto const end = answer.find_first_not_of("dt1-0123456789abcdef", begin);
+    return answer.substr(begin, end - begin);
+}
+
+} // namespace
+
+TEST_CASE("with its backend server down an agent runs requests at a peer")
+{
+    pair_fixture f;
+    pair_fixture::stop_backend(f.left_);
+    auto const answer = f.left_.talk(order("1"), "got 1");
+    CHECK(answer.find("got 1") != std::string::npos);
+    CHECK(f.left_.runs_ == 0);
+    CHECK(f.right_.runs_ == 1);
+}
+
+TEST_CASE("a long answer from a peer arrives whole")
+{
+    pair_fixture f;
+    pair_fixture::stop_backend(f.left_);
+    auto const answer = f.left_.talk(
+        "GET /big HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    bool const whole =
+        answer.substr(answer.find("\r\n\r\n") + 4) == std::string(300'000, 'x');
+    CHECK(whole);
+}
+
+TEST_CASE("a draining agent hands its waiting requests to a peer")
+{
+    pair_fixture f;
+    auto const flow = f.left_.open();
+    f.left_.say(*flow, "POST /orders HTTP/1.1\r\nHost: a\r\n"
+                       "Content-Length: 1\r\n\r\n");
+    f.left_.service_->drain(std::chrono::steady_clock::now() +
+                            std::chrono::seconds(10));
+    f.left_.say(*flow, "1");
+    f.left_.run_until([&] { return flow->over_; });
+    CHECK(flow->received_.find("got 1") != std::string::npos);
+    CHECK(flow->received_.find("Connection: close") != std::string::npos);
+    CHECK_FALSE(flow->reset_);
+    CHECK(f.left_.runs_ == 0);
+    CHECK(f.right_.runs_ == 1);
+}
+
+TEST_CASE("an issued key is honoured through every agent")
+{
+    pair_fixture f;
+    auto const issued = f.right_.talk("POST /.daisytrail/keys HTTP/1.1\r\n"
+                                      "Host: a\r\nContent-Length: 0\r\n\r\n",
+                                      "\"key\"");
+    auto const field = "Idempotency-Key: " + key_in(issued) + "\r\n";
+    auto const first = f.left_.talk(order("1", field), "got 1");
+    CHECK(first.find("got 1") != std::string::npos);
+    auto const again = f.right_.talk(order("1", field), "got 1");
+    CHECK(again.find("got 1") != std::string::npos);
+    auto const third = f.left_.talk(order("1", field), "got 1");
+    CHECK(third.find("got 1") != std::string::npos);
+    CHECK(f.left_.runs_ + f.right_.runs_ == 1);
+}
+
+TEST_CASE("a key that a caller chose has one owner")
+{
+    pair_fixture f;
+    for (auto const* key : {"a", "b", "c", "d"})
+    {
+        auto const field = std::string("Idempotency-Key: ") + key + "\r\n";
+        f.left_.talk(order("1", field), "got 1");
+        f.right_.talk(order("1", field), "got 1");
+    }
+    CHECK(f.left_.runs_ + f.right_.runs_ == 4);
+}
+
+TEST_CASE("a peer that can't be reached means that nothing ran")
+{
+    pair_fixture f;
+    f.right_.service_.reset();
+    pair_fixture::stop_backend(f.left_);
+    auto const answer =
+        f.left_.talk(order("1", "Daisytrail-Deadline-Ms: 200\r\n"), "retry");
+    CHECK(answer.find("Daisytrail-Outcome: not-run") != std::string::npos);
+}
+
+TEST_CASE("a peer lost after the start means outcome unknown")
+{
+    pair_fixture f;
+    pair_fixture::stop_backend(f.left_);
+    silent_server silent(f.io_, 24'915);
+    f.right_.service_->update(make_service(),
+                              {{0x7F000001, 24'915}, true, 4, 100});
+    auto const flow = f.left_.open();
+    f.left_.say(*flow, order("1"));
+    f.left_.run_until([&] { return silent.open_ == 1; });
+    f.right_.service_.reset();
+    f.left_.run_until([&] { return !flow->received_.empty(); });
+    CHECK(flow->received_.rfind("HTTP/1.1 502", 0) == 0);
+    CHECK(flow->received_.find("Daisytrail-Outcome: unknown") !=
+          std::string::npos);
+}
+
+TEST_CASE("a caller that goes away cancels its request at a peer")
+{
+    pair_fixture f;
+    pair_fixture::stop_backend(f.left_);
+    silent_server silent(f.io_, 24'915);
+    f.right_.service_->update(make_service(),
+                              {{0x7F000001, 24'915}, true, 4, 100});
+    auto const flow = f.left_.open();
+    f.left_.say(*flow, order("1"));
+    f.left_.run_until([&] { return silent.open_ == 1; });
+    flow->handlers_.on_closed_(true);
+    f.left_.run_until([&] { return silent.closed_ == 1; });
+    CHECK(silent.closed_ == 1);
+}
