--- a/test/integration/operators.sh
+++ b/test/integration/operators.sh
@@ -10,9 +10,14 @@
 export DAISYTRAIL_STORE=$store
 failed=0
 
+proxy_http=127.0.0.1:$((port + 1))
+proxied=127.0.0.1:$((port + 2))
+
 "$bin/stand-in-store" --listen "$store" >"$work/store.log" 2>&1 &
 store_pid=$!
-trap 'kill "$store_pid" 2>/dev/null; wait "$store_pid" 2>/dev/null; rm -rf "$work"' EXIT
+"$bin/stand-in-fault-proxy" --http "$proxy_http" --tcp "$proxied=$store" &
+proxy_pid=$!
+trap 'kill "$store_pid" "$proxy_pid" 2>/dev/null; wait "$store_pid" "$proxy_pid" 2>/dev/null; rm -rf "$work"' EXIT
 
 # expect NAME EXIT_STATUS TEXT COMMAND...: runs the command, whose output must
 # contain TEXT.
@@ -123,6 +128,33 @@
     "$daisytrail" --timeout 1 apply "$work/a1.json" --base "$base"
 fault '{"down": false}'
 
+# Answers stop coming back while requests still arrive: the outcome is unknown,
+# nothing is claimed, and the command that is printed settles it.
+link() {
+    curl -sf -X POST "http://$proxy_http/fault" -d \
+        "{\"link\": \"*\", \"direction\": \"$1\", \"set\": $2}" >/dev/null
+}
+base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"revision":[0-9]*' | cut -d: -f2)
+before=$(applied a)
+template a 203.0.113.1:80 77 >"$work/parted.json"
+link back '{"delay_ms": 300}'
+"$daisytrail" --timeout 3 --store "$proxied" apply "$work/parted.json" \
+    --base "$base" --change-id parted >"$work/parted" 2>&1 &
+victim=$!
+# Reads take at least four answers of 300 ms; the swap's own comes after.
+for _ in $(seq 200); do
+    [[ $(applied a) == "$before" ]] || break
+    sleep 0.01
+done
+link back '{"cut": true}'
+wait "$victim"; status=$?
+expect "answers cut off after the write: unknown" 0 "9" echo "$status"
+expect "the settling command is printed" 0 "--change-id parted" cat "$work/parted"
+link back '{"cut": false, "delay_ms": 0}'
+expect "settled" 0 "accepted before" "$daisytrail" --store "$proxied" \
+    apply "$work/parted.json" --base "$base" --change-id parted
+expect "applied once" 0 "$((before + 1))" applied a
+
 expect "history" 0 "amutenya" "$daisytrail" history a --before 1
 expect "rollback is a new change" 0 "accepted: change" \
     "$daisytrail" rollback a --to 1 --who daughter
