Agents take flows only once they hold their template; 10 s of control burst

Cause: an agent without its template announced itself as joining, so SYNs went to an agent that knew no VIP; the template came 24 s late, since the byte budget allowed a burst of 2 s and 21 starting targets used it up. Change: the agent publishes draining until it holds a template; the budget keeps its rate and allows the unused 10 s at once. Conclusion: the rate of 9 KB/s stands; only its averaging time changed.

--- a/include/daisytrail/byte_budget.hpp
+++ b/include/daisytrail/byte_budget.hpp
@@ -40,7 +40,7 @@
     }
 
 private:
-    static constexpr double burst_seconds = 2.0;
+    static constexpr double burst_seconds = 10.0;
 
     void refill(time_point now)
     {
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -182,6 +182,7 @@
     {
         data_->set_service(service);
         update_view();
+        publish(current_time());
     }
 }
 
@@ -224,7 +225,9 @@
 
 void agent::publish(time_point now)
 {
-    auto const status = backend_.target(now, on_drained_ != nullptr);
+    // Without a template the agent doesn't know its VIPs, so it takes no flows.
+    bool const takes_no_work = on_drained_ != nullptr || !service_;
+    auto const status = backend_.target(now, takes_no_work);
     if (status == published_)
     {
         return;
