Score four members at a time; tree for services of more than 32 members

Cause: one pick took 388 ns among 7 targets and 46,663 ns among 2,000, since each member was scored alone in double precision with a branch. Change: single precision in vectors of four, integer hash of two multiplies, a polynomial for the logarithm without constant term (error below 6e-5 of the result), the index in the low bits of the score, and a bitonic merge of the lanes. Above 32 to 64 members, by a limit of each flow's own, two levels of 16 groups by the target's hash come before the members. Where all candidates of a flow drain, the best member that takes new work replaces the last. The fixed digest is the same from GCC at -O0, -O1 with sanitizers, -O2 native and -O3, and from Clang at -O0 and -O2. The tree costs more moved flows, each of them one pointer.

--- a/include/daisytrail/forwarding.hpp
+++ b/include/daisytrail/forwarding.hpp
@@ -1,6 +1,6 @@
 // Choice of targets for a packet: weighted rendezvous hashing over the records
-// of a service. No state is kept between packets, so that any two balancers
-// with the same records make the same choice.
+// of a service, by a tree in large ones. No state is kept between packets, so
+// that any two balancers with the same records make the same choice.
 #pragma once
 
 #include <daisytrail/record.hpp>
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <memory>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 namespace daisytrail
@@ -50,7 +49,29 @@
     std::uint32_t weight_ = 0; // at least 1, or the member is left out
 };
 
-// The members of one service, laid out for fast choice. Immutable once built.
+namespace detail
+{
+
+// Four items of a choice, side by side for vector instructions; src/core
+// computes their scores.
+struct alignas(16) score_block
+{
+    std::array<std::uint32_t, 4> seeds_{};
+    std::array<float, 4> scales_{}; // 1 / weight
+};
+
+class target_tree;
+
+} // namespace detail
+
+// Services of up to this many members are always scored member by member, and
+// ones of more than most_flat_members always by the tree. Between the two each
+// flow has its own limit, so that no single join re-places all flows.
+inline constexpr std::size_t least_flat_members = 32;
+inline constexpr std::size_t most_flat_members = 64;
+
+// The members of one service, laid out for fast choice. Immutable once built;
+// copies share their contents.
 class service_table
 {
 public:
@@ -58,9 +79,9 @@
     explicit service_table(std::span<target_record const> records);
     static service_table from_members(std::span<table_member const> members);
 
-    // Ranked candidates for a flow hash. Members that take new work come in
-    // rendezvous order; draining ones keep their rank, so that the first
-    // candidate that takes new work is the owner of a new flow.
+    // Ranked candidates for a flow hash. Draining members keep their rank, so
+    // the owner of a new flow is the first candidate that takes new work. If
+    // any member takes new work, then some candidate does.
     trail pick(std::uint64_t flow) const;
 
     std::size_t size() const
@@ -68,6 +89,7 @@
         return members_.size();
     }
 
+    // Sorted by target.
     std::span<candidate const> members() const
     {
         return members_;
@@ -75,18 +97,20 @@
 
 private:
     void build(std::span<table_member const> members);
+    bool is_flat(std::uint64_t flow) const;
+    void ensure_taker(std::uint64_t flow, trail& candidates) const;
 
-    // Parallel arrays; members_[i] has seed seeds_[i] and scale scales_[i].
+    // Sorted by target.
     std::vector<candidate> members_;
-    std::vector<std::uint64_t> seeds_;
-    std::vector<double> scales_; // 1 / weight
+    // Scores of members_, by index; empty above most_flat_members.
+    std::vector<detail::score_block> blocks_;
+    // Null up to least_flat_members.
+    std::shared_ptr<detail::target_tree const> tree_;
+    // The members that take new work; null if no trail can be without one.
+    std::shared_ptr<service_table const> takers_;
 };
 
 // What the choice needs of a record.
 table_member to_member(target_record const& record);
 
-// Score of one member for one flow; the lowest score wins. The result has the
-// same bits on every build, since only IEEE add, multiply and divide are used.
-double rendezvous_score(std::uint64_t flow, std::uint64_t seed, double scale);
-
 } // namespace daisytrail
--- a/src/core/forwarding.cpp
+++ b/src/core/forwarding.cpp
@@ -1,10 +1,11 @@
 // Weighted rendezvous hashing over the members of one service.
+#include "core/rendezvous.hpp"
+#include "core/target_tree.hpp"
+
 #include <daisytrail/forwarding.hpp>
 
 #include <algorithm>
-#include <bit>
 #include <iterator>
-#include <limits>
 
 namespace daisytrail
 {
@@ -23,46 +24,26 @@
     return value;
 }
 
-// -ln(u) for u in (0, 1), with an error that is small relative to the result
-// also where u is close to 1.
-double negative_log(double u)
+bool is_kept(table_member const& member)
 {
-    constexpr double ln_2 = 0.693147180559945309417;
-    constexpr std::uint64_t mantissa_mask = 0x000FFFFFFFFFFFFFULL;
-    constexpr std::uint64_t one_bits = 0x3FF0000000000000ULL;
-    auto const bits = std::bit_cast<std::uint64_t>(u);
-    auto exponent = static_cast<int>(bits >> 52U) - 1023;
-    auto mantissa = std::bit_cast<double>((bits & mantissa_mask) | one_bits);
-    if (mantissa > 1.41421356237309504880)
-    {
-        mantissa *= 0.5;
-        ++exponent;
-    }
-    // ln(m) = 2 atanh(s), s = (m - 1) / (m + 1), |s| < 0.1716.
-    double const s = (mantissa - 1.0) / (mantissa + 1.0);
-    double const z = s * s;
-    double series = 1.0 / 15.0;
-    series = series * z + 1.0 / 13.0;
-    series = series * z + 1.0 / 11.0;
-    series = series * z + 1.0 / 9.0;
-    series = series * z + 1.0 / 7.0;
-    series = series * z + 1.0 / 5.0;
-    series = series * z + 1.0 / 3.0;
-    series = series * z + 1.0;
-    return -(exponent * ln_2 + 2.0 * s * series);
+    return may_own_flows(member.candidate_.state_) && member.weight_ > 0;
 }
 
-} // namespace
+// Target ids are hashes of names, so their upper bits spread over the leaves.
+detail::tree_item to_item(table_member const& member)
+{
+    auto const target = member.candidate_.target_;
+    return {static_cast<std::uint8_t>(target >> 56U),
+            static_cast<std::uint32_t>(mix(target)), member.weight_};
+}
 
-double rendezvous_score(std::uint64_t flow, std::uint64_t seed, double scale)
+bool takes_work(candidate const& value)
 {
-    constexpr double two_to_minus_53 = 1.0 / 9007199254740992.0;
-    auto const hash = mix(flow ^ seed);
-    double const u =
-        (static_cast<double>(hash >> 12U) + 0.5) * (2.0 * two_to_minus_53);
-    return negative_log(u) * scale;
+    return takes_new_work(value.state_);
 }
 
+} // namespace
+
 table_member to_member(target_record const& record)
 {
     return {{record.target_, record.version_.incarnation_, record.tunnel_,
@@ -88,52 +69,95 @@
 void service_table::build(std::span<table_member const> members)
 {
     std::vector<table_member> kept;
-    std::ranges::copy_if(members, std::back_inserter(kept),
-                         [](table_member const& member) {
-                             return may_own_flows(member.candidate_.state_) &&
-                                    member.weight_ > 0;
-                         });
+    kept.reserve(members.size());
+    std::ranges::copy_if(members, std::back_inserter(kept), is_kept);
     std::ranges::sort(kept, {},
                       [](table_member const& member)
                       { return member.candidate_.target_; });
-    for (auto const& member : kept)
+    std::vector<detail::tree_item> items;
+    items.reserve(kept.size());
+    std::ranges::transform(kept, std::back_inserter(items), to_item);
+    members_.reserve(kept.size());
+    std::ranges::transform(kept, std::back_inserter(members_),
+                           &table_member::candidate_);
+    if (kept.size() <= most_flat_members)
     {
-        members_.push_back(member.candidate_);
-        seeds_.push_back(mix(member.candidate_.target_));
-        scales_.push_back(1.0 / member.weight_);
+        blocks_.reserve((kept.size() + detail::lane_count - 1) /
+                        detail::lane_count);
+        detail::block_writer writer(blocks_);
+        for (auto const& item : items)
+        {
+            writer.add(item.seed_, 1.0F / static_cast<float>(item.weight_));
+        }
+    }
+    if (kept.size() > least_flat_members)
+    {
+        tree_ = std::make_shared<detail::target_tree const>(items);
     }
+    std::vector<table_member> takers;
+    std::ranges::copy_if(kept, std::back_inserter(takers), takes_work,
+                         &table_member::candidate_);
+    // The tree's trails may be shorter than trail_length.
+    std::size_t const least_without_taker = tree_ ? 1 : trail_length;
+    if (!takers.empty() && kept.size() - takers.size() >= least_without_taker)
+    {
+        takers_ = std::make_shared<service_table const>(from_members(takers));
+    }
+}
+
+bool service_table::is_flat(std::uint64_t flow) const
+{
+    // The highest bits of the flow hash, of which the scores see little else.
+    constexpr unsigned limit_shift = 59;
+    static_assert(most_flat_members - least_flat_members ==
+                  1U << (64 - limit_shift));
+    return members_.size() <=
+           least_flat_members + static_cast<std::size_t>(flow >> limit_shift);
 }
 
 trail service_table::pick(std::uint64_t flow) const
 {
-    struct ranked
+    static_assert(trail_length == 4);
+    std::array<std::size_t, trail_length> chosen{};
+    std::size_t size = std::min(trail_length, members_.size());
+    if (is_flat(flow))
     {
-        double score_ = std::numeric_limits<double>::infinity();
-        std::size_t index_ = 0;
-    };
-    std::array<ranked, trail_length> best;
-    for (std::size_t i = 0; i < members_.size(); ++i)
+        auto const ranked = detail::rank_items<trail_length>(flow, blocks_);
+        chosen = {ranked.index(0), ranked.index(1), ranked.index(2),
+                  ranked.index(3)};
+    }
+    else
     {
-        double const score = rendezvous_score(flow, seeds_[i], scales_[i]);
-        if (score >= best.back().score_)
-        {
-            continue;
-        }
-        std::size_t rank = trail_length - 1;
-        for (; rank > 0 && score < best[rank - 1].score_; --rank)
-        {
-            best[rank] = best[rank - 1];
-        }
-        best[rank] = {score, i};
+        auto const choice = tree_->choose(flow);
+        chosen = choice.items_;
+        size = choice.size_;
     }
-    trail result;
-    result.size_ =
-        static_cast<std::uint8_t>(std::min(trail_length, members_.size()));
-    for (std::size_t rank = 0; rank < result.size_; ++rank)
+    auto const at = [&](std::size_t rank)
     {
-        result.candidates_[rank] = members_[best[rank].index_];
+        return rank < size ? members_[chosen[rank]] : candidate{};
+    };
+    // Filled in one step, since zeroing first costs as much as the choice.
+    trail result{{at(0), at(1), at(2), at(3)}, static_cast<std::uint8_t>(size)};
+    if (takers_)
+    {
+        ensure_taker(flow, result);
     }
     return result;
 }
 
+// Where all candidates are draining, the last gives way to the best member
+// that takes new work.
+void service_table::ensure_taker(std::uint64_t flow, trail& candidates) const
+{
+    if (std::ranges::any_of(candidates.view(), takes_work))
+    {
+        return;
+    }
+    auto const best = takers_->pick(flow).candidates_[0];
+    std::size_t const last =
+        std::min<std::size_t>(candidates.size_, trail_length - 1);
+    candidates.candidates_[last] = best;
+    candidates.size_ = static_cast<std::uint8_t>(last + 1);
+}
+
 } // namespace daisytrail
--- /dev/null
+++ b/src/core/target_tree.cpp
@@ -0,0 +1,159 @@
+// Building and searching of the tree.
+#include "core/target_tree.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace daisytrail::detail
+{
+
+namespace
+{
+
+// Seed of a node; its odd factor spreads the numbers over 32 bits.
+std::uint32_t node_seed(std::size_t level, std::size_t number)
+{
+    constexpr std::uint32_t factor = 0x9E3779B1U;
+    return static_cast<std::uint32_t>((level << 16U) + number + 1) * factor;
+}
+
+// A node whose children have these weights; 0 means that a child is absent.
+std::array<score_block, fan_out / lane_count>
+make_node(std::size_t level, std::size_t first,
+          std::span<std::uint64_t const> weights)
+{
+    std::array<score_block, fan_out / lane_count> blocks{};
+    for (std::size_t i = 0; i < weights.size(); ++i)
+    {
+        auto& block = blocks[i / lane_count];
+        block.seeds_[i % lane_count] = node_seed(level, first + i);
+        block.scales_[i % lane_count] =
+            weights[i] == 0 ? absent_scale
+                            : 1.0F / static_cast<float>(weights[i]);
+    }
+    return blocks;
+}
+
+// Lists longer than one ranking are ranked piece by piece.
+constexpr std::size_t piece_blocks = max_ranked_items / lane_count;
+
+struct leaf_choice
+{
+    std::array<std::size_t, 2> items_{};
+    std::array<float, 2> keys_{};
+};
+
+// The two best items of a long list; items_ are indexes in the list.
+leaf_choice rank_leaf(std::uint64_t flow, std::span<score_block const> blocks)
+{
+    leaf_choice best;
+    best.keys_.fill(std::numeric_limits<float>::max());
+    for (std::size_t at = 0; at < blocks.size(); at += piece_blocks)
+    {
+        auto const size = std::min(piece_blocks, blocks.size() - at);
+        auto const piece = rank_items<2>(flow, blocks.subspan(at, size));
+        for (std::size_t rank = 0; rank < 2; ++rank)
+        {
+            std::size_t const item = at * lane_count + piece.index(rank);
+            float const key = piece.keys_[rank];
+            if (key < best.keys_[0])
+            {
+                best = {{item, best.items_[0]}, {key, best.keys_[0]}};
+            }
+            else if (key < best.keys_[1])
+            {
+                best.items_[1] = item;
+                best.keys_[1] = key;
+            }
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+target_tree::target_tree(std::span<tree_item const> items)
+{
+    std::array<std::uint64_t, leaf_count> leaf_weights{};
+    std::array<std::uint64_t, fan_out> group_weights{};
+    std::size_t at = 0;
+    for (std::size_t leaf = 0; leaf < leaf_count; ++leaf)
+    {
+        first_block_[leaf] = static_cast<std::uint32_t>(blocks_.size());
+        first_item_[leaf] = static_cast<std::uint32_t>(at);
+        block_writer writer(blocks_);
+        for (; at < items.size() && items[at].leaf_ == leaf; ++at)
+        {
+            auto const weight = items[at].weight_;
+            writer.add(items[at].seed_, 1.0F / static_cast<float>(weight));
+            leaf_weights[leaf] += weight;
+            group_weights[leaf / fan_out] += weight;
+        }
+    }
+    first_block_.back() = static_cast<std::uint32_t>(blocks_.size());
+    first_item_.back() = static_cast<std::uint32_t>(at);
+    top_ = make_node(0, 0, group_weights);
+    for (std::size_t group = 0; group < fan_out; ++group)
+    {
+        std::size_t const first = group * fan_out;
+        groups_[group] = make_node(
+            1, first, std::span(leaf_weights).subspan(first, fan_out));
+    }
+}
+
+target_tree::choice target_tree::choose(std::uint64_t flow) const
+{
+    choice result;
+    auto const add = [&result](std::size_t item)
+    {
+        result.items_[result.size_] = item;
+        ++result.size_;
+    };
+    auto const top = rank_items<4>(flow, top_);
+    auto const group = top.index(0);
+    auto const leaves = rank_items<2>(flow, groups_[group]);
+    auto const leaf = group * fan_out + leaves.index(0);
+    auto const best = rank_leaf(flow, leaf_blocks(leaf));
+    std::size_t const first = first_item_[leaf];
+    add(first + best.items_[0]);
+    if (top.holds(1))
+    {
+        add(best_of_group(flow, top.index(1)));
+    }
+    if (first_item_[leaf + 1] - first > 1)
+    {
+        add(first + best.items_[1]);
+    }
+    if (leaves.holds(1))
+    {
+        add(best_of_leaf(flow, group * fan_out + leaves.index(1)));
+    }
+    // Sparse leaves and groups have no second one.
+    for (std::size_t rank = 2;
+         result.size_ < result.items_.size() && top.holds(rank); ++rank)
+    {
+        add(best_of_group(flow, top.index(rank)));
+    }
+    return result;
+}
+
+std::size_t target_tree::best_of_group(std::uint64_t flow,
+                                       std::size_t group) const
+{
+    auto const leaf = rank_items<1>(flow, groups_[group]).index(0);
+    return best_of_leaf(flow, group * fan_out + leaf);
+}
+
+std::span<score_block const> target_tree::leaf_blocks(std::size_t leaf) const
+{
+    return std::span(blocks_).subspan(
+        first_block_[leaf], first_block_[leaf + 1] - first_block_[leaf]);
+}
+
+std::size_t target_tree::best_of_leaf(std::uint64_t flow,
+                                      std::size_t leaf) const
+{
+    return first_item_[leaf] + rank_leaf(flow, leaf_blocks(leaf)).items_[0];
+}
+
+} // namespace daisytrail::detail
--- a/test/unit/forwarding_test.cpp
+++ b/test/unit/forwarding_test.cpp
@@ -1,26 +1,45 @@
 // Tests of the weighted rendezvous choice.
+#include "../support/choice_digest.hpp"
+
 #include <daisytrail/forwarding.hpp>
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+
 using namespace daisytrail;
 
 namespace
 {
 
-std::vector<target_record> make_records(std::uint32_t count)
+target_id first_of(service_table const& table, std::uint64_t flow)
+{
+    return table.pick(flow).candidates_[0].target_;
+}
+
+// Largest share of flows over the share that the weight entitles to.
+double imbalance(std::vector<table_member> const& members, std::uint32_t flows)
 {
-    std::vector<target_record> records;
-    for (std::uint32_t i = 0; i < count; ++i)
+    auto const table = service_table::from_members(members);
+    std::unordered_map<target_id, double> counts;
+    for (std::uint32_t i = 0; i < flows; ++i)
+    {
+        counts[first_of(table, nth_flow(i))] += 1.0;
+    }
+    double total = 0.0;
+    for (auto const& member : members)
     {
-        target_record record;
-        record.name_ = "target-" + std::to_string(i);
-        record.target_ = hash_name(record.name_);
-        record.weight_ = 1;
-        record.state_ = member_state::ready;
-        records.push_back(record);
+        total += member.weight_;
     }
-    return records;
+    double worst = 0.0;
+    for (auto const& member : members)
+    {
+        double const due = flows * member.weight_ / total;
+        worst = std::max(worst, counts[member.candidate_.target_] / due);
+    }
+    return worst;
 }
 
 } // namespace
@@ -30,12 +49,82 @@
     CHECK(service_table({}).pick(1).size_ == 0);
 }
 
+TEST_CASE("the trail of one to three targets holds each of them once")
+{
+    for (std::size_t size = 1; size <= 3; ++size)
+    {
+        auto const table = service_table::from_members(make_members(size));
+        for (std::uint32_t i = 0; i < 100; ++i)
+        {
+            auto const candidates = table.pick(nth_flow(i));
+            std::set<target_id> targets;
+            for (auto const& value : candidates.view())
+            {
+                targets.insert(value.target_);
+            }
+            CHECK(candidates.size_ == size);
+            CHECK(targets.size() == size);
+            CHECK(candidates.candidates_[size] == candidate{});
+        }
+    }
+}
+
+TEST_CASE("a trail names no target twice at any size")
+{
+    for (std::size_t const size : {5, 32, 33, 48, 64, 65, 300, 3'000})
+    {
+        auto const table = service_table::from_members(make_members(size));
+        for (std::uint32_t i = 0; i < 500; ++i)
+        {
+            auto const candidates = table.pick(nth_flow(i));
+            std::set<target_id> targets;
+            for (auto const& value : candidates.view())
+            {
+                targets.insert(value.target_);
+            }
+            CHECK(candidates.size_ == trail_length);
+            CHECK(targets.size() == candidates.size_);
+        }
+    }
+}
+
+TEST_CASE("members whose ids share their upper bits are all reached")
+{
+    std::vector<table_member> members = make_members(600);
+    for (std::size_t i = 0; i < members.size(); ++i)
+    {
+        members[i].candidate_.target_ = i + 1; // one leaf of the tree
+    }
+    auto const table = service_table::from_members(members);
+    std::set<target_id> reached;
+    for (std::uint32_t i = 0; i < 20'000; ++i)
+    {
+        reached.insert(first_of(table, nth_flow(i)));
+    }
+    CHECK(reached.size() == members.size());
+}
+
+TEST_CASE("members are sorted by target")
+{
+    auto const table = service_table::from_members(make_members(100));
+    CHECK(std::ranges::is_sorted(table.members(), {}, &candidate::target_));
+}
+
+TEST_CASE("flows follow the weights")
+{
+    CHECK(imbalance(make_members(3), 20'000) < 1.15);
+    CHECK(imbalance(make_members(7), 20'000) < 1.15);
+    CHECK(imbalance(make_members(7, {4, 1}), 20'000) < 1.15);
+    CHECK(imbalance(make_members(40, {4, 1}), 100'000) < 1.15);
+    CHECK(imbalance(make_members(200, {4, 1}), 400'000) < 1.15);
+}
+
 TEST_CASE("records in any order give the same trail")
 {
-    auto records = make_records(7);
-    service_table const forward(records);
-    std::reverse(records.begin(), records.end());
-    service_table const backward(records);
+    auto members = make_members(7, {4, 1});
+    auto const forward = service_table::from_members(members);
+    std::ranges::reverse(members);
+    auto const backward = service_table::from_members(members);
     for (std::uint64_t flow = 0; flow < 1'000; ++flow)
     {
         CHECK(forward.pick(flow).candidates_ ==
@@ -45,11 +134,11 @@
 
 TEST_CASE("a leaving target moves only its own flows")
 {
-    auto records = make_records(7);
-    service_table const before(records);
-    auto const gone = records.back().target_;
-    records.pop_back();
-    service_table const after(records);
+    auto members = make_members(7, {4, 1});
+    auto const before = service_table::from_members(members);
+    auto const gone = members.back().candidate_.target_;
+    members.pop_back();
+    auto const after = service_table::from_members(members);
     for (std::uint64_t flow = 0; flow < 10'000; ++flow)
     {
         auto const first = before.pick(flow).candidates_[0].target_;
@@ -60,7 +149,68 @@
     }
 }
 
-TEST_CASE("the score has the same bits on every build")
+TEST_CASE("choices have the same bits on every build")
+{
+    CHECK(choice_digest(500) == 0x20a90d1c066c7facULL);
+}
+
+TEST_CASE("a join by which the tree takes over leaves most flows in place")
+{
+    constexpr std::uint32_t flows = 20'000;
+    for (std::size_t size = least_flat_members; size <= most_flat_members;
+         ++size)
+    {
+        auto const before = service_table::from_members(make_members(size));
+        auto const after = service_table::from_members(make_members(size + 1));
+        std::uint32_t moved = 0;
+        for (std::uint32_t i = 0; i < flows; ++i)
+        {
+            moved +=
+                first_of(before, nth_flow(i)) != first_of(after, nth_flow(i));
+        }
+        CHECK(moved < flows / 8);
+    }
+}
+
+TEST_CASE("some candidate takes new work while any member does")
+{
+    for (std::size_t const size : {6, 50, 500})
+    {
+        auto members = make_members(size);
+        for (auto& member : members)
+        {
+            member.candidate_.state_ = member_state::draining;
+        }
+        members[3].candidate_.state_ = member_state::joining;
+        auto const table = service_table::from_members(members);
+        for (std::uint32_t i = 0; i < 500; ++i)
+        {
+            auto const candidates = table.pick(nth_flow(i));
+            CHECK(std::ranges::any_of(candidates.view(),
+                                      [](candidate const& value) {
+                                          return takes_new_work(value.state_);
+                                      }));
+        }
+    }
+}
+
+TEST_CASE("a member that begins to drain keeps its rank")
+{
+    auto members = make_members(7);
+    auto const before = service_table::from_members(members);
+    members[2].candidate_.state_ = member_state::draining;
+    auto const after = service_table::from_members(members);
+    for (std::uint32_t i = 0; i < 1'000; ++i)
+    {
+        CHECK(first_of(before, nth_flow(i)) == first_of(after, nth_flow(i)));
+    }
+}
+
+TEST_CASE("left, dead and weightless members are in no trail")
 {
-    CHECK(rendezvous_score(1, 2, 0.25) == rendezvous_score(1, 2, 0.25));
+    auto members = make_members(3);
+    members[0].candidate_.state_ = member_state::left;
+    members[1].candidate_.state_ = member_state::dead;
+    members[2].weight_ = 0;
+    CHECK(service_table::from_members(members).pick(1).size_ == 0);
 }
