--- a/src/cli/fleet_client.cpp
+++ b/src/cli/fleet_client.cpp
@@ -53,23 +53,35 @@
                                                  : json::array();
 }
 
-void read_revisions(json::object const& view, process_status& status)
+void read_revisions(json::object const& adopted, process_status& status)
 {
-    auto const* revisions = view.if_contains("revisions");
-    if (revisions == nullptr || !revisions->is_object())
+    for (auto const& entry : array_in(adopted, "in_force"))
     {
-        return;
-    }
-    for (auto const& member : revisions->get_object())
-    {
-        if (member.value().is_int64())
+        if (!entry.is_object())
         {
-            status.revisions_[std::string(member.key())] =
-                static_cast<revision>(member.value().get_int64());
+            continue;
+        }
+        auto const& organisation = entry.get_object();
+        auto const* at = organisation.if_contains("revision");
+        if (at != nullptr && at->is_int64())
+        {
+            status.revisions_[text_in(organisation, "organisation")] =
+                static_cast<revision>(at->get_int64());
         }
     }
 }
 
+std::optional<json::object> parse_object(std::string const& text)
+{
+    json::error_code code;
+    auto const value = json::parse(text, code);
+    if (code || !value.is_object())
+    {
+        return std::nullopt;
+    }
+    return value.get_object();
+}
+
 void read_targets(json::object const& view, process_status& status)
 {
     for (auto const& service : array_in(view, "services"))
@@ -122,27 +134,29 @@
     };
 }
 
-process_status read_view(page_answer const& answer)
+process_status read_status(page_answer const& adopted, page_answer const& view)
 {
     process_status status;
-    status.process_ = answer.process_;
-    if (answer.error_)
+    status.process_ = adopted.process_;
+    if (adopted.error_)
     {
-        status.detail_ = "no answer: " + answer.detail_;
+        status.detail_ = "no answer: " + adopted.detail_;
         return status;
     }
-    json::error_code code;
-    auto const value = json::parse(answer.body_, code);
-    if (code || !value.is_object())
+    auto const own = parse_object(adopted.body_);
+    if (!own)
     {
         status.detail_ = "an answer that is not a JSON object";
         return status;
     }
-    auto const& view = value.get_object();
-    status.name_ = text_in(view, "name");
-    status.failure_domain_ = text_in(view, "failure_domain");
-    read_revisions(view, status);
-    read_targets(view, status);
+    status.name_ = text_in(*own, "process");
+    read_revisions(*own, status);
+    if (auto const seen = parse_object(view.body_); seen && !view.error_)
+    {
+        status.is_balancer_ = true;
+        status.failure_domain_ = text_in(*seen, "failure_domain");
+        read_targets(*seen, status);
+    }
     return status;
 }
 
--- a/src/cli/fleet_client.hpp
+++ b/src/cli/fleet_client.hpp
@@ -47,11 +47,14 @@
     std::string name_;
     std::string failure_domain_;
     std::string detail_; // why there is no answer; empty if there is one
+    // A balancer runs every organisation; an agent runs that of its service.
+    bool is_balancer_ = false;
     std::map<std::string, revision> revisions_; // by organisation
     std::vector<seen_target> targets_;
 };
 
-// Reads the answer of GET /view.
-process_status read_view(page_answer const& answer);
+// Reads the answers of GET /adopted, which every process has, and GET /view,
+// which balancers have.
+process_status read_status(page_answer const& adopted, page_answer const& view);
 
 } // namespace daisytrail
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -265,7 +265,8 @@
         ->envname("DAISYTRAIL_STORE")
         ->delimiter(',');
     app.add_option("--process", given.processes_,
-                   "HTTP page of a balancer, ADDRESS:PORT; may be repeated")
+                   "HTTP page of a balancer or agent, ADDRESS:PORT; may be "
+                   "repeated")
         ->envname("DAISYTRAIL_PROCESSES")
         ->delimiter(',');
     app.add_option("--timeout", given.timeout_seconds_,
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -20,10 +20,13 @@
 
 std::vector<process_status> ask_all(command_context const& context)
 {
+    auto const adopted = context.ask_(context.processes_, "/adopted");
+    auto const views = context.ask_(context.processes_, "/view");
     std::vector<process_status> result;
-    for (auto const& answer : context.ask_(context.processes_, "/view"))
+    result.reserve(adopted.size());
+    for (std::size_t i = 0; i < adopted.size(); ++i)
     {
-        result.push_back(read_view(answer));
+        result.push_back(read_status(adopted[i], views[i]));
     }
     return result;
 }
@@ -147,6 +150,12 @@
         for (auto const& [organisation, at] : wanted)
         {
             auto const found = process.revisions_.find(organisation);
+            bool const is_needed =
+                process.is_balancer_ || process.revisions_.empty();
+            if (found == process.revisions_.end() && !is_needed)
+            {
+                continue;
+            }
             auto const runs =
                 found == process.revisions_.end() ? 0 : found->second;
             if (runs < at)
--- a/test/unit/change_test.cpp
+++ b/test/unit/change_test.cpp
@@ -3,6 +3,7 @@
 #include "../support/fake_store.hpp"
 #include "cli/change.hpp"
 #include "cli/commands.hpp"
+#include "cli/status.hpp"
 
 #include <doctest/doctest.h>
 
@@ -360,19 +361,18 @@
     bench b;
     b.processes_ = {parse_endpoint("127.0.0.1:1"),
                     parse_endpoint("127.0.0.1:2")};
-    int asked = 0;
+    int rounds = 0;
+    std::string const in_force = R"({"process": "x", "in_force":)"
+                                 R"( [{"organisation": "a", "revision": 1}]})";
     ask_processes const ask =
-        [&](std::vector<endpoint> const& processes, std::string const&)
+        [&](std::vector<endpoint> const& processes, std::string const& page)
     {
-        ++asked;
-        std::vector<page_answer> answers;
-        answers.push_back({processes[0], std::nullopt, "",
-                           R"({"name": "x", "revisions": {"a": 1}})"});
-        answers.push_back({processes[1], std::nullopt, "",
-                           asked < 3 ? R"({"name": "y", "revisions": {}})"
-                                     : R"({"name": "y",)"
-                                       R"( "revisions": {"a": 1}})"});
-        return answers;
+        rounds += page == "/adopted" ? 1 : 0;
+        auto const late =
+            rounds < 3 ? R"({"process": "y", "in_force": []})" : in_force;
+        return std::vector<page_answer>{
+            {processes[0], std::nullopt, "", in_force},
+            {processes[1], std::nullopt, "", late}};
     };
     change_options options;
     options.change_id_ = "one";
@@ -380,8 +380,7 @@
     auto const context = b.context(ask);
     auto const result = apply_command(context, {"a.json", first}, options);
     CHECK(result.exit_code_ == 0);
-    CHECK(asked == 3);
-    asked = -1'000'000;
+    CHECK(rounds == 3);
     options.change_id_ = "two";
     options.base_ = 1;
     auto const late = apply_command(context, {"a.json", second}, options);
@@ -390,6 +389,20 @@
     CHECK(late.json_.at("behind").as_array().size() == 2);
 }
 
+TEST_CASE("an agent is behind only in the organisation of its service")
+{
+    process_status agent;
+    agent.revisions_ = {{"a", 5}};
+    CHECK(behind({agent}, {{"a", 5}, {"b", 9}}).empty());
+    CHECK(behind({agent}, {{"a", 6}, {"b", 9}}).size() == 1);
+    agent.revisions_.clear();
+    CHECK(behind({agent}, {{"a", 5}}).size() == 1);
+    process_status balancer;
+    balancer.is_balancer_ = true;
+    balancer.revisions_ = {{"a", 5}};
+    CHECK(behind({balancer}, {{"a", 5}, {"b", 9}}).size() == 1);
+}
+
 TEST_CASE("plan tells what a change does to open flows")
 {
     bench b;
