--- a/src/cli/template_diff.cpp
+++ b/src/cli/template_diff.cpp
@@ -110,8 +110,8 @@
 constexpr std::array<effect_rule, 9> effect_rules{{
     {".vips[", edit::removed, flow_effect::broken,
      "packets to this VIP are dropped from now on: open flows to it break"},
-    {".mode", edit::changed, flow_effect::broken,
-     "open flows can't change their mode and are cut off"},
+    {".mode", edit::changed, flow_effect::drained,
+     "agents keep the old mode until they are drained and started again"},
     {".mode", edit::removed, flow_effect::broken,
      "the service ends: its open flows break"},
     {".vips[", edit::added, flow_effect::none,
--- a/test/support/scenario.sh
+++ b/test/support/scenario.sh
@@ -83,6 +83,7 @@
     local number=${1##*-} name=${1%-*}
     wait_process "$1"
     case $name in
+    store) start_store ;;
     balancer)
         start_balancer "$number"
         # The fabric learns of a balancer that it doesn't have yet.
