Requests: low classes are refused at once when better ones fill the slots

Cause: 5.8% of the refusals at the crest came later than 50 ms: low work was queued and shed once better work had filled the queue; and a slow target's usual run time was learnt anew, so that it was taken up again after seconds. Change: the expected wait counts what keeps coming of better priorities; what is usual isn't learnt while a target alone is slow; a suspect target goes on offering its queue.

--- a/include/daisytrail/scheduler.hpp
+++ b/include/daisytrail/scheduler.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -187,6 +188,7 @@
     std::optional<request_id> newest_below(std::uint32_t priority) const;
     duration work_before(std::int64_t rank, time_point now) const;
     void learn(run const& ended, completion how, time_point now);
+    double share_left(std::uint32_t priority, double capacity) const;
     void count_slots(time_point now);
 
     std::vector<class_state> classes_; // never empty
@@ -206,6 +208,7 @@
     // Requests that left the queue for a slot here and for a peer, decaying.
     double started_here_ = 0.0;
     double moved_away_ = 0.0;
+    std::map<std::uint32_t, double> inflow_; // ns of work by priority, decaying
     time_point decayed_{};
     time_point pause_until_{}; // the backend server sheds
     duration pause_{};
--- a/src/agent/requests_peers.cpp
+++ b/src/agent/requests_peers.cpp
@@ -145,7 +145,8 @@
         {
             bool const here = may_run_here(*job, now);
             if (scheduler_.is_queued(id) &&
-                (!here || job->offers_made_ < most_rounds))
+                (!here || scheduler_.is_suspect() ||
+                 job->offers_made_ < most_rounds))
             {
                 offer(job, false);
             }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -23,6 +23,7 @@
 constexpr double failure_gain = 0.1;
 constexpr double slowdown_gain = 0.2;
 constexpr double load_time_constant_s = 1.0;
+constexpr double least_share_left = 0.01;
 
 constexpr double suspect_failures = 0.3; // above the peers' share
 constexpr double suspect_slowdown = 3.0; // times the peers' slowdown
@@ -111,6 +112,10 @@
     count_slots(now);
     auto const run_time = estimate(request.class_);
     auto const& config = at(request.class_).config_;
+    if (!request.reservation_)
+    {
+        inflow_[config.priority_] += static_cast<double>(run_time.count());
+    }
     auto const wait = expected_wait(request.class_, now);
     admission result;
     result.retry_after_ = std::max<duration>(wait, shortest_retry_after);
@@ -281,7 +286,13 @@
     slowdown_ = smooth(slowdown_, std::min(took / state.usual_ns_, 100.0),
                        slowdown_gain);
     state.estimate_ns_ = smooth(state.estimate_ns_, took, estimate_gain);
-    state.usual_ns_ = smooth(state.usual_ns_, took, usual_gain);
+    // What is usual isn't learnt while this target alone is slow.
+    bool const slow_alone =
+        has_peers_ && slowdown_ > 2 * std::max(peers_.slowdown_, 1.0);
+    if (!slow_alone)
+    {
+        state.usual_ns_ = smooth(state.usual_ns_, took, usual_gain);
+    }
 }
 
 bool scheduler::is_long(run const& running, time_point now) const
@@ -371,7 +382,22 @@
     // Peers that take requests away shorten the queue as slots here do.
     auto const help = 1.0 + moved_away_ / std::max(started_here_, 1.0);
     auto const held = std::max(duration{}, pause_until_ - now);
-    return nanoseconds(work / (std::max(limits_.slots_, 1U) * help)) + held;
+    auto const capacity = std::max(limits_.slots_, 1U) * help;
+    auto const left = share_left(state.config_.priority_, capacity);
+    return nanoseconds(work / (capacity * left)) + held;
+}
+
+// Share of the slots that requests of better priorities leave, if they keep
+// coming as they did.
+double scheduler::share_left(std::uint32_t priority, double capacity) const
+{
+    double taken = 0.0;
+    for (auto const& [better, work] : inflow_)
+    {
+        taken += better < priority ? work : 0.0;
+    }
+    auto const per_second = taken / 1e9 / load_time_constant_s;
+    return std::max(1.0 - per_second / capacity, least_share_left);
 }
 
 std::optional<time_point> scheduler::next_event(time_point now) const
@@ -414,6 +440,10 @@
     auto const factor = decay(decayed_);
     started_here_ *= factor;
     moved_away_ *= factor;
+    for (auto& [priority, work] : inflow_)
+    {
+        work *= factor;
+    }
     decayed_ = now;
     std::erase_if(cooling_, [now](time_point end) { return end <= now; });
 }
