Requests: utilisation evened out by the core, guards against false suspicion

Change: one run counts as at most four times the usual; a suspect's expected wait counts its probes; targets used more than their peers offer in proportion (gain 10, no margin), and peers are chosen by utilisation at 0.1 s a unit.

--- a/src/agent/requests_peers.cpp
+++ b/src/agent/requests_peers.cpp
@@ -144,9 +144,8 @@
         if (!job->waits_for_peers_)
         {
             bool const here = may_run_here(*job, now);
-            if (scheduler_.is_queued(id) &&
-                (!here || scheduler_.is_suspect() ||
-                 job->offers_made_ < most_rounds))
+            if (scheduler_.is_queued(id) && (!here || scheduler_.is_suspect() ||
+                                             job->offers_made_ < most_rounds))
             {
                 offer(job, false);
             }
--- a/src/core/peer_choice.cpp
+++ b/src/core/peer_choice.cpp
@@ -21,9 +21,9 @@
 constexpr double average_gain = 0.1;
 // Cost of one request sent since the last report, as a share of a slot.
 constexpr double sent_cost_s = 0.02;
-constexpr double utilisation_cost_s = 0.02;
-constexpr double utilisation_margin = 0.02;
-constexpr double utilisation_gain = 2.0;
+constexpr double utilisation_cost_s = 0.1;
+
+constexpr double utilisation_gain = 10.0;
 
 double seconds(duration value)
 {
@@ -191,8 +191,7 @@
     {
         return false;
     }
-    auto const excess =
-        own_utilisation - average_.utilisation_ - utilisation_margin;
+    auto const excess = own_utilisation - average_.utilisation_;
     return unit(mix(random)) < excess * utilisation_gain;
 }
 
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -22,6 +22,8 @@
 constexpr double usual_gain = 0.005;
 constexpr double failure_gain = 0.1;
 constexpr double slowdown_gain = 0.2;
+// A single straggler must not make its target suspect.
+constexpr double largest_slowdown = 4.0;
 constexpr double load_time_constant_s = 1.0;
 constexpr double least_share_left = 0.01;
 
@@ -283,8 +285,9 @@
         return;
     }
     pause_ = duration{};
-    slowdown_ = smooth(slowdown_, std::min(took / state.usual_ns_, 100.0),
-                       slowdown_gain);
+    slowdown_ =
+        smooth(slowdown_, std::min(took / state.usual_ns_, largest_slowdown),
+               slowdown_gain);
     state.estimate_ns_ = smooth(state.estimate_ns_, took, estimate_gain);
     // What is usual isn't learnt while this target alone is slow.
     bool const slow_alone =
@@ -381,7 +384,11 @@
         static_cast<double>(work_before(rank.count(), now).count());
     // Peers that take requests away shorten the queue as slots here do.
     auto const help = 1.0 + moved_away_ / std::max(started_here_, 1.0);
-    auto const held = std::max(duration{}, pause_until_ - now);
+    auto held = std::max(duration{}, pause_until_ - now);
+    if (is_suspect())
+    {
+        held += probe_interval * static_cast<std::int64_t>(queue_.size() + 1);
+    }
     auto const capacity = std::max(limits_.slots_, 1U) * help;
     auto const left = share_left(state.config_.priority_, capacity);
     return nanoseconds(work / (capacity * left)) + held;
--- a/test/measure/requests.cpp
+++ b/test/measure/requests.cpp
@@ -403,7 +403,7 @@
 
 int main(int argc, char** argv)
 {
-    std::uint64_t seeds = 5;
+    std::uint64_t seeds = 9;
     CLI::App app("Policy of requests on virtual time, beside baselines");
     app.add_option("--seeds", seeds, "runs with seeds 1 to N; medians");
     CLI11_PARSE(app, argc, argv);
--- a/test/support/request_model.hpp
+++ b/test/support/request_model.hpp
@@ -6,11 +6,11 @@
 #include <daisytrail/peer_choice.hpp>
 #include <daisytrail/scheduler.hpp>
 
-#include <cstddef>
 #include <array>
+#include <cstddef>
 #include <functional>
-#include <memory>
 #include <map>
+#include <memory>
 #include <queue>
 #include <random>
 #include <set>
--- a/test/unit/scheduler_test.cpp
+++ b/test/unit/scheduler_test.cpp
@@ -208,3 +208,45 @@
     CHECK_FALSE(queue.remove(1, at(1), false));
     CHECK_FALSE(queue.next(at(1)));
 }
+
+TEST_CASE("a single straggler makes no target suspect, a slow target is")
+{
+    scheduler queue(make_classes(), {4, 64});
+    queue.set_peer_average({});
+    auto const run = [&queue](request_id id, std::int64_t from, std::int64_t ms)
+    {
+        queue.offer(make(id, short_class, at(from)), at(from));
+        REQUIRE(queue.next(at(from)) == id);
+        queue.finish(id, completion::answered, at(from + ms));
+    };
+    run(1, 0, 300);
+    CHECK_FALSE(queue.is_suspect());
+    for (request_id id = 2; id <= 8; ++id)
+    {
+        run(id, static_cast<std::int64_t>(id) * 1'000, 100);
+    }
+    CHECK(queue.is_suspect());
+}
+
+TEST_CASE("low work is refused at once while better work fills the slots")
+{
+    scheduler queue(make_classes(), {1, 64});
+    request_id id = 1;
+    for (; id <= 600; ++id)
+    {
+        auto const now = at(static_cast<std::int64_t>(id) * 10);
+        queue.offer(make(id, short_class, now), now);
+        while (auto const next = queue.next(now))
+        {
+            queue.finish(*next, completion::answered, now + milliseconds(10));
+        }
+    }
+    queue.offer(make(id, short_class, at(6'011)), at(6'011));
+    queue.next(at(6'011));
+    auto const low =
+        queue.offer(make(id + 1, low_class, at(6'011), 500), at(6'011));
+    CHECK(low.refused_ == request_outcome::deadline_unreachable);
+    auto const better =
+        queue.offer(make(id + 2, short_class, at(6'011), 500), at(6'011));
+    CHECK_FALSE(better.refused_);
+}
