The difference names the standing field; store failures name the endpoint

Cause: a change of only the standing field showed as no difference, and 'Connection refused' didn't say by whom. Change: the field is compared, a test covers every field of a class, and the failure names the store's address. Conclusion: a field added to a class now needs its line in that test.

--- a/src/cli/template_diff.cpp
+++ b/src/cli/template_diff.cpp
@@ -44,6 +44,7 @@
     out[base + ".path_prefix"] = value.path_prefix_;
     out[base + ".repeatable"] = yes_or_no(value.repeatable_);
     out[base + ".long_running"] = yes_or_no(value.long_running_);
+    out[base + ".standing"] = yes_or_no(value.standing_);
     out[base + ".priority"] = std::to_string(value.priority_);
     out[base + ".deadline"] = to_text(value.deadline_);
     out[base + ".expected"] = to_text(value.expected_);
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -44,17 +44,17 @@
     }
 }
 
-store_answer to_answer(http_outcome const& outcome, bool writes,
-                       store_answer (*read)(json::value const&))
+store_answer to_answer(endpoint const& peer, http_outcome const& outcome,
+                       bool writes, store_answer (*read)(json::value const&))
 {
     auto const after_sending =
         writes ? error_kind::outcome_unknown : error_kind::unavailable;
     if (outcome.error_)
     {
-        return failed(*outcome.error_ == error_kind::outcome_unknown
-                          ? after_sending
-                          : *outcome.error_,
-                      outcome.detail_);
+        return failed(
+            *outcome.error_ == error_kind::outcome_unknown ? after_sending
+                                                           : *outcome.error_,
+            "configuration store " + to_string(peer) + ": " + outcome.detail_);
     }
     auto const status = outcome.response_.result_int();
     if (status != status_ok)
@@ -166,14 +166,15 @@
     ++calls_;
     async_http_call(io_, endpoints_[current_], make_request(path, body),
                     call_timeout,
-                    [this, alive = std::weak_ptr(alive_), writes, read,
+                    [this, peer = endpoints_[current_],
+                     alive = std::weak_ptr(alive_), writes, read,
                      handler = std::move(handler)](http_outcome const& outcome)
                     {
                         if (outcome.error_ && !alive.expired())
                         {
                             current_ = (current_ + 1) % endpoints_.size();
                         }
-                        handler(to_answer(outcome, writes, read));
+                        handler(to_answer(peer, outcome, writes, read));
                     });
 }
 
--- /dev/null
+++ b/test/unit/template_diff_test.cpp
@@ -0,0 +1,51 @@
+// Tests of the difference between two templates.
+#include "cli/template_diff.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+
+namespace
+{
+
+organisation_template one_class(request_class const& value)
+{
+    service_template service;
+    service.name_ = "s";
+    service.classes_ = {value};
+    return {"o", {service}};
+}
+
+// The only path that differs, or "" if none or several do.
+std::string changed_path(request_class const& after)
+{
+    auto const differences =
+        diff_templates(one_class({.name_ = "c"}), one_class(after));
+    return differences.size() == 1 ? differences[0].path_ : "";
+}
+
+} // namespace
+
+TEST_CASE("equal templates have no difference")
+{
+    CHECK(diff_templates(one_class({}), one_class({})).empty());
+}
+
+TEST_CASE("each field of a request class shows in the difference")
+{
+    std::string const base = "services[s].classes[c].";
+    CHECK(changed_path({.name_ = "c", .methods_ = {"GET"}}) ==
+          base + "methods");
+    CHECK(changed_path({.name_ = "c", .path_prefix_ = "/x"}) ==
+          base + "path_prefix");
+    CHECK(changed_path({.name_ = "c", .repeatable_ = true}) ==
+          base + "repeatable");
+    CHECK(changed_path({.name_ = "c", .long_running_ = true}) ==
+          base + "long_running");
+    CHECK(changed_path({.name_ = "c", .standing_ = true}) == base + "standing");
+    CHECK(changed_path({.name_ = "c", .priority_ = 7}) == base + "priority");
+    CHECK(changed_path({.name_ = "c", .deadline_ = std::chrono::seconds(1)}) ==
+          base + "deadline");
+    CHECK(changed_path({.name_ = "c", .expected_ = std::chrono::seconds(1)}) ==
+          base + "expected");
+}
