--- a/src/core/rendezvous.hpp
+++ b/src/core/rendezvous.hpp
@@ -14,6 +14,20 @@
 #include <span>
 #include <vector>
 
+// Helpers become part of the function that is compiled for wider vectors.
+#define DAISYTRAIL_INLINE inline __attribute__((always_inline))
+
+// Compiles a function twice, the second time for AVX2, and takes the one that
+// the processor has at load time. Both do the same operations on the same four
+// lanes, so they give the same bits. Sanitizers don't get on with the choice
+// at load time, nor does Clang 14 on members.
+#if defined(__GNUC__) && !defined(__clang__) && defined(__x86_64__) &&         \
+    !defined(__SANITIZE_ADDRESS__)
+#define DAISYTRAIL_AVX2_CLONE __attribute__((target_clones("avx2", "default")))
+#else
+#define DAISYTRAIL_AVX2_CLONE
+#endif
+
 namespace daisytrail::detail
 {
 
@@ -57,7 +71,7 @@
 };
 
 // Uniform bits from a flow and a seed; only the upper ones are well mixed.
-inline u32_lanes mix_lanes(std::uint64_t flow, u32_lanes seeds)
+DAISYTRAIL_INLINE u32_lanes mix_lanes(std::uint64_t flow, u32_lanes seeds)
 {
     constexpr std::uint32_t first_factor = 0x7feb352dU;
     constexpr std::uint32_t second_factor = 0x846ca68bU;
@@ -73,7 +87,7 @@
 // 6e-5 of the result everywhere, also where u is close to 1 and the result to
 // 0: u = 2^-k * (1 - t / 2) with t exact, and the polynomial in t has no
 // constant term.
-inline f32_lanes exponential_lanes(u32_lanes random)
+DAISYTRAIL_INLINE f32_lanes exponential_lanes(u32_lanes random)
 {
     constexpr float two_to_minus_24 = 1.0F / 16'777'216.0F;
     constexpr float ln_2 = 0.693147181F;
@@ -97,8 +111,9 @@
 
 // Keys of a block's items: the score with the index in its low bits. They are
 // positive finite floats, so they compare as their bits do.
-inline f32_lanes key_lanes(std::uint64_t flow, score_block const& block,
-                           std::uint32_t first_index)
+DAISYTRAIL_INLINE f32_lanes key_lanes(std::uint64_t flow,
+                                      score_block const& block,
+                                      std::uint32_t first_index)
 {
     constexpr u32_lanes lane_numbers{0, 1, 2, 3};
     auto const score = exponential_lanes(mix_lanes(
@@ -129,12 +144,12 @@
     }
 };
 
-inline f32_lanes lower(f32_lanes left, f32_lanes right)
+DAISYTRAIL_INLINE f32_lanes lower(f32_lanes left, f32_lanes right)
 {
     return left < right ? left : right;
 }
 
-inline void order(f32_lanes& left, f32_lanes& right)
+DAISYTRAIL_INLINE void order(f32_lanes& left, f32_lanes& right)
 {
     f32_lanes const higher = left > right ? left : right;
     left = lower(left, right);
@@ -144,7 +159,7 @@
 // Each lane holds a sorted list, lists[0] its lowest keys. Gives each lane the
 // lowest keys of itself and of its partner, sorted: a bitonic merge.
 template <int... Partner, std::size_t Count>
-void merge_lanes(std::array<f32_lanes, Count>& lists)
+DAISYTRAIL_INLINE void merge_lanes(std::array<f32_lanes, Count>& lists)
 {
     static_assert(std::has_single_bit(Count));
     auto const own = lists;
@@ -168,8 +183,8 @@
 
 // Ranks at most max_ranked_items items by score.
 template <std::size_t Count>
-ranking<Count> rank_items(std::uint64_t flow,
-                          std::span<score_block const> blocks)
+DAISYTRAIL_INLINE ranking<Count> rank_items(std::uint64_t flow,
+                                            std::span<score_block const> blocks)
 {
     constexpr float highest = std::numeric_limits<float>::max();
     // best[r] holds each lane's key of rank r.
--- a/src/core/target_tree.cpp
+++ b/src/core/target_tree.cpp
@@ -44,7 +44,8 @@
 };
 
 // The two best items of a long list; items_ are indexes in the list.
-leaf_choice rank_leaf(std::uint64_t flow, std::span<score_block const> blocks)
+DAISYTRAIL_INLINE leaf_choice rank_leaf(std::uint64_t flow,
+                                        std::span<score_block const> blocks)
 {
     leaf_choice best;
     best.keys_.fill(std::numeric_limits<float>::max());
@@ -101,6 +102,30 @@
     }
 }
 
+std::span<score_block const> target_tree::leaf_blocks(std::size_t leaf) const
+{
+    return std::span(blocks_).subspan(
+        first_block_[leaf], first_block_[leaf + 1] - first_block_[leaf]);
+}
+
+DAISYTRAIL_INLINE std::size_t target_tree::best_of_leaf(std::uint64_t flow,
+                                                        std::size_t leaf) const
+{
+    if (first_item_[leaf + 1] - first_item_[leaf] == 1)
+    {
+        return first_item_[leaf];
+    }
+    return first_item_[leaf] + rank_leaf(flow, leaf_blocks(leaf)).items_[0];
+}
+
+DAISYTRAIL_INLINE std::size_t
+target_tree::best_of_group(std::uint64_t flow, std::size_t group) const
+{
+    auto const leaf = rank_items<1>(flow, groups_[group]).index(0);
+    return best_of_leaf(flow, group * fan_out + leaf);
+}
+
+DAISYTRAIL_AVX2_CLONE
 target_tree::choice target_tree::choose(std::uint64_t flow) const
 {
     choice result;
@@ -137,23 +162,4 @@
     return result;
 }
 
-std::size_t target_tree::best_of_group(std::uint64_t flow,
-                                       std::size_t group) const
-{
-    auto const leaf = rank_items<1>(flow, groups_[group]).index(0);
-    return best_of_leaf(flow, group * fan_out + leaf);
-}
-
-std::span<score_block const> target_tree::leaf_blocks(std::size_t leaf) const
-{
-    return std::span(blocks_).subspan(
-        first_block_[leaf], first_block_[leaf + 1] - first_block_[leaf]);
-}
-
-std::size_t target_tree::best_of_leaf(std::uint64_t flow,
-                                      std::size_t leaf) const
-{
-    return first_item_[leaf] + rank_leaf(flow, leaf_blocks(leaf)).items_[0];
-}
-
 } // namespace daisytrail::detail
