Forwarder: look up a whole batch before choosing

Cause: behind 43,000 VIPs each packet waited for its service's memory. Change: a batch is read and looked up first, which prefetches what the choice reads, then decided packet by packet. The measurement gives 99 of 100 besides the median and the worst change.

--- a/include/daisytrail/dispatch.hpp
+++ b/include/daisytrail/dispatch.hpp
@@ -38,6 +38,32 @@
     tunnel_header header_;
 };
 
+// A packet that was read and whose service was looked up.
+struct looked_up_packet
+{
+    drop_reason drop_ = drop_reason::none;
+    packet_info info_;
+    service_entry const* service_ = nullptr; // null only if drop_ is set
+};
+
+// First half of a decision. Looking up a whole batch before the second half
+// lets the processor load the services of many packets at a time; `prefetch`
+// between the two begins to load what the choice reads.
+looked_up_packet look_up_packet(fleet_view const& view,
+                                std::span<std::byte const> packet);
+
+inline void prefetch(looked_up_packet const& packet)
+{
+    if (packet.service_ != nullptr)
+    {
+        packet.service_->table_.prefetch();
+    }
+}
+
+// Second half of a decision; the view must be unchanged since the first.
+dispatch_action dispatch_packet(looked_up_packet const& packet,
+                                balancer_load const& load);
+
 // Decides for one bare IPv4 packet.
 dispatch_action dispatch_packet(fleet_view const& view,
                                 balancer_load const& load,
--- a/include/daisytrail/forwarding.hpp
+++ b/include/daisytrail/forwarding.hpp
@@ -84,6 +84,17 @@
     // any member takes new work, then some candidate does.
     trail pick(std::uint64_t flow) const;
 
+    // Begins to load what pick() reads of a small service.
+    void prefetch() const
+    {
+        constexpr std::size_t most = trail_length;
+        __builtin_prefetch(blocks_.data());
+        for (std::size_t i = 0; i < most && i < members_.size(); ++i)
+        {
+            __builtin_prefetch(&members_[i]);
+        }
+    }
+
     std::size_t size() const
     {
         return members_.size();
--- a/src/balancer/forwarder.cpp
+++ b/src/balancer/forwarder.cpp
@@ -84,29 +84,38 @@
     double const queue_fill =
         count < batch_size ? 0.0 : receive_queue_fill(socket_.native_handle());
     received_ += count;
+    look_up_batch(count);
     for (std::size_t i = 0; i < count; ++i)
     {
-        if (receiver_.truncated(i))
-        {
-            drop(drop_reason::bad_length);
-        }
-        else
-        {
-            forward(receiver_.datagram(i), queue_fill);
-        }
+        forward(i, queue_fill);
     }
     refused_ += sender_.flush();
 }
 
-void forwarder::forward(std::span<std::byte const> packet, double queue_fill)
+void forwarder::look_up_batch(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        packets_[i] = receiver_.truncated(i)
+                          ? looked_up_packet{drop_reason::bad_length, {}, {}}
+                          : look_up_packet(view_, receiver_.datagram(i));
+    }
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        prefetch(packets_[i]);
+    }
+}
+
+void forwarder::forward(std::size_t index, double queue_fill)
 {
     auto const random = static_cast<std::uint32_t>(random_()) << 1U;
-    auto const action = dispatch_packet(view_, {queue_fill, random}, packet);
+    auto const action = dispatch_packet(packets_[index], {queue_fill, random});
     if (action.drop_ != drop_reason::none)
     {
         drop(action.drop_);
         return;
     }
+    auto const packet = receiver_.datagram(index);
     std::size_t const header_bytes =
         encode_tunnel_header(action.header_, sender_.header());
     sender_.add(action.to_, header_bytes, packet);
--- a/src/balancer/forwarder.hpp
+++ b/src/balancer/forwarder.hpp
@@ -34,13 +34,15 @@
     void wait();
     void forward_waiting();
     void forward_batch(std::size_t count);
-    void forward(std::span<std::byte const> packet, double queue_fill);
+    void look_up_batch(std::size_t count);
+    void forward(std::size_t index, double queue_fill);
     void drop(drop_reason reason);
 
     fleet_view const& view_;
     boost::asio::ip::udp::socket socket_;
     udp_receiver receiver_;
     udp_sender sender_;
+    std::array<looked_up_packet, batch_size> packets_; // of the last batch
     std::minstd_rand random_; // for admission only, never for the choice
     std::uint64_t& received_;
     std::uint64_t& forwarded_;
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -27,32 +27,42 @@
     return position;
 }
 
-dispatch_action dispatch_packet(fleet_view const& view,
-                                balancer_load const& load,
+looked_up_packet look_up_packet(fleet_view const& view,
                                 std::span<std::byte const> packet)
 {
-    dispatch_action action;
     auto const reading = read_packet(packet);
-    if (reading.drop_ != drop_reason::none)
+    looked_up_packet result{reading.drop_, reading.info_, nullptr};
+    if (result.drop_ != drop_reason::none)
     {
-        action.drop_ = reading.drop_;
-        return action;
+        return result;
     }
-    auto const& info = reading.info_;
-    auto const* service = view.find(info.flow_.vip_);
-    if (service == nullptr)
+    result.service_ = view.find(result.info_.flow_.vip_);
+    if (result.service_ == nullptr)
+    {
+        result.drop_ = drop_reason::unknown_vip;
+        return result;
+    }
+    __builtin_prefetch(result.service_);
+    return result;
+}
+
+dispatch_action dispatch_packet(looked_up_packet const& packet,
+                                balancer_load const& load)
+{
+    dispatch_action action;
+    action.drop_ = packet.drop_;
+    if (action.drop_ != drop_reason::none)
     {
-        action.drop_ = drop_reason::unknown_vip;
         return action;
     }
-    bool const opens_flow = info.opens_flow();
+    bool const opens_flow = packet.info_.opens_flow();
     if (opens_flow && !admits_new_flow(load))
     {
         action.drop_ = drop_reason::overload;
         return action;
     }
     auto& header = action.header_;
-    header.trail_ = service->table_.pick(hash_flow(info.flow_));
+    header.trail_ = packet.service_->table_.pick(hash_flow(packet.info_.flow_));
     header.position_ = first_position(header.trail_, opens_flow);
     if (header.position_ == header.trail_.size_)
     {
@@ -60,11 +70,18 @@
         return action;
     }
     auto const& chosen = header.trail_.candidates_[header.position_];
-    header.service_ = service->id_;
+    header.service_ = packet.service_->id_;
     header.target_ = chosen.target_;
     header.incarnation_ = chosen.incarnation_;
     action.to_ = chosen.tunnel_;
     return action;
 }
 
+dispatch_action dispatch_packet(fleet_view const& view,
+                                balancer_load const& load,
+                                std::span<std::byte const> packet)
+{
+    return dispatch_packet(look_up_packet(view, packet), load);
+}
+
 } // namespace daisytrail
--- a/src/core/forwarding.cpp
+++ b/src/core/forwarding.cpp
@@ -44,17 +44,6 @@
     return detail::rank_items<trail_length>(flow, blocks);
 }
 
-// Begins to load the candidates of a small service, while they are scored. In
-// a large fleet they are seldom in the processor's caches.
-void prefetch(std::vector<candidate> const& members)
-{
-    constexpr std::size_t most = trail_length;
-    for (std::size_t i = 0; i < std::min(most, members.size()); ++i)
-    {
-        __builtin_prefetch(&members[i]);
-    }
-}
-
 bool takes_work(candidate const& value)
 {
     return takes_new_work(value.state_);
@@ -140,7 +129,9 @@
     std::size_t size = std::min(trail_length, members_.size());
     if (is_flat(flow))
     {
-        prefetch(members_);
+        // In a large fleet the candidates are seldom in the processor's
+        // caches; they arrive while they are scored.
+        prefetch();
         auto const ranked = rank_members(flow, blocks_);
         chosen = {ranked.index(0), ranked.index(1), ranked.index(2),
                   ranked.index(3)};
--- a/test/measure/forwarding.cpp
+++ b/test/measure/forwarding.cpp
@@ -9,6 +9,7 @@
 #include <daisytrail/view.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
@@ -167,50 +168,63 @@
     fleet.view_bytes_ = allocated_bytes() - before;
 }
 
+// As the forwarder does: look up a batch, prefetch, choose.
+std::uint64_t pick_in_batches(large_fleet const& fleet,
+                              std::vector<flow_key> const& flows)
+{
+    constexpr std::size_t batch = 64;
+    std::uint64_t sum = 0;
+    std::array<service_entry const*, batch> services{};
+    for (std::size_t first = 0; first + batch <= flows.size(); first += batch)
+    {
+        for (std::size_t i = 0; i < batch; ++i)
+        {
+            services[i] = fleet.view_.find(flows[first + i].vip_);
+            __builtin_prefetch(services[i]);
+        }
+        for (auto const* service : services)
+        {
+            service->table_.prefetch();
+        }
+        for (std::size_t i = 0; i < batch; ++i)
+        {
+            auto const flow = hash_flow(flows[first + i]);
+            sum += services[i]->table_.pick(flow).candidates_[0].target_;
+        }
+    }
+    return sum;
+}
+
+std::uint64_t pick_one_by_one(large_fleet const& fleet,
+                              std::vector<flow_key> const& flows)
+{
+    std::uint64_t sum = 0;
+    for (auto const& flow : flows)
+    {
+        auto const& table = fleet.view_.find(flow.vip_)->table_;
+        sum += table.pick(hash_flow(flow)).candidates_[0].target_;
+    }
+    return sum;
+}
+
 void measure_large_pick(measure_report& report, large_fleet const& fleet)
 {
     constexpr std::uint32_t calls = 200'000;
     constexpr double goal_ns = 100.0;
     std::mt19937_64 random(seed);
     std::vector<flow_key> flows(calls);
-    std::vector<service_entry const*> services(calls);
     for (std::uint32_t i = 0; i < calls; ++i)
     {
         flows[i] = {{0x0A000000 + i, 40'000},
                     fleet.vips_[random() % fleet.vips_.size()]};
-        services[i] = fleet.view_.find(flows[i].vip_);
     }
-    report.at_most("one pick, 95,000 targets, any service",
-                   time_call(calls,
-                             [&](std::uint32_t count)
-                             {
-                                 std::uint64_t sum = 0;
-                                 for (std::uint32_t i = 0; i < count; ++i)
-                                 {
-                                     sum +=
-                                         services[i]
-                                             ->table_.pick(hash_flow(flows[i]))
-                                             .candidates_[0]
-                                             .target_;
-                                 }
-                                 return sum;
-                             }),
+    report.at_most("VIP lookup and pick, 95,000 targets, in batches",
+                   time_call(calls, [&](std::uint32_t)
+                             { return pick_in_batches(fleet, flows); }),
                    "ns", goal_ns);
-    report.at_most("VIP lookup and pick, 95,000 targets",
-                   time_call(calls,
-                             [&](std::uint32_t count)
-                             {
-                                 std::uint64_t sum = 0;
-                                 for (std::uint32_t i = 0; i < count; ++i)
-                                 {
-                                     sum +=
-                                         fleet.view_.find(flows[i].vip_)
-                                             ->table_.pick(hash_flow(flows[i]))
-                                             .candidates_[0]
-                                             .target_;
-                                 }
-                                 return sum;
-                             }),
+    report.at_most("VIP lookup and pick, 95,000 targets, one by one",
+                   time_call(calls, [&](std::uint32_t)
+                             { return pick_one_by_one(fleet, flows); }),
                    "ns", goal_ns);
 }
 
@@ -234,6 +248,9 @@
     }
     report.at_most("join or leave, " + name + ", median", median(times), "us",
                    goal_us);
+    std::ranges::sort(times);
+    report.at_most("join or leave, " + name + ", 99 of 100",
+                   times[changes * 99 / 100], "us", goal_us);
     report.at_most("join or leave, " + name + ", worst of 1,000",
                    std::ranges::max(times), "us", goal_us);
 }
