Flow changes gather for 500 ms before they are sent

Cause: an agent spent 17 KB/s on flow messages at 43 new flows a second: each flow's start and end went out alone within 20 ms, four datagrams a flow. Change: changes wait up to 500 ms for others; full batches and markers of a view change don't wait. Price: a silent caller whose flow is younger than that when its agent dies isn't told by the reset rule of dead agents.

--- a/include/daisytrail/flow_sync.hpp
+++ b/include/daisytrail/flow_sync.hpp
@@ -85,12 +85,14 @@
 
 private:
     flow_batch next_batch();
+    bool is_batch_due(time_point now);
 
     incarnation peer_epoch_ = 0;
     std::uint64_t stream_ = 0;
     std::uint64_t last_sequence_ = 0;
     std::deque<flow_change> queue_; // not in any batch yet
     std::optional<std::uint64_t> marker_;
+    std::optional<time_point> gathering_since_; // first look at queue_
     std::deque<flow_batch> in_flight_; // consecutive sequences, oldest first
     time_point sent_at_{};             // last transmission of in_flight_
 };
--- a/src/core/flow_sync.cpp
+++ b/src/core/flow_sync.cpp
@@ -12,6 +12,10 @@
 constexpr std::size_t window_batches = 8;
 constexpr auto retransmit_after = std::chrono::milliseconds(200);
 
+// Time that changes wait for others, so that one datagram and its
+// acknowledgement carry several. Markers of a view change don't wait.
+constexpr auto gather_time = std::chrono::milliseconds(500);
+
 } // namespace
 
 void flow_outbox::restart(incarnation peer_epoch, std::uint64_t stream)
@@ -49,6 +53,24 @@
     return batch;
 }
 
+bool flow_outbox::is_batch_due(time_point now)
+{
+    if (marker_ || queue_.size() >= max_batch_changes)
+    {
+        return true;
+    }
+    if (queue_.empty())
+    {
+        gathering_since_.reset();
+        return false;
+    }
+    if (!gathering_since_)
+    {
+        gathering_since_ = now;
+    }
+    return now - *gathering_since_ >= gather_time;
+}
+
 std::vector<flow_batch> flow_outbox::due(time_point now)
 {
     std::vector<flow_batch> result;
@@ -57,7 +79,7 @@
         result.assign(in_flight_.begin(), in_flight_.end());
         sent_at_ = now;
     }
-    while ((!queue_.empty() || marker_) && in_flight_.size() < window_batches)
+    while (is_batch_due(now) && in_flight_.size() < window_batches)
     {
         if (in_flight_.empty())
         {
--- /dev/null
+++ b/test/unit/flow_sync_test.cpp
@@ -0,0 +1,56 @@
+// Tests of the streams of flow changes.
+#include <daisytrail/flow_sync.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+
+namespace
+{
+
+flow_change change(std::uint16_t port)
+{
+    return {{{0xC6120001, port}, {0xCB00710A, 80}}, false};
+}
+
+time_point at(std::chrono::milliseconds since)
+{
+    return time_point(since);
+}
+
+constexpr std::chrono::milliseconds gather_time{500};
+
+} // namespace
+
+TEST_CASE("changes wait for others until the gather time has passed")
+{
+    flow_outbox outbox;
+    outbox.push(change(1));
+    CHECK(outbox.due(at({})).empty());
+    outbox.push(change(2));
+    CHECK(outbox.due(at(gather_time - std::chrono::milliseconds(1))).empty());
+    auto const batches = outbox.due(at(gather_time));
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].changes_.size() == 2);
+}
+
+TEST_CASE("a full batch doesn't wait")
+{
+    flow_outbox outbox;
+    for (std::size_t i = 0; i < max_batch_changes; ++i)
+    {
+        outbox.push(change(static_cast<std::uint16_t>(i)));
+    }
+    CHECK(outbox.due(at({})).size() == 1);
+}
+
+TEST_CASE("a marker of a view change doesn't wait")
+{
+    flow_outbox outbox;
+    outbox.push(change(1));
+    outbox.mark_complete(7);
+    auto const batches = outbox.due(at({}));
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].complete_);
+    CHECK(batches[0].view_ == 7);
+}
