Scenarios: the store goes back, leases lapse; fuzzing of control messages

Change: `store go-back`, `store lapse-leases`; the runner names every fault that lasts in each call. The fuzz target for datagrams also decodes control messages and encodes them again.

--- a/test/fuzz/control.cpp
+++ b/test/fuzz/control.cpp
@@ -3,6 +3,7 @@
 #include "agent/flow_messages.hpp"
 #include "fuzz_input.hpp"
 #include "rpc/authenticator.hpp"
+#include "rpc/control_messages.hpp"
 
 #include <daisytrail/error.hpp>
 
@@ -16,6 +17,10 @@
     auto const opened = link.open(input.bytes(), time_point{});
     require(opened.verdict_ != open_verdict::accepted);
     is_flow_message(input.bytes());
+    if (auto const message = decode_control(input.bytes()))
+    {
+        require(decode_control(encode_control(*message)).has_value());
+    }
     try
     {
         auto const message = decode_flow_message(input.bytes());
--- a/test/support/scenario.cpp
+++ b/test/support/scenario.cpp
@@ -211,7 +211,7 @@
     void slow_store(std::chrono::milliseconds at)
     {
         push(at, {"store", "slow", "500ms"});
-        push(at + std::chrono::seconds(3), {"store", "up"});
+        push(at + std::chrono::seconds(3), {"store", "slow", "0ms"});
     }
 
     void apply_template(std::chrono::milliseconds at)
--- a/test/support/scenario.sh
+++ b/test/support/scenario.sh
@@ -96,8 +96,36 @@
     esac
 }
 
+# store_fault [MORE]: the stand-in forgets each fault that isn't named again.
+store_down=false store_slow_ms=0
 store_fault() {
-    curl -s -o /dev/null -X POST "http://127.0.0.1:$store_port/fault" -d "$1"
+    curl -s -o /dev/null -X POST "http://127.0.0.1:$store_port/fault" \
+        -d "{\"down\": $store_down, \"slow_ms\": $store_slow_ms${1:+, $1}}"
+}
+
+store_revision() {
+    curl -s -m 2 "http://127.0.0.1:$store_port/stats" |
+        grep -o '"revision":[0-9]*' | cut -d: -f2
+}
+
+to_ms() {
+    case $1 in
+    *ms) echo "${1%ms}" ;;
+    *s) echo $((${1%s} * 1000)) ;;
+    *m) echo $((${1%m} * 60000)) ;;
+    esac
+}
+
+carry_out_on_store() {
+    case $1 in
+    down) store_down=true; store_fault ;;
+    up) store_down=false; store_fault ;;
+    slow) store_slow_ms=$(to_ms "$2"); store_fault ;;
+    lose-answers) store_fault "\"lose_next_answers\": $2" ;;
+    cut-watches) store_fault '"cut_watches": true' ;;
+    lapse-leases) store_fault '"lapse_leases": true' ;;
+    go-back) store_fault "\"rollback_to\": $(($(store_revision) - $2))" ;;
+    esac
 }
 
 # apply FILE in the background, since it waits until in force.
@@ -151,14 +179,7 @@
     fabric)
         curl -s -o /dev/null -X POST -d "{\"$1\": $2}" \
             "http://127.0.0.1:$fabric_http_port/fault" ;;
-    store)
-        case $1 in
-        down) store_fault '{"down": true}' ;;
-        up) store_fault '{"down": false, "slow_ms": 0}' ;;
-        slow) store_fault "{\"slow_ms\": ${2%ms}}" ;;
-        lose-answers) store_fault "{\"lose_next_answers\": $2}" ;;
-        cut-watches) store_fault '{"cut_watches": true}' ;;
-        esac ;;
+    store) carry_out_on_store "$@" ;;
     apply) apply_change "$1" "${#applies[@]}" ;;
     *) echo "scenario: unknown action '$verb'" >&2; return 1 ;;
     esac
--- a/test/support/scenario_grammar.cpp
+++ b/test/support/scenario_grammar.cpp
@@ -142,10 +142,12 @@
     "a fault of the fabric: loss, duplicate or reorder",
     keyword("loss") | keyword("duplicate") | keyword("reorder"));
 auto const a_store_fault = rule<store_rule>(
-    "a fault of the store: down for, slow, lose-answers or cut-watches",
+    "a fault of the store: down for, slow, lose-answers, cut-watches, "
+    "lapse-leases or go-back",
     (keyword("down") > keyword("for") > a_duration) |
         (keyword("slow") > a_duration) | (keyword("lose-answers") > a_count) |
-        keyword("cut-watches"));
+        (keyword("go-back") > a_count) | keyword("cut-watches") |
+        keyword("lapse-leases"));
 auto const a_file = rule<file_rule>("a file", file);
 auto const a_bound =
     rule<bound_rule>("=, <= or >=", x3::raw[x3::lit("<=") | ">=" | "="][keep]);
@@ -312,10 +314,10 @@
 parsed_scenario parse_scenario(std::string_view text)
 {
     parsed_scenario result;
-    std::size_t number = 0;
+    std::size_t line_number = 0;
     while (!text.empty())
     {
-        ++number;
+        ++line_number;
         auto const end = std::min(text.find('\n'), text.size());
         auto const line = text.substr(0, end);
         text.remove_prefix(std::min(end + 1, text.size()));
@@ -326,7 +328,7 @@
         }
         if (auto fault = parse_line(line, words))
         {
-            fault->line_ = number;
+            fault->line_ = line_number;
             result.errors_.push_back(*fault);
             continue;
         }
--- a/test/unit/scenario_test.cpp
+++ b/test/unit/scenario_test.cpp
@@ -76,6 +76,19 @@
     CHECK(faults[5].expected_.starts_with("a statement"));
 }
 
+TEST_CASE("faults of the store")
+{
+    CHECK(faults_of("at 1s store slow 800ms\nat 1s store lose-answers 1\n"
+                    "at 1s store cut-watches\nat 1s store lapse-leases\n"
+                    "at 1s store go-back 2\nat 1s store down for 1m")
+              .empty());
+    auto const faults = faults_of("at 1s store go-back\nat 1s store up");
+    REQUIRE(faults.size() == 2);
+    CHECK(faults[0].expected_ == "a whole number");
+    CHECK(faults[1].column_ == 13);
+    CHECK(faults[1].expected_.starts_with("a fault of the store"));
+}
+
 TEST_CASE("a word must end where the language's word ends")
 {
     CHECK(faults_of("at 5s killed balancer-2").size() == 1);
