--- a/include/daisytrail/forwarding.hpp
+++ b/include/daisytrail/forwarding.hpp
@@ -67,8 +67,8 @@
 // Services of up to this many members are always scored member by member, and
 // ones of more than most_flat_members always by the tree. Between the two each
 // flow has its own limit, so that no single join re-places all flows.
-inline constexpr std::size_t least_flat_members = 32;
-inline constexpr std::size_t most_flat_members = 64;
+inline constexpr std::size_t least_flat_members = 64;
+inline constexpr std::size_t most_flat_members = 128;
 
 // The members of one service, laid out for fast choice. Immutable once built;
 // copies share their contents.
--- a/src/core/forwarding.cpp
+++ b/src/core/forwarding.cpp
@@ -115,7 +115,7 @@
 bool service_table::is_flat(std::uint64_t flow) const
 {
     // The highest bits of the flow hash, of which the scores see little else.
-    constexpr unsigned limit_shift = 59;
+    constexpr unsigned limit_shift = 58;
     static_assert(most_flat_members - least_flat_members ==
                   1U << (64 - limit_shift));
     return members_.size() <=
