Requests: timers of an ended service do nothing

Cause: a timer's expiry that is queued when the service ends ran on freed memory (address sanitizer, unit tests, offer timer). Change: one guard for all timers of the service.

--- a/src/agent/requests_keys.cpp
+++ b/src/agent/requests_keys.cpp
@@ -134,15 +134,14 @@
 {
     joined_[key].push_back(job);
     job->timer_.emplace(io_, job->deadline_);
-    job->timer_->async_wait(
-        [this, weak = job->weak_from_this()](boost::system::error_code code)
+    job->timer_->async_wait(on_expiry(
+        [this, weak = job->weak_from_this()]
         {
-            auto const late = weak.lock();
-            if (!code && late)
+            if (auto const late = weak.lock())
             {
                 finish(*late, request_outcome::overdue);
             }
-        });
+        }));
 }
 
 // Settles the key of a request with its outcome and answers those that joined.
--- a/src/agent/requests_peers.cpp
+++ b/src/agent/requests_peers.cpp
@@ -166,15 +166,12 @@
 void requests_service::run_offer_timer()
 {
     offer_timer_.expires_after(offer_interval);
-    offer_timer_.async_wait(
-        [this](boost::system::error_code code)
+    offer_timer_.async_wait(on_expiry(
+        [this]
         {
-            if (!code)
-            {
-                offer_waiting();
-                run_offer_timer();
-            }
-        });
+            offer_waiting();
+            run_offer_timer();
+        }));
 }
 
 peer_request requests_service::make_peer_request(request_job const& job,
@@ -240,16 +237,12 @@
     }
     auto& held = found->second;
     held.timer_.emplace(io_, grant_timeout);
-    held.timer_->async_wait(
-        [this, reservation](boost::system::error_code code)
+    held.timer_->async_wait(on_expiry(
+        [this, reservation]
         {
-            if (!code)
-            {
-                ++metrics_.counter(
-                    "daisytrail_peer_late_total{kind=\"unused\"}");
-                end_reservation(reservation);
-            }
-        });
+            ++metrics_.counter("daisytrail_peer_late_total{kind=\"unused\"}");
+            end_reservation(reservation);
+        }));
     std::exchange(held.reply_, nullptr)({offer_result::granted, reservation,
                                          scheduler_.report(current_time())});
 }
--- a/src/agent/requests_schedule.cpp
+++ b/src/agent/requests_schedule.cpp
@@ -294,14 +294,7 @@
         return;
     }
     pump_timer_.expires_at(*next);
-    pump_timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (!code)
-            {
-                pump();
-            }
-        });
+    pump_timer_.async_wait(on_expiry([this] { pump(); }));
 }
 
 void requests_service::start_here(request_job& job)
@@ -321,16 +314,16 @@
             std::min(retry_tokens_ + service_.retry_budget_, most_retry_tokens);
     }
     job.timer_.emplace(io_, job.deadline_);
-    job.timer_->async_wait(
-        [this, weak = job.weak_from_this()](boost::system::error_code code)
+    job.timer_->async_wait(on_expiry(
+        [this, weak = job.weak_from_this()]
         {
             auto const late = weak.lock();
-            if (!code && late && !late->answer_begun_ && late->exchange_)
+            if (late && !late->answer_begun_ && late->exchange_)
             {
                 late->exchange_->cancel();
                 finish(*late, request_outcome::overdue);
             }
-        });
+        }));
     if (job.peer_)
     {
         return; // start_at_peer() goes on
--- a/src/agent/requests_service.cpp
+++ b/src/agent/requests_service.cpp
@@ -147,19 +147,15 @@
     }
     offer_waiting();
     drain_timer_.expires_at(deadline);
-    drain_timer_.async_wait(
-        [this](boost::system::error_code code)
+    drain_timer_.async_wait(on_expiry(
+        [this]
         {
-            if (code)
-            {
-                return;
-            }
             auto const rest = sessions_;
             for (auto const& [key, session] : rest)
             {
                 session->abort();
             }
-        });
+        }));
 }
 
 std::size_t requests_service::open_work() const
--- a/src/agent/requests_service.hpp
+++ b/src/agent/requests_service.hpp
@@ -124,6 +124,21 @@
     void settle_key(request_job& job, request_outcome outcome);
     void replay(request_job& job, kept_answer const& answer);
 
+    // Handler for a timer: calls `handler` if the timer expired and this
+    // service still exists. An expiry may be queued when the service ends.
+    template <typename Handler>
+    auto on_expiry(Handler handler) const
+    {
+        return [alive = std::weak_ptr(alive_),
+                handler = std::move(handler)](boost::system::error_code code)
+        {
+            if (!code && !alive.expired())
+            {
+                handler();
+            }
+        };
+    }
+
     boost::asio::io_context& io_;
     metrics& metrics_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
