--- a/src/net/store_watcher.cpp
+++ b/src/net/store_watcher.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds contacts_interval{2'000};
 constexpr milliseconds renew_interval{20'000};
 constexpr std::chrono::seconds lease_time{60};
-// Calls at the store: one a second, and twice that many at once.
+// Calls at the store: one a second on average, a few at once.
 constexpr std::uint32_t calls_per_second = 1;
 constexpr std::size_t max_contacts = 64;
 
--- /dev/null
+++ b/test/unit/control_messages_test.cpp
@@ -0,0 +1,87 @@
+// Tests of the control messages' encoding, the byte budget and the hash tree.
+#include "rpc/control_messages.hpp"
+
+#include <daisytrail/byte_budget.hpp>
+#include <daisytrail/item_tree.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+
+namespace
+{
+
+std::vector<control_message> one_of_each()
+{
+    item const one{item_kind::organisation, 1, {2, 3}, member_state::left};
+    target_record record;
+    record.target_ = 4;
+    record.name_ = "depot-orders-1";
+    record.failure_domain_ = "lafrenz";
+    record.control_ = {0x7F000001, 9};
+    record.state_ = member_state::draining;
+    return {ping_message{1},
+            pong_message{one},
+            probe_request{{1, {2, 3}}},
+            probe_answer{1, true},
+            digest_message{1, {one, one}, true},
+            pull_message{{1, 2}},
+            records_message{{record}},
+            tree_message{2, 3, {4, 5}},
+            leaf_message{6, {one}},
+            heartbeat_message{record, 1, 2, 3, 4},
+            heartbeat_ack{one, {{1, {2, 3}}}},
+            template_request{1, 2, 3},
+            template_chunk{"hamutenya", 1, 2, 3, std::string("\0a", 2)}};
+}
+
+} // namespace
+
+TEST_CASE("every control message survives encoding")
+{
+    auto const messages = one_of_each();
+    REQUIRE(messages.size() == std::variant_size_v<control_message>);
+    for (auto const& message : messages)
+    {
+        auto const decoded = decode_control(encode_control(message));
+        REQUIRE(decoded.has_value());
+        CHECK((*decoded == message));
+    }
+}
+
+TEST_CASE("a control message with an unknown state is refused")
+{
+    item bad;
+    bad.state_ = member_state::count;
+    CHECK(!decode_control(encode_control(pong_message{bad})));
+    CHECK(!decode_control({}));
+}
+
+TEST_CASE("the byte budget keeps half of its burst for urgent messages")
+{
+    byte_budget budget(100); // a burst of 10 s
+    time_point const start{std::chrono::seconds(50)};
+    CHECK(budget.take(500, send_class::bulk, start));
+    CHECK(!budget.take(1, send_class::bulk, start));
+    CHECK(budget.take(500, send_class::urgent, start));
+    CHECK(!budget.take(1, send_class::urgent, start));
+    auto const later = start + std::chrono::seconds(1);
+    CHECK(budget.take(100, send_class::urgent, later));
+    CHECK(!budget.take(1, send_class::urgent, later));
+}
+
+TEST_CASE("trees differ on the path of a differing item only")
+{
+    item_tree left;
+    item_tree right;
+    item const one{item_kind::member, std::uint64_t{0xABC} << 52U, {1, 0}, {}};
+    left.toggle(one);
+    CHECK(left.root() != right.root());
+    CHECK(leaf_of(one.id_) == 0xABC);
+    CHECK(left.children(3, 0xAB)[0xC] == hash_item(one));
+    CHECK(left.children(1, 0)[0xB] == right.children(1, 0)[0xB]);
+    right.toggle(one);
+    CHECK(left.root() == right.root());
+    CHECK(left.children(3, 0x100).empty());
+    CHECK(left.children(4, 0).empty());
+}
