Flows: placement by load, flows found before their owner's word, short flows

Cause: feeds stay where they are, so that a target that joins stays light for hours; and a packet of a flow that was opened elsewhere less than a batch ago could be reset by a head that counted as complete.

Change: agents tell their number of open flows; a first candidate places a SYN on a clearly lighter one, comparing counts of the same moment. A head passes other packets too by its note of where a SYN went. Such a note ends with its target's process: it kept callers of a placed flow from being reset for 8 s, past the last probe. A flow that starts and ends within the gathering time is never told. The agent publishes its state before its first announcement.

Tests that failed first: a placed flow before its owner's word, and a placed flow of a dead owner. With a third target joining two of 500 flows each and 600 new flows, all have 480 to 590 flows; rendezvous alone gives about 700, 700, 200.

--- a/include/daisytrail/flow_sync.hpp
+++ b/include/daisytrail/flow_sync.hpp
@@ -42,9 +42,11 @@
     // the view `view_`.
     bool complete_ = false;
     std::vector<flow_change> changes_;
+    std::uint32_t open_flows_ = 0; // of the sender
 };
 
-// Answer to a batch: everything up to sequence_ was applied.
+// Answer to a batch: everything up to sequence_ was applied. Also sent unasked,
+// to report the number of open flows.
 struct flow_acknowledgement
 {
     target_id from_ = 0;
@@ -53,6 +55,7 @@
     incarnation to_epoch_ = 0;
     std::uint64_t stream_ = 0;
     std::uint64_t sequence_ = 0;
+    std::uint32_t open_flows_ = 0; // of the sender
 };
 
 // The sending end of one stream.
--- a/include/daisytrail/flows.hpp
+++ b/include/daisytrail/flows.hpp
@@ -69,7 +69,8 @@
     };
 
     std::vector<addressed_batch> batches_;
-    std::vector<flow_key> probes_; // see write_probes()
+    std::vector<flow_acknowledgement> reports_; // of the open flows
+    std::vector<flow_key> probes_;              // see write_probes()
     std::vector<evicted_flow> evicted_;
 };
 
@@ -105,7 +106,7 @@
 
     // Applies a batch from a peer and returns the answer to it.
     flow_acknowledgement on_batch(flow_batch const& batch, time_point now);
-    void on_acknowledgement(flow_acknowledgement const& answer);
+    void on_acknowledgement(flow_acknowledgement const& answer, time_point now);
 
     // Due every few tens of milliseconds.
     flow_output tick(time_point now);
@@ -160,6 +161,15 @@
         time_point retired_at_{};
     };
 
+    // What a peer said of its open flows, and what this agent had then, so that
+    // counts of the same moment are compared.
+    struct load_report
+    {
+        std::uint32_t open_ = 0; // with the flows placed there since
+        std::uint32_t own_open_ = 0;
+        time_point at_{};
+    };
+
     struct peer
     {
         endpoint tunnel_;
@@ -167,6 +177,8 @@
         member_state state_ = member_state::dead;
         flow_outbox outbox_;
         flow_inbox inbox_;
+        std::uint32_t weight_ = 1;
+        load_report load_;
         // Owned by the peer as it has told; pointers_ has those of live ones.
         std::unordered_set<flow_key, flow_hash> flows_;
     };
@@ -199,6 +211,14 @@
                                 packet_info const& info, time_point now);
     flow_decision place(tunnel_header header, flow_key const& flow,
                         time_point now);
+    flow_decision place_on(tunnel_header header, flow_key const& flow,
+                           candidate const& to, time_point now);
+    candidate const* lighter_candidate(trail const& value,
+                                       time_point now) const;
+    void note_load(peer& value, std::uint32_t open, time_point now) const;
+    void report_load(time_point now, flow_output& output);
+    flow_acknowledgement make_acknowledgement(target_id to,
+                                              peer const& value) const;
     flow_decision pass_to(tunnel_header header, candidate const& to) const;
     bool make_room(time_point now);
     void open(packet_info const& info, time_point now);
@@ -239,6 +259,9 @@
 
     flow_options options_;
     service_table table_{{}};
+    std::uint32_t weight_ = 1; // of the agent itself
+    time_point reported_at_{};
+    target_id reported_to_ = 0; // last peer; the next one follows it
     std::uint64_t streams_ = 0; // begun so far, to any peer
     std::uint64_t view_ = 0;    // hash of the live members
     time_point view_since_{};
--- a/src/agent/data_path.cpp
+++ b/src/agent/data_path.cpp
@@ -277,7 +277,8 @@
         }
         else
         {
-            table_.on_acknowledgement(std::get<flow_acknowledgement>(message));
+            table_.on_acknowledgement(std::get<flow_acknowledgement>(message),
+                                      current_time());
         }
     }
     catch (error const&)
@@ -346,6 +347,10 @@
     {
         send_message(batch.to_, batch.batch_);
     }
+    for (auto const& report : output.reports_)
+    {
+        send_message(table_.peer_endpoint(report.to_), report);
+    }
 }
 
 void data_path::note_ended_flows(time_point now)
--- a/src/agent/flow_messages.cpp
+++ b/src/agent/flow_messages.cpp
@@ -94,6 +94,7 @@
     to.setToEpoch(from.to_epoch_);
     to.setStream(from.stream_);
     to.setSequence(from.sequence_);
+    to.setOpenFlows(from.open_flows_);
 }
 
 template <typename Message>
@@ -106,6 +107,7 @@
     to.to_epoch_ = from.getToEpoch();
     to.stream_ = from.getStream();
     to.sequence_ = from.getSequence();
+    to.open_flows_ = from.getOpenFlows();
     return to;
 }
 
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -46,8 +46,9 @@
                         });
                 });
         });
-    control.start();
+    // Publishes a state that takes no work before the first announcement.
     process.start(control);
+    control.start();
     log_event(log_level::info, "started",
               {{"version", DAISYTRAIL_VERSION},
                {"service", settings.organisation_ + "/" + settings.service_},
--- a/src/core/flow_peers.cpp
+++ b/src/core/flow_peers.cpp
@@ -56,6 +56,9 @@
     return hash;
 }
 
+constexpr auto report_interval = std::chrono::seconds(1);
+constexpr std::size_t reports_an_interval = 8;
+
 bool holds(std::span<target_id const> members, target_id target)
 {
     return std::ranges::find(members, target) != members.end();
@@ -102,12 +105,14 @@
     {
         if (record.target_ == options_.self_)
         {
+            weight_ = std::max(record.weight_, 1U);
             continue;
         }
         auto& value = peers_[record.target_];
         bool const was_live = may_own_flows(value.state_);
         value.tunnel_ = record.tunnel_;
         value.incarnation_ = record.version_.incarnation_;
+        value.weight_ = std::max(record.weight_, 1U);
         value.state_ = record.state_;
         if (was_live && !may_own_flows(record.state_))
         {
@@ -184,6 +189,8 @@
         }
     }
     forget_pointers(id, value);
+    std::erase_if(intents_, [id](auto const& entry)
+                  { return entry.second.to_.target_ == id; });
 }
 
 flow_table::informed_members
@@ -335,18 +342,27 @@
     return at == peers_.end() ? endpoint{} : at->second.tunnel_;
 }
 
-flow_acknowledgement flow_table::on_batch(flow_batch const& batch,
-                                          time_point now)
+flow_acknowledgement flow_table::make_acknowledgement(target_id to,
+                                                      peer const& value) const
 {
     flow_acknowledgement answer;
     answer.from_ = options_.self_;
-    answer.to_ = batch.from_;
+    answer.to_ = to;
     answer.from_epoch_ = options_.epoch_;
-    answer.to_epoch_ = batch.from_epoch_;
+    answer.to_epoch_ = value.inbox_.epoch();
+    answer.stream_ = value.inbox_.stream();
+    answer.sequence_ = value.inbox_.applied();
+    answer.open_flows_ = static_cast<std::uint32_t>(open_);
+    return answer;
+}
+
+flow_acknowledgement flow_table::on_batch(flow_batch const& batch,
+                                          time_point now)
+{
     auto const at = peers_.find(batch.from_);
     if (at == peers_.end() || batch.to_ != options_.self_)
     {
-        return answer;
+        return {};
     }
     auto& value = at->second;
     if (value.inbox_.is_new_epoch(batch))
@@ -370,12 +386,8 @@
             apply(batch.from_, value, change);
         }
     }
-    if (batch.from_epoch_ == value.inbox_.epoch())
-    {
-        answer.stream_ = value.inbox_.stream();
-        answer.sequence_ = value.inbox_.applied();
-    }
-    return answer;
+    note_load(value, batch.open_flows_, now);
+    return make_acknowledgement(batch.from_, value);
 }
 
 void flow_table::apply(target_id from, peer& value, flow_change const& change)
@@ -386,6 +398,7 @@
         if (may_own_flows(value.state_))
         {
             pointers_[change.flow_] = from;
+            intents_.erase(change.flow_);
         }
         return;
     }
@@ -397,7 +410,8 @@
     }
 }
 
-void flow_table::on_acknowledgement(flow_acknowledgement const& answer)
+void flow_table::on_acknowledgement(flow_acknowledgement const& answer,
+                                    time_point now)
 {
     auto const at = peers_.find(answer.from_);
     if (at == peers_.end() || answer.to_ != options_.self_ ||
@@ -405,6 +419,7 @@
     {
         return;
     }
+    note_load(at->second, answer.open_flows_, now);
     auto& outbox = at->second.outbox_;
     if (answer.from_epoch_ > outbox.peer_epoch())
     {
@@ -416,6 +431,35 @@
     }
 }
 
+void flow_table::note_load(peer& value, std::uint32_t open,
+                           time_point now) const
+{
+    value.load_ = {open, static_cast<std::uint32_t>(open_), now};
+}
+
+// Tells a few peers, in turn, how many flows are open here.
+void flow_table::report_load(time_point now, flow_output& output)
+{
+    if (now - reported_at_ < report_interval || peers_.empty())
+    {
+        return;
+    }
+    reported_at_ = now;
+    auto const count = std::min(peers_.size(), reports_an_interval);
+    auto at = peers_.upper_bound(reported_to_);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        at = at == peers_.end() ? peers_.begin() : at;
+        if (may_own_flows(at->second.state_))
+        {
+            output.reports_.push_back(
+                make_acknowledgement(at->first, at->second));
+        }
+        reported_to_ = at->first;
+        ++at;
+    }
+}
+
 void flow_table::on_established(flow_key const& flow, time_point now)
 {
     auto const [at, inserted] = flows_.try_emplace(flow);
@@ -454,6 +498,7 @@
     flow_output output;
     expire(now, output);
     collect_probes(now, output);
+    report_load(now, output);
     for (auto& [id, value] : peers_)
     {
         if (!may_own_flows(value.state_))
@@ -466,6 +511,7 @@
             batch.to_ = id;
             batch.from_epoch_ = options_.epoch_;
             batch.to_epoch_ = value.outbox_.peer_epoch();
+            batch.open_flows_ = static_cast<std::uint32_t>(open_);
             output.batches_.push_back({value.tunnel_, std::move(batch)});
         }
     }
--- a/src/core/flow_sync.cpp
+++ b/src/core/flow_sync.cpp
@@ -27,7 +27,20 @@
 
 void flow_outbox::push(flow_change const& change)
 {
-    queue_.push_back(change);
+    if (!change.removed_)
+    {
+        queue_.push_back(change);
+        return;
+    }
+    // A flow that began and ended within the gathering time is never told.
+    auto const start = std::find(queue_.rbegin(), queue_.rend(),
+                                 flow_change{change.flow_, false});
+    if (start == queue_.rend())
+    {
+        queue_.push_back(change);
+        return;
+    }
+    queue_.erase(std::next(start).base());
 }
 
 void flow_outbox::mark_complete(std::uint64_t view)
--- a/src/core/flows.cpp
+++ b/src/core/flows.cpp
@@ -17,6 +17,14 @@
 // A half-open flow younger than this keeps its place under a SYN flood.
 constexpr auto half_open_grace = std::chrono::milliseconds(500);
 
+// A report older than this says nothing.
+constexpr auto load_lifetime = std::chrono::seconds(5);
+
+// A new flow is placed elsewhere if the own share of flows exceeds the other's
+// by this ratio and this many flows.
+constexpr double placement_ratio = 1.1;
+constexpr double placement_slack = 4;
+
 flow_decision make_verdict(flow_verdict verdict)
 {
     flow_decision result;
@@ -102,9 +110,8 @@
     auto const* intended = intent_of(flow, now);
     // Of two agents that each sent the other a SYN of this flow, the one with
     // the lower id opens it.
-    if (intended != nullptr && is_live(*intended) &&
-        (intended->target_ < options_.self_ ||
-         (!denied && !self_denied(header))))
+    if (intended != nullptr && (intended->target_ < options_.self_ ||
+                                (!denied && !self_denied(header))))
     {
         deny_self(header);
         return pass_to(header, *intended);
@@ -114,7 +121,9 @@
     bool const is_first = first != nullptr && is_self(*first);
     if (is_first && is_complete(now) && knows(header.trail_))
     {
-        return open_or_place(header, info, now);
+        auto const* lighter = lighter_candidate(header.trail_, now);
+        return lighter != nullptr ? place_on(header, flow, *lighter, now)
+                                  : open_or_place(header, info, now);
     }
     auto const* chooser = chooser_of(header);
     if (denied)
@@ -163,6 +172,13 @@
         deny_self(header);
         return pass_to(header, *owner);
     }
+    // The owner's word may still be under way.
+    auto const* intended = intent_of(info.flow_, now);
+    if (intended != nullptr && !self_denied(header))
+    {
+        deny_self(header);
+        return pass_to(header, *intended);
+    }
     auto const own = table_.pick(hash_flow(info.flow_));
     bool const is_head = own.size_ > 0 && is_self(own.candidates_[0]);
     if (own.size_ > 0 && !is_head)
@@ -178,7 +194,8 @@
     {
         return pass_to(header, own.candidates_[0]);
     }
-    if (is_head && is_complete(now) && knows(header.trail_))
+    if (is_head && intended == nullptr && is_complete(now) &&
+        knows(header.trail_))
     {
         return make_verdict(flow_verdict::reset);
     }
@@ -205,25 +222,62 @@
 flow_decision flow_table::place(tunnel_header header, flow_key const& flow,
                                 time_point now)
 {
-    std::size_t next = 0;
+    auto const members = header.trail_.view();
+    auto const self =
+        std::ranges::find(members, options_.self_, &candidate::target_);
+    auto const first = self == members.end() ? members.begin() : self + 1;
+    auto const next = std::find_if(first, members.end(),
+                                   [this](candidate const& member) {
+                                       return takes_new_work(state_of(member));
+                                   });
+    return next == members.end() ? make_drop(drop_reason::connection_limit)
+                                 : place_on(header, flow, *next, now);
+}
+
+// Denies in the name of all, so that the addressee opens the flow.
+flow_decision flow_table::place_on(tunnel_header header, flow_key const& flow,
+                                   candidate const& to, time_point now)
+{
     for (std::size_t i = 0; i < header.trail_.size_; ++i)
     {
         header.denied_ |= bit(i);
-        if (is_self(header.trail_.candidates_[i]))
-        {
-            next = i + 1;
-        }
     }
-    for (; next < header.trail_.size_; ++next)
+    auto const known = peers_.find(to.target_);
+    if (known != peers_.end())
     {
-        auto const& to = header.trail_.candidates_[next];
-        if (takes_new_work(state_of(to)))
+        ++known->second.load_.open_;
+    }
+    remember_intent(flow, to, now);
+    return pass_to(header, to);
+}
+
+// The candidate with the least flows for its weight, if it has clearly less
+// than this agent.
+candidate const* flow_table::lighter_candidate(trail const& value,
+                                               time_point now) const
+{
+    candidate const* best = nullptr;
+    double best_share = 0;
+    for (auto const& member : value.view())
+    {
+        auto const known = peers_.find(member.target_);
+        if (known == peers_.end() || !takes_new_work(state_of(member)) ||
+            now - known->second.load_.at_ > load_lifetime)
+        {
+            continue;
+        }
+        auto const& load = known->second.load_;
+        double const share =
+            static_cast<double>(load.open_ + 1) / known->second.weight_;
+        double const own = static_cast<double>(load.own_open_) / weight_;
+        if (own > share * placement_ratio + placement_slack / weight_ &&
+            (best == nullptr || share < best_share))
         {
-            remember_intent(flow, to, now);
-            return pass_to(header, to);
+            best = &member;
+            best_share = share;
         }
     }
-    return make_drop(drop_reason::connection_limit);
+    return best;
 }
 
 flow_decision flow_table::pass_to(tunnel_header header,
@@ -445,8 +499,9 @@
                                        time_point now) const
 {
     auto const at = intents_.find(flow);
-    return at == intents_.end() || at->second.expires_ <= now ? nullptr
-                                                              : &at->second.to_;
+    bool const holds = at != intents_.end() && at->second.expires_ > now &&
+                       is_live(at->second.to_);
+    return holds ? &at->second.to_ : nullptr;
 }
 
 void flow_table::remember_intent(flow_key const& flow, candidate const& to,
--- a/src/rpc/messages.capnp
+++ b/src/rpc/messages.capnp
@@ -56,4 +56,5 @@
     acknowledgement @6 :Void;
     batch @7 :FlowBatch;
   }
+  openFlows @8 :UInt32;
 }
--- a/test/unit/flow_sync_test.cpp
+++ b/test/unit/flow_sync_test.cpp
@@ -54,3 +54,31 @@
     CHECK(batches[0].complete_);
     CHECK(batches[0].view_ == 7);
 }
+
+TEST_CASE("a flow that ends while its start is gathering is never told")
+{
+    flow_outbox outbox;
+    outbox.push(change(1));
+    outbox.push(change(2));
+    auto end = change(1);
+    end.removed_ = true;
+    outbox.push(end);
+    CHECK(outbox.due(at({})).empty());
+    auto const batches = outbox.due(at(gather_time));
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].changes_ == std::vector{change(2)});
+}
+
+TEST_CASE("the end of a flow whose start was sent is told")
+{
+    flow_outbox outbox;
+    outbox.push(change(1));
+    CHECK(outbox.due(at({})).empty());
+    CHECK(outbox.due(at(gather_time)).size() == 1);
+    outbox.acknowledge(0, 1);
+    auto end = change(1);
+    end.removed_ = true;
+    outbox.push(end);
+    CHECK(outbox.due(at(gather_time)).empty());
+    CHECK(outbox.due(at(2 * gather_time)).size() == 1);
+}
--- a/test/unit/flows_test.cpp
+++ b/test/unit/flows_test.cpp
@@ -478,6 +478,119 @@
     }
 }
 
+TEST_CASE("a placed flow is found before its owner's word has come")
+{
+    fleet agents;
+    flow_options options;
+    options.connections_ = 1;
+    auto const view = make_records(3);
+    agents.start_all(view, options);
+    agents.run(settle_time);
+    int placed = 0;
+    for (int i = 0; i < 40; ++i)
+    {
+        auto const head = service_table(view)
+                              .pick(hash_flow(make_syn(port_of(i)).flow_))
+                              .candidates_[0]
+                              .target_;
+        auto const owner = agents.open(view, port_of(i));
+        if (owner == 0 || owner == head)
+        {
+            continue;
+        }
+        ++placed;
+        // A balancer whose view lacks the owner.
+        auto without = view;
+        std::erase_if(without, [owner](target_record const& record)
+                      { return record.target_ == owner; });
+        CHECK(agents.send(without, make_ack(port_of(i))).at_ == owner);
+    }
+    CHECK(placed > 0);
+}
+
+TEST_CASE("callers of a dead agent are reset also if their flow was placed")
+{
+    fleet agents;
+    flow_options options;
+    options.connections_ = 5;
+    auto view = make_records(3);
+    agents.start_all(view, options);
+    agents.run(settle_time);
+    auto const owners = open_flows(agents, view, 15);
+    target_id dead = 0;
+    for (auto const& [port, owner] : owners)
+    {
+        auto const ranked =
+            service_table(view).pick(hash_flow(make_syn(port).flow_));
+        bool const placed = owner != ranked.candidates_[0].target_;
+        dead = placed && owner != 0 ? owner : dead;
+    }
+    REQUIRE(dead != 0);
+    agents.run(settle_time);
+    agents.kill(dead);
+    set_state(view, dead, member_state::dead);
+    agents.set_view(view);
+    agents.run(settle_time);
+    for (auto const& [port, owner] : owners)
+    {
+        if (owner != 0)
+        {
+            CHECK(
+                agents.send(view, make_ack(port)).verdict_ ==
+                (owner == dead ? flow_verdict::reset : flow_verdict::deliver));
+        }
+    }
+}
+
+TEST_CASE("a target that joins beside full ones gets the new flows")
+{
+    fleet agents;
+    auto view = make_records(2);
+    agents.start_all(view);
+    agents.run(settle_time);
+    auto owners = open_flows(agents, view, 1'000);
+    view.push_back(make_record(3));
+    agents.start(view.back(), view);
+    agents.set_view(view);
+    agents.run(1'500ms);
+    for (int i = 1'000; i < 1'600; ++i)
+    {
+        owners[port_of(i)] = agents.open(view, port_of(i));
+        agents.run(20ms);
+        CHECK(agents.send(view, make_syn(port_of(i))).at_ ==
+              owners[port_of(i)]);
+    }
+    // Rendezvous alone would give 700, 700 and 200.
+    for (auto const& record : view)
+    {
+        auto const open = agents.at(record.target_).open_flows();
+        CHECK(open >= 480);
+        CHECK(open <= 590);
+    }
+    CHECK(count_broken(agents, view, owners) == 0);
+}
+
+TEST_CASE("even targets place no flow elsewhere")
+{
+    fleet agents;
+    auto const view = make_records(4);
+    agents.start_all(view);
+    agents.run(1'500ms);
+    int placed = 0;
+    for (int i = 0; i < 4'000; ++i)
+    {
+        auto const flow = make_syn(port_of(i)).flow_;
+        auto const first =
+            service_table(view).pick(hash_flow(flow)).candidates_[0].target_;
+        placed += agents.open(view, port_of(i)) != first ? 1 : 0;
+        if (i % 20 == 0)
+        {
+            agents.run(20ms);
+        }
+    }
+    CHECK(placed < 40);
+}
+
 TEST_CASE("a service without room drops the SYN and counts it")
 {
     fleet agents;
