Commands that daisytrail prints name the store that it was given

Change: printed commands start as the operator's own did. The operators' test asks for the store in the command of `plan`, where it asked for less.

--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -157,7 +157,7 @@
     request.value_ = parse_organisation(file.text_).value_;
     request.base_ = choose_base(context, request.value_.name_, options);
     return run_change(context, std::move(request), options,
-                      "daisytrail apply " + file.name_);
+                      context.program_ + " apply " + file.name_);
 }
 
 command_result rollback_command(command_context const& context,
@@ -192,8 +192,8 @@
                         ? *options.base_
                         : read_current(context, organisation).revision_;
     return run_change(context, std::move(request), options,
-                      "daisytrail rollback " + organisation + " --to " +
-                          std::to_string(number));
+                      context.program_ + " rollback " + organisation +
+                          " --to " + std::to_string(number));
 }
 
 } // namespace daisytrail
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -32,6 +32,9 @@
     std::vector<endpoint> processes_; // HTTP pages of balancers
     std::chrono::milliseconds timeout_{15'000};
     std::function<void(std::string const&)> progress_;
+    // How the operator called this program: "daisytrail --store 10.0.0.9:2379".
+    // Commands that are printed to be run next start with it.
+    std::string program_ = "daisytrail";
 };
 
 // What apply and rollback have in common.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -274,6 +274,17 @@
     app.add_flag("--json", given.json_, "one JSON object instead of text");
 }
 
+// This program with the stores that it was given.
+std::string program_with(std::vector<std::string> const& stores)
+{
+    std::string text = "daisytrail";
+    for (auto const& store : stores)
+    {
+        text.append(" --store ").append(store);
+    }
+    return text;
+}
+
 command_result run(command_entry const& command, options const& given)
 {
     boost::asio::io_context io;
@@ -286,12 +297,13 @@
     blocking_store calls(store, make_environment(io));
     auto const timeout = to_milliseconds(given.timeout_seconds_);
     constexpr std::chrono::milliseconds page_timeout{2'000};
-    command_context const context{calls, make_fleet_client(io, page_timeout),
-                                  parse_endpoints(given.processes_), timeout,
+    command_context const context{calls,
+                                  make_fleet_client(io, page_timeout),
+                                  parse_endpoints(given.processes_),
+                                  timeout,
                                   [](std::string const& line)
-                                  {
-                                      std::cerr << line << std::endl;
-                                  }};
+                                  { std::cerr << line << std::endl; },
+                                  program_with(given.stores_)};
     return command.run_(context, given);
 }
 
--- a/src/cli/read_commands.cpp
+++ b/src/cli/read_commands.cpp
@@ -152,7 +152,8 @@
     command_result result;
     result.text_ = changes.empty() ? "no difference\n" : to_string(changes);
     std::string const command =
-        "daisytrail apply " + file.name_ + base_option(current.revision_) +
+        context.program_ + " apply " + file.name_ +
+        base_option(current.revision_) +
         (breaks_flows(changes) ? " --allow-breaking" : "");
     if (breaks_flows(changes))
     {
@@ -230,8 +231,9 @@
                     {"before", oldest > 1 ? oldest - 1 : 0}};
     if (oldest > 1)
     {
-        result.text_ += "older: daisytrail history " + organisation +
-                        " --before " + std::to_string(oldest - 1) + "\n";
+        result.text_ += "older: " + context.program_ + " history " +
+                        organisation + " --before " +
+                        std::to_string(oldest - 1) + "\n";
     }
     return result;
 }
--- a/test/integration/operators.sh
+++ b/test/integration/operators.sh
@@ -70,7 +70,7 @@
     "$daisytrail" check "$work/bad.json"
 expect "a bad template isn't sent" 2 "no field 'vips'" \
     "$daisytrail" apply "$work/bad.json"
-expect "plan of a new template" 0 "to apply: daisytrail apply" \
+expect "plan of a new template" 0 "to apply: daisytrail --store $store apply" \
     "$daisytrail" plan "$work/a1.json"
 expect "the first apply" 0 "accepted: change 1" \
     "$daisytrail" apply "$work/a1.json" --change-id one --who amutenya
--- a/test/unit/change_test.cpp
+++ b/test/unit/change_test.cpp
@@ -345,6 +345,19 @@
     CHECK(b.progress_[0].find("--change-id one") != std::string::npos);
 }
 
+TEST_CASE("the settling command names the store that the operator gave")
+{
+    bench b;
+    b.store_.swap_faults_ = std::deque<fault>(100, fault::lost_request);
+    change_options options;
+    options.change_id_ = "one";
+    auto context = b.context();
+    context.program_ = "daisytrail --store 10.0.0.9:2379";
+    auto const result = apply_command(context, {"a.json", first}, options);
+    CHECK(result.json_.at("command").as_string() ==
+          "daisytrail --store 10.0.0.9:2379 apply a.json --change-id one");
+}
+
 TEST_CASE("apply without a base never replaces what the operator hasn't seen")
 {
     bench b;
