--- a/test/integration/control.sh
+++ b/test/integration/control.sh
@@ -106,13 +106,14 @@
 agents=(agent-depot-orders-1 agent-depot-orders-2 agent-depot-orders-3)
 everyone=("${balancers[@]}" "${agents[@]}")
 
-expect "every target is ready on every balancer" \
-    within 15000 seen_as depot-orders-3 ready "${balancers[@]}"
-
 expect "the first change is accepted" \
     apply_template "$(template 4s)" --change-id first
 expect "it is in force everywhere within 12 s" \
     within 12000 in_force first "${everyone[@]}"
+for i in 1 2 3; do
+    expect "target $i is ready on every balancer" \
+        within 15000 seen_as "depot-orders-$i" ready "${balancers[@]}"
+done
 older=$(store_revision)
 
 # The store goes down, and its leases lapse, once one balancer has the change.
