Requests: a key stays taken when its caller leaves within an upload

Cause: a caller that left after the start of a streamed, keyed request freed its key, so that a resend ran a second time (the new test showed it).

--- a/src/agent/requests_peers.cpp
+++ b/src/agent/requests_peers.cpp
@@ -170,6 +170,10 @@
         [this]
         {
             offer_waiting();
+            if (scheduler_.queued() > 0)
+            {
+                pump(); // the backend server may be up again
+            }
             run_offer_timer();
         }));
 }
--- a/src/agent/requests_schedule.cpp
+++ b/src/agent/requests_schedule.cpp
@@ -70,6 +70,17 @@
             return;
         }
     }
+    bool const may_repeat =
+        job_.peer_ && job_.reserved_at_peer_ && job_.state_.may_repeat() &&
+        answer_for(outcome).verdict_ == outcome_verdict::unknown;
+    if (may_repeat)
+    {
+        job_.state_.repeat();
+        if (service_.try_again(job_))
+        {
+            return;
+        }
+    }
     service_.finish(job_, outcome, retry_after);
 }
 
@@ -471,7 +482,9 @@
     auto const keep = job.shared_from_this();
     job.sink_ = nullptr;
     // A keyed request runs on: the caller's retry asks for its answer.
-    if (!job.key_.empty() && job.state_.phase() == request_phase::started)
+    bool const started_with_key =
+        !job.key_.empty() && job.state_.phase() == request_phase::started;
+    if (started_with_key && job.body_complete_)
     {
         return;
     }
@@ -480,7 +493,9 @@
         job.exchange_->cancel();
     }
     free_slot(job, completion::vacated);
-    finish(job, request_outcome::cancelled);
+    // A started request may have run, so that its key stays taken.
+    finish(job, started_with_key ? request_outcome::lost
+                                 : request_outcome::cancelled);
 }
 
 void requests_service::finish(request_job& job, request_outcome outcome,
--- a/test/unit/requests_service_test.cpp
+++ b/test/unit/requests_service_test.cpp
@@ -211,3 +211,51 @@
     f.run_until([&] { return silent.closed_ == 1; });
     CHECK(silent.closed_ == 1);
 }
+
+TEST_CASE("an upload whose caller left after its start keeps its key")
+{
+    boost::asio::io_context io;
+    service_fixture f(io);
+    f.service_->set_targets({}, make_target(1, 0));
+    silent_server silent(io, 24'904);
+    f.service_->update(make_service(), {{0x7F000001, 24'904}, true, 4, 100});
+    auto const upload = "PUT /waybills/1 HTTP/1.1\r\nHost: a\r\n"
+                        "Idempotency-Key: k\r\nContent-Length: 100000\r\n\r\n" +
+                        std::string(80'000, 'x');
+    auto const flow = f.open();
+    f.say(*flow, upload);
+    f.run_until([&] { return silent.open_ == 1; });
+    flow->handlers_.on_closed_(true);
+    f.run_until([&] { return silent.closed_ == 1; });
+    auto const again = f.open();
+    f.say(*again, upload + std::string(20'000, 'x'));
+    f.run_until([&] { return !again->received_.empty(); });
+    CHECK(again->received_.rfind("HTTP/1.1 502", 0) == 0);
+}
+
+TEST_CASE("a keyed order whose caller left runs on and keeps its answer")
+{
+    boost::asio::io_context io;
+    service_fixture f(io);
+    f.service_->set_targets({}, make_target(1, 0));
+    auto const flow = f.open();
+    f.say(*flow, order("1", "Idempotency-Key: k\r\n"));
+    flow->handlers_.on_closed_(true);
+    auto const again = f.talk(order("1", "Idempotency-Key: k\r\n"), "got 1");
+    CHECK(again.find("got 1") != std::string::npos);
+    CHECK(f.runs_ == 1);
+}
+
+TEST_CASE("a backend server that comes back serves what waits")
+{
+    boost::asio::io_context io;
+    service_fixture f(io);
+    f.service_->set_targets({}, make_target(1, 0));
+    auto const first = f.open();
+    f.service_->update(make_service(), {{0x7F000001, 24'902}, true, 4, 100});
+    f.say(*first, order("1", "Connection: close\r\n"));
+    f.run_until([&] { return first->over_; });
+    CHECK(first->received_.find("not-run") != std::string::npos);
+    f.service_->update(make_service(), {f.backend_, true, 4, 100});
+    CHECK(f.talk(order("2"), "got 2").find("got 2") != std::string::npos);
+}
