Requests: a chosen key is noted by a second agent before its run

Cause: after the death, end or change of its owner, a key that a caller chose was unknown to the next owner, which ran the order again. Change: before the run the next candidate by hash notes the key; a new owner asks its next candidate and passes the request on if the key is known there. Conclusion: new unit tests: an owner that is gone gives key_owner_gone and no second run, an owner that changed gives the first answer.

--- a/include/daisytrail/dedup.hpp
+++ b/include/daisytrail/dedup.hpp
@@ -66,6 +66,13 @@
     request_outcome outcome_ = request_outcome::answered;
 };
 
+enum class note_result : std::uint8_t
+{
+    noted, // nothing else is known of the key
+    known, // this process ran it, or another owner noted it here
+    full
+};
+
 struct dedup_limits
 {
     std::size_t bytes_ = 32U << 20U;
@@ -97,6 +104,11 @@
     // Not run: the key is free again.
     void released(std::string const& key);
 
+    // Notes for another agent that it is about to run the key's request. If
+    // that agent is gone later, begin() answers key_owner_gone here.
+    note_result note(std::string const& key, std::uint64_t fingerprint,
+                     target_id owner, time_point now);
+
     // True if this process holds the key.
     bool knows(std::string const& key) const
     {
@@ -120,6 +132,7 @@
     {
         std::uint64_t fingerprint_ = 0;
         bool running_ = true;
+        target_id noted_for_ = 0; // another agent runs it; 0: this one
         request_outcome outcome_ = request_outcome::answered;
         kept_answer answer_;
         std::size_t bytes_ = 0; // charged to the table
--- a/src/agent/peer_rpc.cpp
+++ b/src/agent/peer_rpc.cpp
@@ -163,6 +163,9 @@
     void reserve(endpoint const& peer, peer_offer_request const& offer,
                  std::function<void(offer_reply)> const& reply);
     void release(endpoint const& peer, target_id home, request_id request);
+    void witness(endpoint const& peer, target_id home, std::string const& key,
+                 std::uint64_t fingerprint,
+                 std::function<void(std::optional<note_result>)> const& reply);
     void start(endpoint const& peer, std::uint64_t reservation,
                peer_request const& request, token call,
                std::weak_ptr<remote_exchange> const& target);
@@ -197,6 +200,7 @@
     std::map<token, std::deque<kj::Own<kj::PromiseFulfiller<void>>>> taking_;
     std::map<token, served_call> served_;
     std::map<token, kj::Own<kj::PromiseFulfiller<offer_reply>>> reserving_;
+    std::map<token, kj::Own<kj::PromiseFulfiller<note_result>>> noting_;
     token next_token_ = 1;
 
 private:
@@ -427,6 +431,33 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> witness(WitnessContext context) override
+    {
+        auto const call = thread_.next_token_++;
+        auto pair = kj::newPromiseAndFulfiller<note_result>();
+        thread_.noting_.emplace(call, kj::mv(pair.fulfiller));
+        auto const in = context.getParams();
+        auto* const side = &thread_;
+        pass(
+            [side, call, bridge = thread_.bridge_, home = in.getHome(),
+             key = to_string(in.getKey()),
+             fingerprint = in.getFingerprint()](peer_events& events)
+            {
+                auto const noted = events.on_witness(home, key, fingerprint);
+                bridge->to_kj(
+                    [side, call, noted]
+                    {
+                        side->noting_.at(call)->fulfill(note_result(noted));
+                        side->noting_.erase(call);
+                    });
+            });
+        return pair.promise.then(
+            [context](note_result noted) mutable {
+                context.getResults().setAnswer(
+                    static_cast<std::uint8_t>(noted));
+            });
+    }
+
     kj::Promise<void> start(StartContext context) override
     {
         context.allowCancellation();
@@ -531,6 +562,7 @@
     calls_.clear();
     peers_.clear();
     reserving_.clear();
+    noting_.clear();
     served_.clear();
 }
 
@@ -647,6 +679,33 @@
         }));
 }
 
+void peer_rpc_thread::witness(
+    endpoint const& peer, target_id home, std::string const& key,
+    std::uint64_t fingerprint,
+    std::function<void(std::optional<note_result>)> const& reply)
+{
+    using answer = std::optional<note_result>;
+    auto call = connect(peer).then(
+        [home, key, fingerprint](wire::Agent::Client agent)
+        {
+            auto out = agent.witnessRequest();
+            out.setHome(home);
+            out.setKey(key.c_str());
+            out.setFingerprint(fingerprint);
+            return out.send().then(
+                [](capnp::Response<wire::Agent::WitnessResults>&& in)
+                { return answer(static_cast<note_result>(in.getAnswer())); });
+        });
+    auto late = io_->provider->getTimer()
+                    .afterDelay(to_kj_time(immediate_timeout))
+                    .then([] { return answer(); });
+    tasks_->add(
+        call.exclusiveJoin(kj::mv(late))
+            .catch_([](kj::Exception&&) { return answer(); })
+            .then([bridge = bridge_, reply](answer const& result)
+                  { bridge->to_asio([reply, result] { reply(result); }); }));
+}
+
 void peer_rpc_thread::start(endpoint const& peer, std::uint64_t reservation,
                             peer_request const& request, token call,
                             std::weak_ptr<remote_exchange> const& target)
@@ -732,6 +791,15 @@
                    { thread->release(peer, home, request); });
 }
 
+void peer_rpc::witness(endpoint const& peer, target_id home,
+                       std::string const& key, std::uint64_t fingerprint,
+                       std::function<void(std::optional<note_result>)> reply)
+{
+    bridge_->to_kj([thread = thread_.get(), peer, home, key, fingerprint,
+                    reply = std::move(reply)]
+                   { thread->witness(peer, home, key, fingerprint, reply); });
+}
+
 std::shared_ptr<exchange> peer_rpc::start(endpoint const& peer,
                                           std::uint64_t reservation,
                                           peer_request request,
--- a/src/agent/requests_keys.cpp
+++ b/src/agent/requests_keys.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace daisytrail
@@ -13,6 +14,9 @@
 namespace
 {
 
+// Agents that are asked to note a key until one can be reached.
+constexpr std::size_t most_witnesses = 3;
+
 time_point current_time()
 {
     return std::chrono::steady_clock::now();
@@ -58,28 +62,30 @@
     replay(job, answer);
 }
 
-// The owner of a key that a caller has chosen: the highest hash among the
-// targets that may still hold it. Leaving targets keep theirs until they left.
-std::optional<target_id>
-requests_service::owner_of(std::string const& key) const
+// Candidates for a key that a caller has chosen, by hash, among the targets
+// that may still hold it. Leaving targets keep theirs until they left.
+std::vector<target_id>
+requests_service::rank_owners(std::string const& key) const
 {
-    if (auto const issued = parse_issued_key(key))
-    {
-        return issued->target_;
-    }
-    auto const score = [&key](target_id target)
+    std::vector<std::pair<std::uint64_t, target_id>> scores;
+    auto const add = [&](target_id target)
     {
-        return XXH3_64bits_withSeed(key.data(), key.size(), target);
+        scores.emplace_back(
+            XXH3_64bits_withSeed(key.data(), key.size(), target), target);
     };
-    auto best = self_.target_;
+    add(self_.target_);
     for (auto const& [target, record] : targets_)
     {
-        if (score(target) > score(best))
-        {
-            best = target;
-        }
+        add(target);
+    }
+    std::sort(scores.rbegin(), scores.rend());
+    std::vector<target_id> ranked;
+    ranked.reserve(scores.size());
+    for (auto const& [score, target] : scores)
+    {
+        ranked.push_back(target);
     }
-    return best;
+    return ranked;
 }
 
 bool requests_service::claim_key(job_pointer const& job, std::string const& key)
@@ -89,10 +95,11 @@
         finish(*job, request_outcome::no_backend);
         return false;
     }
-    auto const owner = owner_of(key);
+    auto const issued = parse_issued_key(key);
+    auto const owner = issued ? issued->target_ : rank_owners(key).front();
     if (!job->is_forwarded_ && owner != self_.target_)
     {
-        forward(job, *owner);
+        forward(job, owner);
         return false;
     }
     auto const decision = keys_->begin(key, fingerprint(*job), current_time());
@@ -100,7 +107,11 @@
     {
     case key_verdict::run:
         job->key_ = key;
-        return true;
+        if (!issued)
+        {
+            note_key(job, 0);
+        }
+        return issued.has_value();
     case key_verdict::join:
         join(job, key);
         return false;
@@ -130,6 +141,79 @@
     start_at_peer(*job, owner, 0);
 }
 
+// Before a chosen key's request runs, the next candidate notes it. A later
+// owner asks that candidate in turn and learns that the key was used.
+void requests_service::note_key(job_pointer const& job, std::size_t rank)
+{
+    auto ranked = rank_owners(job->key_);
+    std::erase(ranked, self_.target_);
+    if (ranked.empty())
+    {
+        schedule(job); // no other agent could ever own the key
+        return;
+    }
+    if (rank >= ranked.size() || rank >= most_witnesses || !link_)
+    {
+        finish(*job, request_outcome::no_backend);
+        return;
+    }
+    auto const witness = ranked[rank];
+    link_->witness(targets_.at(witness).rpc_, self_.target_, job->key_,
+                   fingerprint(*job),
+                   [this, job, rank, witness](std::optional<note_result> result)
+                   { on_noted(job, rank, witness, result); });
+}
+
+void requests_service::on_noted(job_pointer const& job, std::size_t rank,
+                                target_id witness,
+                                std::optional<note_result> result)
+{
+    if (job->state_.phase() != request_phase::queued)
+    {
+        return; // the caller went away meanwhile
+    }
+    if (result == note_result::noted)
+    {
+        schedule(job);
+    }
+    else if (result == note_result::known)
+    {
+        pass_key_on(job, witness);
+    }
+    else
+    {
+        note_key(job, rank + 1);
+    }
+}
+
+// Another agent knows the key from before: it answers this request and those
+// that joined it.
+void requests_service::pass_key_on(job_pointer const& job, target_id owner)
+{
+    auto const key = std::exchange(job->key_, {});
+    keys_->released(key);
+    auto waiting = joined_.extract(key);
+    forward(job, owner);
+    if (waiting.empty())
+    {
+        return;
+    }
+    for (auto const& other : waiting.mapped())
+    {
+        if (other->state_.phase() == request_phase::queued)
+        {
+            forward(other, owner);
+        }
+    }
+}
+
+note_result requests_service::on_witness(target_id home, std::string const& key,
+                                         std::uint64_t fingerprint)
+{
+    return keys_ ? keys_->note(key, fingerprint, home, current_time())
+                 : note_result::full;
+}
+
 void requests_service::join(job_pointer const& job, std::string const& key)
 {
     joined_[key].push_back(job);
--- a/src/agent/requests_service.hpp
+++ b/src/agent/requests_service.hpp
@@ -47,6 +47,8 @@
     void on_reserve(peer_offer_request const& offer,
                     std::function<void(offer_reply)> reply) override;
     void on_release(target_id home, request_id request) override;
+    note_result on_witness(target_id home, std::string const& key,
+                           std::uint64_t fingerprint) override;
     void on_start(std::uint64_t reservation, peer_request request,
                   std::shared_ptr<peer_answer> answer) override;
 
@@ -118,7 +120,12 @@
     void issue_key(request_job& job);
     // Returns true if the request runs under this agent's rules.
     bool claim_key(job_pointer const& job, std::string const& key);
-    std::optional<target_id> owner_of(std::string const& key) const;
+    std::vector<target_id> rank_owners(std::string const& key) const;
+    // Notes the key at the next candidate after `rank` before the run.
+    void note_key(job_pointer const& job, std::size_t rank);
+    void on_noted(job_pointer const& job, std::size_t rank, target_id witness,
+                  std::optional<note_result> result);
+    void pass_key_on(job_pointer const& job, target_id owner);
     void forward(job_pointer const& job, target_id owner);
     void join(job_pointer const& job, std::string const& key);
     void settle_key(request_job& job, request_outcome outcome);
--- a/src/core/dedup.cpp
+++ b/src/core/dedup.cpp
@@ -175,6 +175,33 @@
     return {key_verdict::replay, &known.answer_};
 }
 
+note_result dedup_table::note(std::string const& key, std::uint64_t fingerprint,
+                              target_id owner, time_point now)
+{
+    expire(now);
+    auto const found = entries_.find(key);
+    if (found != entries_.end())
+    {
+        return found->second.noted_for_ == owner ? note_result::noted
+                                                 : note_result::known;
+    }
+    auto const charge = entry_overhead_bytes + key.size();
+    if (bytes_ + charge > limits_.bytes_)
+    {
+        return note_result::full;
+    }
+    entry added;
+    added.fingerprint_ = fingerprint;
+    added.running_ = false;
+    added.noted_for_ = owner;
+    added.outcome_ = request_outcome::key_owner_gone;
+    added.bytes_ = charge;
+    bytes_ += charge;
+    entries_.emplace(key, std::move(added));
+    expiries_.emplace_back(now + limits_.retention_, key);
+    return note_result::noted;
+}
+
 dedup_table::entry* dedup_table::finish(std::string const& key, time_point now)
 {
     auto const found = entries_.find(key);
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -57,5 +57,7 @@
   start @2 (reservation :UInt64, request :Request, sink :AnswerSink)
       -> (request :UInt64, sequence :UInt64, outcome :UInt16,
           retryAfterNs :Int64);
-  cancel @3 (home :UInt64, request :UInt64);
+  # Notes that `home` is about to run the request of a key that a caller chose.
+  # 0: noted, 1: already known from another agent, 2: no room.
+  witness @3 (home :UInt64, key :Text, fingerprint :UInt64) -> (answer :UInt8);
 }
--- a/test/unit/dedup_test.cpp
+++ b/test/unit/dedup_test.cpp
@@ -141,3 +141,20 @@
     CHECK(again.outcome_ == request_outcome::key_not_kept);
     CHECK(answer_for(again.outcome_).verdict_ == outcome_verdict::ran);
 }
+
+TEST_CASE("a key noted for another agent is unknown here, never run")
+{
+    auto table = make_table();
+    CHECK(table.note("k", 1, 9, start) == note_result::noted);
+    CHECK(table.note("k", 1, 9, start) == note_result::noted);
+    CHECK(table.note("k", 1, 10, start) == note_result::known);
+    CHECK(table.begin("k", 1, start).outcome_ ==
+          request_outcome::key_owner_gone);
+}
+
+TEST_CASE("a key that ran here is known to others")
+{
+    auto table = make_table();
+    table.begin("k", 1, start);
+    CHECK(table.note("k", 1, 9, start) == note_result::known);
+}
--- a/test/unit/requests_peers_test.cpp
+++ b/test/unit/requests_peers_test.cpp
@@ -155,3 +155,48 @@
     f.left_.run_until([&] { return silent.closed_ == 1; });
     CHECK(silent.closed_ == 1);
 }
+
+TEST_CASE("a chosen key is not run again once its owner is gone")
+{
+    pair_fixture f;
+    for (auto const* key : {"a", "b", "c", "d", "e", "f"})
+    {
+        auto const field = std::string("Idempotency-Key: ") + key + "\r\n";
+        f.left_.talk(order("1", field), "got 1");
+    }
+    auto const runs = f.left_.runs_ + f.right_.runs_;
+    CHECK(runs == 6);
+    f.right_.service_.reset();
+    f.left_.service_->set_targets({f.left_record_}, f.left_record_);
+    int unknown = 0;
+    for (auto const* key : {"a", "b", "c", "d", "e", "f"})
+    {
+        auto const field = std::string("Idempotency-Key: ") + key +
+                           "\r\nConnection: close\r\n";
+        auto const answer = f.left_.talk(order("1", field));
+        unknown += answer.find("key_owner_gone") != std::string::npos ? 1 : 0;
+    }
+    CHECK(f.left_.runs_ + f.right_.runs_ == runs);
+    CHECK(unknown > 0);
+    CHECK(unknown < 6);
+}
+
+TEST_CASE("a chosen key meets its first answer after its owner changed")
+{
+    pair_fixture f;
+    // The left agent owns every key until the right one joins.
+    f.left_.service_->set_targets({f.left_record_}, f.left_record_);
+    for (auto const* key : {"a", "b", "c", "d"})
+    {
+        auto const field = std::string("Idempotency-Key: ") + key + "\r\n";
+        f.left_.talk(order("1", field), "got 1");
+    }
+    pair_fixture::meet(f.left_, f.left_record_, f.right_record_);
+    for (auto const* key : {"a", "b", "c", "d"})
+    {
+        auto const field = std::string("Idempotency-Key: ") + key + "\r\n";
+        auto const answer = f.right_.talk(order("1", field), "got 1");
+        CHECK(answer.find("got 1") != std::string::npos);
+    }
+    CHECK(f.left_.runs_ + f.right_.runs_ == 4);
+}
