Tests of requests listen on free ports

Cause: unit tests that ran side by side on one machine took each other's ports (19 cases failed with 'address in use'). Change: each fixture asks for a free port.

--- a/test/unit/requests_fixture.hpp
+++ b/test/unit/requests_fixture.hpp
@@ -72,6 +72,16 @@
     std::shared_ptr<mock_flow_state> state_;
 };
 
+// A port that nothing listened on a moment ago, so that test runs side by side
+// don't meet.
+inline std::uint16_t free_port()
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor const probe(
+        io, {boost::asio::ip::address_v4::loopback(), 0});
+    return probe.local_endpoint().port();
+}
+
 // Reads a request and hangs up without an answer.
 struct hang_up_server
 {
@@ -103,6 +113,11 @@
             });
     }
 
+    endpoint address() const
+    {
+        return {0x7F000001, acceptor_.local_endpoint().port()};
+    }
+
     boost::asio::ip::tcp::acceptor acceptor_;
     std::optional<boost::asio::ip::tcp::socket> socket_;
     std::array<char, 4'096> buffer_{};
@@ -139,6 +154,11 @@
             });
     }
 
+    endpoint address() const
+    {
+        return {0x7F000001, acceptor_.local_endpoint().port()};
+    }
+
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::ip::tcp::socket socket_;
     std::array<char, 4'096> buffer_{};
@@ -168,7 +188,7 @@
 struct service_fixture
 {
     explicit service_fixture(boost::asio::io_context& io,
-                             std::uint16_t port = 24'901)
+                             std::uint16_t port = free_port())
         : io_(io), backend_{0x7F000001, port}, page_(io_, backend_),
           service_(std::make_unique<requests_service>(io_, numbers_))
     {
--- a/test/unit/requests_peers_test.cpp
+++ b/test/unit/requests_peers_test.cpp
@@ -12,7 +12,7 @@
 // Two agents of one service on one event loop, each with a backend server.
 struct pair_fixture
 {
-    pair_fixture() : left_(io_, 24'911), right_(io_, 24'912)
+    pair_fixture() : left_(io_), right_(io_)
     {
         meet(left_, left_record_, right_record_);
         meet(right_, right_record_, left_record_);
@@ -33,8 +33,8 @@
     }
 
     boost::asio::io_context io_;
-    target_record left_record_ = make_target(1, 24'913);
-    target_record right_record_ = make_target(2, 24'914);
+    target_record left_record_ = make_target(1, free_port());
+    target_record right_record_ = make_target(2, free_port());
     service_fixture left_;
     service_fixture right_;
 };
@@ -128,9 +128,8 @@
 {
     pair_fixture f;
     pair_fixture::stop_backend(f.left_);
-    silent_server silent(f.io_, 24'915);
-    f.right_.service_->update(make_service(),
-                              {{0x7F000001, 24'915}, true, 4, 100});
+    silent_server silent(f.io_, free_port());
+    f.right_.service_->update(make_service(), {silent.address(), true, 4, 100});
     auto const flow = f.left_.open();
     f.left_.say(*flow, order("1"));
     f.left_.run_until([&] { return silent.open_ == 1; });
@@ -145,9 +144,8 @@
 {
     pair_fixture f;
     pair_fixture::stop_backend(f.left_);
-    silent_server silent(f.io_, 24'915);
-    f.right_.service_->update(make_service(),
-                              {{0x7F000001, 24'915}, true, 4, 100});
+    silent_server silent(f.io_, free_port());
+    f.right_.service_->update(make_service(), {silent.address(), true, 4, 100});
     auto const flow = f.left_.open();
     f.left_.say(*flow, order("1"));
     f.left_.run_until([&] { return silent.open_ == 1; });
--- a/test/unit/requests_service_test.cpp
+++ b/test/unit/requests_service_test.cpp
@@ -93,7 +93,8 @@
 {
     boost::asio::io_context io;
     service_fixture f(io);
-    f.service_->update(make_service(), {{0x7F000001, 24902}, true, 4, 100});
+    f.service_->update(make_service(),
+                       {{0x7F000001, free_port()}, true, 4, 100});
     auto const answer = f.talk("POST /orders HTTP/1.1\r\nHost: a\r\n"
                                "Content-Length: 1\r\n\r\n1",
                                "\"reason\":");
@@ -118,8 +119,8 @@
 {
     boost::asio::io_context io;
     service_fixture f(io);
-    hang_up_server gone(io, 24'903);
-    f.service_->update(make_service(), {{0x7F000001, 24'903}, true, 4, 100});
+    hang_up_server gone(io, free_port());
+    f.service_->update(make_service(), {gone.address(), true, 4, 100});
     auto const answer = f.talk(order("1", "Connection: close\r\n"));
     CHECK(answer.rfind("HTTP/1.1 502", 0) == 0);
     CHECK(answer.find("Daisytrail-Outcome: unknown") != std::string::npos);
@@ -130,10 +131,10 @@
 {
     boost::asio::io_context io;
     service_fixture f(io);
-    hang_up_server gone(io, 24'903);
+    hang_up_server gone(io, free_port());
     auto service = make_service();
     service.classes_.push_back({"read", {"GET"}, "/", true});
-    f.service_->update(service, {{0x7F000001, 24'903}, true, 4, 100});
+    f.service_->update(service, {gone.address(), true, 4, 100});
     auto const answer =
         f.talk("GET /big HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
     CHECK(answer.find("Daisytrail-Outcome: unknown") != std::string::npos);
@@ -202,8 +203,8 @@
 {
     boost::asio::io_context io;
     service_fixture f(io);
-    silent_server silent(io, 24'904);
-    f.service_->update(make_service(), {{0x7F000001, 24'904}, true, 4, 100});
+    silent_server silent(io, free_port());
+    f.service_->update(make_service(), {silent.address(), true, 4, 100});
     auto const flow = f.open();
     f.say(*flow, order("1"));
     f.run_until([&] { return silent.open_ == 1; });
@@ -217,8 +218,8 @@
     boost::asio::io_context io;
     service_fixture f(io);
     f.service_->set_targets({}, make_target(1, 0));
-    silent_server silent(io, 24'904);
-    f.service_->update(make_service(), {{0x7F000001, 24'904}, true, 4, 100});
+    silent_server silent(io, free_port());
+    f.service_->update(make_service(), {silent.address(), true, 4, 100});
     auto const upload = "PUT /waybills/1 HTTP/1.1\r\nHost: a\r\n"
                         "Idempotency-Key: k\r\nContent-Length: 100000\r\n\r\n" +
                         std::string(80'000, 'x');
@@ -252,7 +253,8 @@
     service_fixture f(io);
     f.service_->set_targets({}, make_target(1, 0));
     auto const first = f.open();
-    f.service_->update(make_service(), {{0x7F000001, 24'902}, true, 4, 100});
+    f.service_->update(make_service(),
+                       {{0x7F000001, free_port()}, true, 4, 100});
     f.say(*first, order("1", "Connection: close\r\n"));
     f.run_until([&] { return first->over_; });
     CHECK(first->received_.find("not-run") != std::string::npos);
