Requests tests: a mock flow drops its handlers at its end

The product's flows drop their handlers when closed. Change: the fixture ends the service, then the mocks' handlers.

--- a/test/unit/requests_fixture.hpp
+++ b/test/unit/requests_fixture.hpp
@@ -215,11 +215,18 @@
     ~service_fixture()
     {
         page_.stop();
+        service_.reset();
+        // A real flow drops its handlers when it is aborted.
+        for (auto const& flow : opened_)
+        {
+            flow->handlers_ = {};
+        }
     }
 
     std::shared_ptr<mock_flow_state> open()
     {
         auto state = std::make_shared<mock_flow_state>();
+        opened_.push_back(state);
         service_->accept(std::make_unique<mock_flow>(state));
         return state;
     }
@@ -260,6 +267,7 @@
     endpoint backend_;
     http_page page_;
     metrics numbers_;
+    std::vector<std::shared_ptr<mock_flow_state>> opened_;
     std::unique_ptr<requests_service> service_;
     int runs_ = 0;
 };
