--- a/test/measure/flows.cpp
+++ b/test/measure/flows.cpp
@@ -116,7 +116,9 @@
     // Runs until nothing is under way; counts sealed datagrams.
     void settle()
     {
-        for (int tick = 0; tick < 1'000; ++tick)
+        constexpr int longest_gathering = 30; // ticks
+        int idle_ticks = 0;
+        for (int tick = 0; tick < 10'000; ++tick)
         {
             now_ += std::chrono::milliseconds(20);
             bool idle = true;
@@ -132,7 +134,8 @@
                     agent->on_acknowledgement(answer, now_);
                 }
             }
-            if (idle)
+            idle_ticks = idle ? idle_ticks + 1 : 0;
+            if (idle_ticks > longest_gathering)
             {
                 return;
             }
