A target outside its service's failure domains takes no new flows

Cause: failure_domains of a template was stored and shown, and nothing read it; an operator would expect that taking a domain out drains its targets. Change: the agent takes no new work outside the named domains and says so in its log; plan names the consequence. Conclusion: open flows stay, as with any drain.

--- a/include/daisytrail/organisation.hpp
+++ b/include/daisytrail/organisation.hpp
@@ -71,6 +71,10 @@
     bool operator==(service_template const&) const = default;
 };
 
+// True if targets in the failure domain take new work for the service; a
+// service that names no failure domain runs in all.
+bool runs_in(service_template const& service, std::string_view failure_domain);
+
 struct organisation_template
 {
     std::string name_;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -177,6 +177,11 @@
         log_event(log_level::error, "mode_change_needs_restart");
     }
     service_ = service;
+    if (!runs_in(service, settings_.common_.failure_domain_))
+    {
+        log_event(log_level::warning, "outside_failure_domains",
+                  {{"failure_domain", settings_.common_.failure_domain_}});
+    }
     mode_->update(service, known_backend_);
     if (data_)
     {
@@ -226,7 +231,9 @@
 void agent::publish(time_point now)
 {
     // Without a template the agent doesn't know its VIPs, so it takes no flows.
-    bool const takes_no_work = on_drained_ != nullptr || !service_;
+    bool const takes_no_work =
+        on_drained_ != nullptr || !service_ ||
+        !runs_in(*service_, settings_.common_.failure_domain_);
     auto const status = backend_.target(now, takes_no_work);
     if (status == published_)
     {
--- a/src/cli/template_diff.cpp
+++ b/src/cli/template_diff.cpp
@@ -108,7 +108,11 @@
 };
 
 // The first rule whose part occurs in the path decides.
-constexpr std::array<effect_rule, 9> effect_rules{{
+constexpr std::array<effect_rule, 11> effect_rules{{
+    {".failure_domains", edit::changed, flow_effect::drained,
+     "targets outside them drain: they take no new flows and keep open ones"},
+    {".failure_domains", edit::added, flow_effect::none,
+     "targets of other failure domains take no flows"},
     {".vips[", edit::removed, flow_effect::broken,
      "packets to this VIP are dropped from now on: open flows to it break"},
     {".mode", edit::changed, flow_effect::drained,
--- a/src/config/organisation.cpp
+++ b/src/config/organisation.cpp
@@ -349,4 +349,11 @@
     return text + "found " + fault.found_ + ", expected " + fault.expected_;
 }
 
+bool runs_in(service_template const& service, std::string_view failure_domain)
+{
+    auto const& named = service.failure_domains_;
+    return named.empty() ||
+           std::ranges::find(named, failure_domain) != named.end();
+}
+
 } // namespace daisytrail
--- a/test/unit/config_test.cpp
+++ b/test/unit/config_test.cpp
@@ -45,6 +45,20 @@
 
 } // namespace
 
+TEST_CASE("a service without failure domains runs in all of them")
+{
+    CHECK(runs_in({}, "lafrenz"));
+}
+
+TEST_CASE("a service runs in the failure domains that it names alone")
+{
+    service_template service;
+    service.failure_domains_ = {"lafrenz", "north-ind"};
+    CHECK(runs_in(service, "north-ind"));
+    CHECK_FALSE(runs_in(service, "kr-a"));
+    CHECK_FALSE(runs_in(service, ""));
+}
+
 TEST_CASE("a template with the required fields has the defaults")
 {
     auto const parsed = parse_organisation(service_with(""));
