One periodic timer for the six loops that stood apart

Cause: six classes repeated the same timer loop, and none was safe against an expiry that is queued when its owner ends; one of them had run on freed memory. Change: periodic_timer; the agent, its data path, both control planes, the TCP stack and the requests service use it.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -54,7 +54,8 @@
 agent::agent(boost::asio::io_context& io, agent_settings const& settings,
              metrics& metrics)
     : io_(io), settings_(settings), metrics_(metrics),
-      page_(io, settings.common_.http_), timer_(io)
+      page_(io, settings.common_.http_),
+      timer_(io, tick_interval, [this] { on_tick(); })
 {
 }
 
@@ -81,12 +82,12 @@
     publish(current_time());
     add_pages();
     data_->start();
-    run_timer();
+    timer_.start();
 }
 
 void agent::stop()
 {
-    timer_.cancel();
+    timer_.stop();
     page_.stop();
     data_->stop();
 }
@@ -191,20 +192,6 @@
     }
 }
 
-void agent::run_timer()
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (!code)
-            {
-                run_timer();
-                on_tick();
-            }
-        });
-}
-
 void agent::on_tick()
 {
     auto const now = current_time();
@@ -319,7 +306,7 @@
     auto status = *published_;
     status.state_ = member_state::left;
     membership_->publish(status);
-    timer_.cancel();
+    timer_.stop();
     log_event(log_level::info, "drained", {{"flows", data_->open_flows()}});
     on_drained_();
 }
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -7,12 +7,12 @@
 #include "agent/flow_service.hpp"
 #include "net/http_page.hpp"
 #include "net/metrics.hpp"
+#include "net/periodic_timer.hpp"
 
 #include <daisytrail/control.hpp>
 #include <daisytrail/settings.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -51,7 +51,6 @@
     http_response announce(http_request const& request);
     http_response health() const;
     void set_service(service_template const& service);
-    void run_timer();
     void on_tick();
     void update_backend(time_point now);
     void publish(time_point now);
@@ -63,7 +62,7 @@
     agent_settings settings_;
     metrics& metrics_;
     http_page page_;
-    boost::asio::steady_timer timer_;
+    periodic_timer timer_;
     agent_membership* membership_ = nullptr; // set by start()
     // Newest record of each target of the own service.
     std::map<target_id, target_record> targets_;
--- a/src/agent/data_path.cpp
+++ b/src/agent/data_path.cpp
@@ -64,7 +64,8 @@
       stack_(io, tunnel_mtu_bytes,
              [this](std::span<std::byte const> packet)
              { send_to_fabric(packet); }),
-      accept_(std::move(accept)), timer_(io),
+      accept_(std::move(accept)),
+      timer_(io, tick_interval, [this] { on_tick(current_time()); }),
       drops_(make_drop_counters(metrics)),
       delivered_(metrics.counter("daisytrail_agent_delivered_packets_total")),
       passed_(metrics.counter("daisytrail_agent_passed_packets_total")),
@@ -91,12 +92,12 @@
 void data_path::start()
 {
     port_.start();
-    run_timer();
+    timer_.start();
 }
 
 void data_path::stop()
 {
-    timer_.cancel();
+    timer_.stop();
     stack_.stop();
     port_.stop();
 }
@@ -309,20 +310,6 @@
     accept_(std::move(flow));
 }
 
-void data_path::run_timer()
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (!code)
-            {
-                on_tick(current_time());
-                run_timer();
-            }
-        });
-}
-
 void data_path::on_tick(time_point now)
 {
     if (++ticks_ % ticks_between_checks == 0)
--- a/src/agent/data_path.hpp
+++ b/src/agent/data_path.hpp
@@ -6,13 +6,13 @@
 #include "agent/tunnel_port.hpp"
 #include "lwip/tcp_stack.hpp"
 #include "net/metrics.hpp"
+#include "net/periodic_timer.hpp"
 #include "rpc/authenticator.hpp"
 
 #include <daisytrail/flows.hpp>
 #include <daisytrail/settings.hpp>
 #include <daisytrail/view.hpp>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
 #include <array>
@@ -75,7 +75,6 @@
     void send_to_fabric(std::span<std::byte const> packet);
     void send_message(endpoint const& to, flow_message const& message);
     void on_accepted(std::shared_ptr<tcp_flow> flow);
-    void run_timer();
     void on_tick(time_point now);
     void note_ended_flows(time_point now);
     void evict(evicted_flow const& flow);
@@ -89,7 +88,7 @@
     tunnel_port port_;
     tcp_stack stack_;
     accept_flow accept_;
-    boost::asio::steady_timer timer_;
+    periodic_timer timer_;
     std::unordered_set<endpoint, endpoint_hash> vips_;
     // Accepted flows whose end the table doesn't know yet.
     std::vector<std::shared_ptr<tcp_flow>> accepted_;
--- a/src/agent/requests_peers.cpp
+++ b/src/agent/requests_peers.cpp
@@ -15,7 +15,6 @@
 
 // A granted slot that isn't started on is free again after this time.
 constexpr std::chrono::milliseconds grant_timeout{500};
-constexpr std::chrono::milliseconds offer_interval{20};
 // A wait below this isn't worth a message.
 constexpr std::chrono::milliseconds shortest_offered_wait{2};
 constexpr std::uint32_t most_rounds = 2;
@@ -163,19 +162,13 @@
     }
 }
 
-void requests_service::run_offer_timer()
+void requests_service::on_offer_timer()
 {
-    offer_timer_.expires_after(offer_interval);
-    offer_timer_.async_wait(on_expiry(
-        [this]
-        {
-            offer_waiting();
-            if (scheduler_.queued() > 0)
-            {
-                pump(); // the backend server may be up again
-            }
-            run_offer_timer();
-        }));
+    offer_waiting();
+    if (scheduler_.queued() > 0)
+    {
+        pump(); // the backend server may be up again
+    }
 }
 
 peer_request requests_service::make_peer_request(request_job const& job,
--- a/src/agent/requests_service.cpp
+++ b/src/agent/requests_service.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+// Waiting requests are offered to peers this often.
+constexpr std::chrono::milliseconds offer_interval{20};
+
 time_point current_time()
 {
     return std::chrono::steady_clock::now();
@@ -40,8 +43,8 @@
 requests_service::requests_service(boost::asio::io_context& io,
                                    metrics& numbers)
     : io_(io), metrics_(numbers), drain_timer_(io), pump_timer_(io),
-      offer_timer_(io), random_(std::random_device{}()), scheduler_({}, {}),
-      retry_tokens_(1.0)
+      offer_timer_(io, offer_interval, [this] { on_offer_timer(); }),
+      random_(std::random_device{}()), scheduler_({}, {}), retry_tokens_(1.0)
 {
     auto const gauge = [this](char const* name, auto read)
     {
@@ -54,7 +57,7 @@
     gauge("daisytrail_keys_held", [this] { return keys_ ? keys_->size() : 0; });
     gauge("daisytrail_backend_suspect",
           [this] { return scheduler_.is_suspect() ? 1 : 0; });
-    run_offer_timer();
+    offer_timer_.start();
 }
 
 requests_service::~requests_service()
--- a/src/agent/requests_service.hpp
+++ b/src/agent/requests_service.hpp
@@ -9,6 +9,7 @@
 #include "agent/peer_link.hpp"
 #include "agent/requests_session.hpp"
 #include "net/metrics.hpp"
+#include "net/periodic_timer.hpp"
 
 #include <daisytrail/dedup.hpp>
 #include <daisytrail/peer_choice.hpp>
@@ -114,7 +115,7 @@
                                    time_point now) const;
     void grant(request_id reservation);
     void end_reservation(request_id reservation);
-    void run_offer_timer();
+    void on_offer_timer();
 
     // requests_keys.cpp
     void issue_key(request_job& job);
@@ -155,7 +156,7 @@
     bool draining_ = false;
     boost::asio::steady_timer drain_timer_;
     boost::asio::steady_timer pump_timer_;
-    boost::asio::steady_timer offer_timer_;
+    periodic_timer offer_timer_;
     bool pump_posted_ = false;
     std::mt19937_64 random_;
     scheduler scheduler_;
--- a/src/lwip/tcp_stack.cpp
+++ b/src/lwip/tcp_stack.cpp
@@ -285,10 +285,11 @@
 
 tcp_stack::tcp_stack(boost::asio::io_context& io, std::size_t mtu,
                      send_packet send)
-    : timer_(io), mtu_(mtu), send_(std::move(send))
+    : timer_(io, timer_interval, [] { sys_check_timeouts(); }), mtu_(mtu),
+      send_(std::move(send))
 {
     initialise_once();
-    run_timers();
+    timer_.start();
 }
 
 tcp_stack::~tcp_stack()
@@ -303,20 +304,6 @@
     }
 }
 
-void tcp_stack::run_timers()
-{
-    timer_.expires_after(timer_interval);
-    timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (!code)
-            {
-                sys_check_timeouts();
-                run_timers();
-            }
-        });
-}
-
 void tcp_stack::release_time_wait(flow_key const& key)
 {
     for (auto* pcb = tcp_tw_pcbs; pcb != nullptr; pcb = pcb->next)
@@ -349,7 +336,7 @@
 
 void tcp_stack::stop()
 {
-    timer_.cancel();
+    timer_.stop();
 }
 
 tcp_stack::interface& tcp_stack::add_address(ipv4 address)
--- a/src/lwip/tcp_stack.hpp
+++ b/src/lwip/tcp_stack.hpp
@@ -2,10 +2,11 @@
 // state is global, so a process has at most one stack.
 #pragma once
 
+#include "net/periodic_timer.hpp"
+
 #include <daisytrail/types.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -125,9 +126,8 @@
     struct listener;
 
     interface& add_address(ipv4 address);
-    void run_timers();
 
-    boost::asio::steady_timer timer_;
+    periodic_timer timer_;
     std::size_t mtu_;
     send_packet send_;
     std::map<ipv4, std::unique_ptr<interface>> interfaces_;
--- a/src/net/agent_control.cpp
+++ b/src/net/agent_control.cpp
@@ -43,7 +43,7 @@
       core_(make_record(settings, detail::start_incarnation()),
             settings.organisation_, settings.common_.seeds_,
             check_stored_template, std::random_device{}()),
-      timer_(io)
+      timer_(io, tick_interval, [this] { tick(); })
 {
     counters.gauge("daisytrail_control_observers", [this]
                    { return static_cast<double>(core_.observer_count()); });
@@ -57,6 +57,7 @@
             runner_.run(
                 core_.receive(steady_clock::now(), from, sender, message));
         });
+    timer_.start();
     tick();
 }
 
@@ -78,19 +79,6 @@
     return detail::to_json(core_.templates(), core_.self().name_);
 }
 
-void agent_control::schedule()
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (!code)
-            {
-                tick();
-            }
-        });
-}
-
 void agent_control::tick()
 {
     auto const now = steady_clock::now();
@@ -100,11 +88,11 @@
         return;
     }
     runner_.run(core_.tick(now));
-    schedule();
 }
 
 void agent_control::finish()
 {
+    timer_.stop();
     link_.stop();
     std::exchange(done_, nullptr)();
 }
--- a/src/net/agent_control.hpp
+++ b/src/net/agent_control.hpp
@@ -2,12 +2,11 @@
 #pragma once
 
 #include "net/control_outputs.hpp"
+#include "net/periodic_timer.hpp"
 
 #include <daisytrail/membership.hpp>
 #include <daisytrail/settings.hpp>
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace daisytrail
 {
 
@@ -35,14 +34,13 @@
     boost::json::value adopted() const;
 
 private:
-    void schedule();
     void tick();
     void finish();
 
     control_link link_;
     detail::action_runner runner_;
     agent_announcer core_;
-    boost::asio::steady_timer timer_;
+    periodic_timer timer_;
     std::function<void()> done_; // set while stopping
     time_point stop_deadline_;
 };
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -50,7 +50,7 @@
       core_(make_record(settings, detail::start_incarnation()),
             settings.common_.seeds_, check_stored_template,
             std::random_device{}()),
-      timer_(io)
+      timer_(io, tick_interval, [this] { tick(); })
 {
     counters.gauge(
         "daisytrail_balancers", [this]
@@ -77,6 +77,7 @@
                         [this](std::vector<endpoint> const& found)
                         { core_.add_seeds(found); });
     }
+    timer_.start();
     tick();
 }
 
@@ -113,24 +114,12 @@
     return list;
 }
 
-void balancer_control::schedule()
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (!code)
-            {
-                tick();
-            }
-        });
-}
-
 void balancer_control::tick()
 {
     auto const now = steady_clock::now();
     if (done_ && now >= stop_deadline_)
     {
+        timer_.stop();
         link_.stop();
         if (watcher_)
         {
@@ -145,7 +134,6 @@
         duties_checked_ = now;
         update_duties();
     }
-    schedule();
 }
 
 void balancer_control::update_duties()
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -2,13 +2,12 @@
 #pragma once
 
 #include "net/control_outputs.hpp"
+#include "net/periodic_timer.hpp"
 #include "net/store_watcher.hpp"
 
 #include <daisytrail/membership.hpp>
 #include <daisytrail/settings.hpp>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <memory>
 
 namespace daisytrail
@@ -36,7 +35,6 @@
     boost::json::value members() const;
 
 private:
-    void schedule();
     void tick();
     void take_template(store_entry const& entry);
     void update_duties();
@@ -45,7 +43,7 @@
     detail::action_runner runner_;
     balancer_membership core_;
     std::unique_ptr<store_watcher> watcher_; // empty without a store
-    boost::asio::steady_timer timer_;
+    periodic_timer timer_;
     std::function<void()> done_; // set while stopping
     time_point stop_deadline_;
     time_point duties_checked_;
--- /dev/null
+++ b/test/unit/periodic_timer_test.cpp
@@ -0,0 +1,98 @@
+// Tests of the periodic timer.
+#include "net/periodic_timer.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+using namespace daisytrail;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds interval{1};
+
+} // namespace
+
+TEST_CASE("the task runs until it stops its timer")
+{
+    boost::asio::io_context io;
+    int calls = 0;
+    std::optional<periodic_timer> timer;
+    timer.emplace(io, interval,
+                  [&]
+                  {
+                      if (++calls == 3)
+                      {
+                          timer->stop();
+                      }
+                  });
+    timer->start();
+    io.run();
+    CHECK(calls == 3);
+}
+
+TEST_CASE("the task may destroy its timer")
+{
+    boost::asio::io_context io;
+    int calls = 0;
+    std::optional<periodic_timer> timer;
+    timer.emplace(io, interval,
+                  [&]
+                  {
+                      ++calls;
+                      timer.reset();
+                  });
+    timer->start();
+    io.run();
+    CHECK(calls == 1);
+}
+
+TEST_CASE("an expiry that is queued when the timer ends calls nothing")
+{
+    boost::asio::io_context io;
+    int calls = 0;
+    std::optional<periodic_timer> first;
+    std::optional<periodic_timer> second;
+    // Both expire before the loop runs, so each finds the other's expiry
+    // queued.
+    first.emplace(io, interval,
+                  [&]
+                  {
+                      ++calls;
+                      second.reset();
+                      first->stop();
+                  });
+    second.emplace(io, interval,
+                   [&]
+                   {
+                       ++calls;
+                       first.reset();
+                       second->stop();
+                   });
+    first->start();
+    second->start();
+    auto const later = std::chrono::steady_clock::now() + 2 * interval;
+    while (std::chrono::steady_clock::now() < later)
+    {
+    }
+    io.run();
+    CHECK(calls == 1);
+}
+
+TEST_CASE("a second start changes nothing")
+{
+    boost::asio::io_context io;
+    int calls = 0;
+    std::optional<periodic_timer> timer;
+    timer.emplace(io, interval,
+                  [&]
+                  {
+                      ++calls;
+                      timer->stop();
+                  });
+    timer->start();
+    timer->start();
+    io.run();
+    CHECK(calls == 1);
+}
