Prefix of flow messages copied without a warning

Cause: GCC 12 warned of an out-of-bounds copy where a vector grew by insert. Change: the vector has its size from the start.

--- a/src/agent/flow_messages.cpp
+++ b/src/agent/flow_messages.cpp
@@ -137,8 +137,9 @@
 
 std::vector<std::byte> add_flow_prefix(std::span<std::byte const> sealed)
 {
-    std::vector<std::byte> result(prefix.begin(), prefix.end());
-    result.insert(result.end(), sealed.begin(), sealed.end());
+    std::vector<std::byte> result(prefix.size() + sealed.size());
+    auto const body = std::ranges::copy(prefix, result.begin()).out;
+    std::ranges::copy(sealed, body);
     return result;
 }
 
