requests.sh shows that requests passed between agents under kills

Cause: lost peer connections are part of what the test is for, and nothing checked that there were any requests at peers. Change: the test fails unless agents started more than 100 requests at peers.

--- a/test/integration/requests.sh
+++ b/test/integration/requests.sh
@@ -164,6 +164,13 @@
     curl -s -m 2 "http://127.0.0.1:${PROCESS_HTTP[agent-$service-$i]}/metrics" |
         grep -E '^daisytrail_(requests_total|peer_|request_retries|backend_ref)'
 done
+# Agents were killed while others ran requests for them and at them.
+peer_starts=0
+for i in 2 3 4 5; do
+    peer_starts=$((peer_starts + $(metric "agent-$service-$i" \
+        daisytrail_peer_starts_total)))
+done
+expect "requests were passed between agents" $((peer_starts > 100)) 1
 
 ((failed == 0)) && echo "requests: all checks passed"
 ((failed == 0))
