--- /dev/null
+++ b/include/daisytrail/backend_observer.hpp
@@ -0,0 +1,88 @@
+// What an agent learns of its backend server from the heads of the packets
+// that it passes: requests under way, time to answer, and whether it answers
+// at all. Never from the packets' data.
+#pragma once
+
+#include <daisytrail/packet_format.hpp>
+#include <daisytrail/relay_message.hpp>
+#include <daisytrail/types.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+namespace daisytrail
+{
+
+struct backend_observer_settings
+{
+    std::size_t max_flows_ = 20'000; // more are passed but not observed
+    duration flow_idle_ = std::chrono::seconds(60);
+    duration request_timeout_ = std::chrono::seconds(10); // no longer counted
+    duration smoothing_ = std::chrono::seconds(1); // of requests under way
+    // A SYN is answered at once by a backend server that runs.
+    duration syn_silence_ = std::chrono::milliseconds(150);
+    duration data_silence_ = std::chrono::seconds(1);
+};
+
+class backend_observer
+{
+public:
+    explicit backend_observer(backend_observer_settings settings = {});
+
+    // A packet was passed to the backend server.
+    void on_caller_packet(flow_packet const& packet, time_point now);
+
+    // The backend server sent a packet to a caller; returns the time to answer
+    // if this is the first of an answer.
+    std::optional<duration> on_backend_packet(flow_packet const& packet,
+                                              time_point now);
+
+    // The backend server returned a packet.
+    void on_returned(flow_packet const& packet, time_point now);
+
+    void tick(time_point now);
+
+    // True if it has stopped answering.
+    bool is_dark(time_point now) const;
+
+    std::uint32_t under_way() const
+    {
+        return under_way_;
+    }
+
+    std::size_t open_flows() const
+    {
+        return flows_.size();
+    }
+
+    // under_way_, mean_under_way_, response_micros_ and open_flows_ are set.
+    load_report report(time_point now);
+
+private:
+    struct flow
+    {
+        std::uint32_t next_sequence_ = 0; // after the caller's last data
+        bool has_data_ = false;
+        bool awaits_answer_ = false;
+        time_point asked_{}; // meaningful while awaits_answer_
+        time_point seen_{};
+    };
+
+    void answered(time_point now);
+    void end_request(flow& value);
+    void smooth(time_point now);
+
+    backend_observer_settings settings_;
+    std::unordered_map<flow_key, flow, flow_hash> flows_;
+    std::uint32_t under_way_ = 0; // flows that await an answer
+    double mean_under_way_ = 0;
+    double response_seconds_ = 0; // smoothed; 0 before the first answer
+    time_point smoothed_{};
+    time_point swept_{};
+    // First SYN or data since the backend server last sent anything.
+    std::optional<time_point> syn_unanswered_;
+    std::optional<time_point> data_unanswered_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -0,0 +1,140 @@
+// A balancer's decision for each packet of a forwarded flow. No sockets and no
+// clock: the surrounding code passes in packets and the time and carries out
+// the returned action.
+//
+// The backend server is the authority on its flows: what it doesn't hold comes
+// back. So the flow table here is a cache that may be lost at any time.
+#pragma once
+
+#include <daisytrail/forward_directory.hpp>
+#include <daisytrail/packet_format.hpp>
+#include <daisytrail/placement.hpp>
+#include <daisytrail/types.hpp>
+
+#include <array>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace daisytrail
+{
+
+enum class forward_step : std::uint8_t
+{
+    send,  // to target_
+    reset, // answer the caller with a reset
+    drop,
+    count
+};
+
+// Why a packet was sent, reset or dropped.
+enum class forward_cause : std::uint8_t
+{
+    known,           // the flow is in the table
+    placed,          // a new flow
+    moved,           // the SYN's first target didn't take it
+    searched,        // an open flow that this balancer doesn't know
+    search_goes_on,  // the packet came back from a target
+    no_template,     // no template is in force yet
+    no_route,        // no route has this VIP
+    no_target,       // no target takes new flows
+    nobody_holds,    // every target returned the packet
+    owner_missing,   // a target that may hold the flow can't be asked
+    not_from_caller, // a packet that only a backend server sends
+    count
+};
+
+inline constexpr std::array<std::string_view,
+                            static_cast<std::size_t>(forward_cause::count)>
+    forward_cause_names{"known",         "placed",         "moved",
+                        "searched",      "search_goes_on", "no_template",
+                        "no_route",      "no_target",      "nobody_holds",
+                        "owner_missing", "not_from_caller"};
+
+constexpr std::string_view to_string(forward_cause cause)
+{
+    return forward_cause_names[static_cast<std::size_t>(cause)];
+}
+
+struct forward_action
+{
+    forward_step step_ = forward_step::drop;
+    forward_cause cause_ = forward_cause::known;
+    forward_target* target_ = nullptr; // set for `send`
+};
+
+struct flow_forwarder_settings
+{
+    std::string failure_domain_;
+    placement_settings placement_;
+    std::size_t max_flows_ = 200'000;
+    duration flow_idle_ = std::chrono::seconds(60); // then forgotten
+    // A SYN without an answer for this long goes to another target.
+    duration syn_patience_ = std::chrono::milliseconds(150);
+    // A packet of an unknown flow that a silent target got is tried elsewhere.
+    duration search_patience_ = std::chrono::milliseconds(150);
+    // After its start a balancer doesn't know every target yet.
+    duration learning_time_ = std::chrono::seconds(5);
+};
+
+class flow_forwarder
+{
+public:
+    flow_forwarder(forward_directory& directory,
+                   flow_forwarder_settings settings, time_point now);
+
+    // A packet from a caller.
+    forward_action on_packet(flow_packet const& packet, time_point now);
+
+    // A packet that a target's agent returned.
+    forward_action on_returned(flow_packet const& packet, target_id from,
+                               time_point now);
+
+    // Forgets idle flows.
+    void tick(time_point now);
+
+    std::size_t flow_count() const
+    {
+        return flows_.size();
+    }
+
+private:
+    struct flow
+    {
+        flow_key key_;
+        target_id target_ = 0;         // 0: nowhere yet
+        time_point sent_{};            // last packet
+        time_point began_{};           // when target_ was chosen
+        bool searching_ = false;       // target_ may not be the owner
+        std::vector<target_id> tried_; // targets that don't hold the flow
+    };
+
+    using flow_list = std::list<flow>;
+
+    flow* find(flow_key const& key);
+    flow& add(flow_key const& key, time_point now);
+    void erase(flow_key const& key);
+    void choose(flow& value, forward_target const& target, time_point now);
+
+    forward_action open(flow& value, flow_packet const& packet,
+                        forward_cause cause, time_point now);
+    forward_action search(flow& value, flow_packet const& packet,
+                          forward_cause cause, time_point now);
+    forward_action give_up(flow& value, flow_packet const& packet,
+                           time_point now);
+    forward_target* next_candidate(flow const& value,
+                                   route_template const& route, time_point now);
+    forward_action send(flow& value, forward_cause cause, time_point now);
+    placement_request request_for(flow const& value, time_point now) const;
+
+    forward_directory& directory_;
+    flow_forwarder_settings settings_;
+    time_point started_;
+    flow_list flows_; // least recently used first
+    std::unordered_map<flow_key, flow_list::iterator, flow_hash> index_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/include/daisytrail/forward_directory.hpp
@@ -0,0 +1,111 @@
+// What a balancer knows for forwarded flows: the routes in force, the targets
+// of each service, and how each target has answered lately.
+#pragma once
+
+#include <daisytrail/organisation.hpp>
+#include <daisytrail/record.hpp>
+#include <daisytrail/relay_message.hpp>
+#include <daisytrail/types.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace daisytrail
+{
+
+// A target and what its agent last told.
+struct forward_target
+{
+    target_record record_;
+    load_report load_;
+    bool has_report_ = false;
+    time_point reported_{}; // when load_ came
+    time_point heard_{};    // last datagram of any kind from the agent
+    // First datagram sent since the agent was last heard; empty if none.
+    std::optional<time_point> unanswered_since_;
+    time_point questioned_{};        // last question sent
+    std::uint32_t placed_since_ = 0; // flows placed here since load_ came
+    time_point gone_at_{};           // when it left or died
+
+    // True if the agent hasn't answered for so long that new flows should go
+    // elsewhere.
+    bool is_silent(time_point now) const;
+};
+
+// Silence after which an agent is taken for unreachable: three reports.
+inline constexpr std::chrono::milliseconds agent_silence{350};
+
+class forward_directory
+{
+public:
+    using target_list = std::vector<forward_target*>;
+
+    // Takes a record unless a newer one is held; returns false if it does.
+    bool apply(target_record const& record, time_point now);
+
+    // Takes a template unless a newer revision is held.
+    bool apply(organisation_template const& value, revision at);
+
+    // Notes a datagram from a target's agent.
+    void heard(target_id target, load_report const& load, time_point now);
+
+    // Notes a datagram to a target's agent.
+    void sent(forward_target& target, time_point now);
+
+    forward_target* find(target_id target);
+
+    route_template const* find_route(endpoint const& vip) const;
+
+    // Targets that may own flows, in order of their identifiers.
+    target_list const& members(service_id service) const;
+
+    // Services other than `route`'s own, for flows that were opened before a
+    // route changed.
+    std::vector<service_id> other_services(route_template const& route) const;
+
+    // Services in the order of a route's shares.
+    static std::vector<service_id> services_of(route_template const& route);
+
+    // True if a target left without having ended its flows, or can't be
+    // reached: it may hold a flow that no other target holds.
+    bool may_miss_owner(time_point now) const;
+
+    std::unordered_map<target_id, std::unique_ptr<forward_target>> const&
+    targets() const
+    {
+        return targets_;
+    }
+
+    bool has_template() const
+    {
+        return !revisions_.empty();
+    }
+
+    // The highest revision in force.
+    revision newest_revision() const
+    {
+        return newest_;
+    }
+
+    std::size_t route_count() const
+    {
+        return routes_.size();
+    }
+
+private:
+    void rebuild_members();
+
+    std::unordered_map<target_id, std::unique_ptr<forward_target>> targets_;
+    std::map<service_id, target_list> members_;
+    std::map<std::string, revision> revisions_; // by organisation
+    std::map<std::string, std::vector<route_template>> templates_;
+    // Points into templates_.
+    std::map<endpoint, route_template const*> routes_;
+    revision newest_ = 0;
+};
+
+} // namespace daisytrail
--- a/include/daisytrail/organisation.hpp
+++ b/include/daisytrail/organisation.hpp
@@ -19,11 +19,13 @@
 {
     stream,   // bytes are spliced to the backend server
     requests, // HTTP/1.1 requests are scheduled one by one
+    forward,  // packets are passed on; the backend server ends the flow
     count
 };
 
-inline constexpr std::array<std::string_view, 2> service_mode_names{"stream",
-                                                                    "requests"};
+inline constexpr std::array<std::string_view,
+                            static_cast<std::size_t>(service_mode::count)>
+    service_mode_names{"stream", "requests", "forward"};
 
 // A class of requests: which it matches and how it is scheduled.
 struct request_class
@@ -61,7 +63,8 @@
 {
     std::string name_;           // unique in the organisation
     service_id id_ = 0;          // hash_name("organisation/service")
-    std::vector<endpoint> vips_; // no two services share one
+    std::vector<endpoint> vips_; // no two services share one; none needed
+                                 // in mode `forward`, which has routes
     service_mode mode_ = service_mode::requests;
     std::vector<std::string> failure_domains_;
     std::vector<request_class> classes_; // the first match decides
@@ -75,10 +78,30 @@
 // service that names no failure domain runs in all.
 bool runs_in(service_template const& service, std::string_view failure_domain);
 
+// A service's part of the new flows of a route.
+struct route_share
+{
+    service_id service_ = 0; // of the same organisation, in mode `forward`
+    std::uint32_t weight_ = 1;
+
+    bool operator==(route_share const&) const = default;
+};
+
+// A VIP whose new flows go to services of mode `forward`.
+struct route_template
+{
+    std::string name_;
+    endpoint vip_; // no two routes or services share one
+    std::vector<route_share> shares_;
+
+    bool operator==(route_template const&) const = default;
+};
+
 struct organisation_template
 {
     std::string name_;
     std::vector<service_template> services_;
+    std::vector<route_template> routes_;
 
     bool operator==(organisation_template const&) const = default;
 };
--- /dev/null
+++ b/include/daisytrail/relay_message.hpp
@@ -0,0 +1,87 @@
+// The datagrams between the balancer and the agent of a forwarded flow: a
+// Cap'n Proto head, followed by the packet itself where there is one.
+#pragma once
+
+#include <daisytrail/types.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace daisytrail
+{
+
+enum class relay_kind : std::uint8_t
+{
+    packet,   // balancer to agent: a caller's packet
+    returned, // agent to balancer: the packet isn't for this backend server
+    question, // balancer to agent: asks for a report
+    report,   // agent to balancer: load and state alone
+    count
+};
+
+enum class return_reason : std::uint8_t
+{
+    none,
+    not_held,      // the backend server holds no such flow, or is full
+    other_target,  // the head names another target or service
+    not_accepting, // the backend server drains or hasn't announced itself
+    no_answer,     // the backend server has stopped answering
+    count
+};
+
+inline constexpr std::array<std::string_view,
+                            static_cast<std::size_t>(return_reason::count)>
+    return_reason_names{"none", "not_held", "other_target", "not_accepting",
+                        "no_answer"};
+
+constexpr std::string_view to_string(return_reason reason)
+{
+    return return_reason_names[static_cast<std::size_t>(reason)];
+}
+
+// Load of a backend server as its agent sees it.
+struct load_report
+{
+    std::uint32_t under_way_ = 0;       // requests without an answer yet
+    double mean_under_way_ = 0;         // smoothed over about a second
+    std::uint32_t response_micros_ = 0; // smoothed time to answer
+    std::uint32_t open_flows_ = 0;
+    std::uint16_t share_ = 100; // percent of a warm backend server's speed
+    bool accepts_ = false;      // takes new flows
+
+    bool operator==(load_report const&) const = default;
+};
+
+struct relay_message
+{
+    relay_kind kind_ = relay_kind::packet;
+    return_reason reason_ = return_reason::none;
+    service_id service_ = 0;
+    target_id target_ = 0;  // addressee, or the target that answers
+    revision revision_ = 0; // of the template that the sender has in force
+    load_report load_;      // from agents only
+
+    bool operator==(relay_message const&) const = default;
+};
+
+inline constexpr std::size_t max_relay_head_bytes = 128;
+
+// Encodes the head into a buffer of max_relay_head_bytes; returns its size.
+std::size_t encode_relay_head(relay_message const& message,
+                              std::span<std::byte> buffer);
+
+// A decoded datagram; packet_ points into it.
+struct relay_reading
+{
+    relay_message message_;
+    std::span<std::byte const> packet_;
+};
+
+// Empty if the datagram is malformed. Its first byte must be 8-byte aligned.
+std::optional<relay_reading> decode_relay(std::span<std::byte const> datagram);
+
+} // namespace daisytrail
--- a/include/daisytrail/settings.hpp
+++ b/include/daisytrail/settings.hpp
@@ -20,6 +20,8 @@
     endpoint http_;                 // health, metrics and announcements
     std::vector<endpoint> seeds_;   // control endpoints to ask first
     std::vector<std::string> keys_; // hex, 32 bytes; the first one signs
+    // Replaces the port of each seed; 0 keeps them.
+    std::uint16_t seed_port_ = 0;
     std::uint32_t control_bytes_per_second_ = 9'000;
 };
 
@@ -28,6 +30,8 @@
     common_settings common_;
     endpoint data_;                // packets from the fabric
     std::vector<endpoint> stores_; // endpoints of the configuration store
+    // Balancers that read the store; others hear of changes from these.
+    std::uint32_t store_watchers_ = 2;
 };
 
 struct agent_settings
@@ -38,6 +42,28 @@
     endpoint tunnel_;              // packets from balancers and agents
     endpoint rpc_;                 // requests passed between agents
     std::vector<endpoint> fabric_; // where packets to callers go
+    // False for an agent that needs no template: it fetches none.
+    bool follows_template_ = true;
+};
+
+// Settings of a balancer of forwarded flows.
+struct forward_balancer_settings
+{
+    balancer_settings balancer_;
+    endpoint relay_;                // datagrams from and to agents
+    std::uint16_t caller_port_ = 0; // of callers' VMs; default: data_'s port
+    // Load that the way to another failure domain is worth; 1 is a queue of as
+    // many requests as a backend server has slots.
+    double cross_domain_load_ = 0.5;
+};
+
+// Settings of an agent of forwarded flows.
+struct forward_agent_settings
+{
+    agent_settings agent_;          // tunnel_ takes datagrams from balancers
+    endpoint backend_;              // packets to the backend server
+    endpoint outbound_;             // packets from the backend server
+    std::uint16_t caller_port_ = 0; // of callers' VMs; default: tunnel_'s port
 };
 
 // A parse result: errors_ is empty if and only if value_ is usable.
@@ -51,5 +77,9 @@
 parsed_settings<balancer_settings>
 parse_balancer_settings(std::string_view text);
 parsed_settings<agent_settings> parse_agent_settings(std::string_view text);
+parsed_settings<forward_balancer_settings>
+parse_forward_balancer_settings(std::string_view text);
+parsed_settings<forward_agent_settings>
+parse_forward_agent_settings(std::string_view text);
 
 } // namespace daisytrail
--- a/src/config/organisation.cpp
+++ b/src/config/organisation.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t max_template_bytes = 300'000;
 constexpr std::size_t max_services = 5'000;
 constexpr std::size_t max_vips = 1'000;
+constexpr std::size_t max_routes = 50'000;
+constexpr std::size_t max_shares = 16;
+constexpr std::uint32_t max_share_weight = 1'000'000;
 constexpr std::size_t max_classes = 64;
 constexpr std::size_t max_methods = 16;
 constexpr std::size_t max_failure_domains = 256;
@@ -159,7 +162,7 @@
     if (node.type_ != detail::json_type::string ||
         found == service_mode_names.end())
     {
-        in.reject("'stream' or 'requests'");
+        in.reject("'stream', 'requests' or 'forward'");
         return;
     }
     out.mode_ = static_cast<service_mode>(found - service_mode_names.begin());
@@ -207,7 +210,7 @@
      {
          in.name(out.name_);
      }},
-    {"vips", presence::required, read_vips},
+    {"vips", presence::optional, read_vips},
     {"mode", presence::required, read_mode},
     {"failure_domains", presence::optional,
      [](value_reader const& in, service_template& out)
@@ -235,11 +238,24 @@
     {
         check_name(in, service);
         check_vips(in, service);
-        if (service.mode_ == service_mode::stream && !service.classes_.empty())
+        if (service.mode_ != service_mode::requests &&
+            !service.classes_.empty())
         {
-            in.fault("classes in a service of mode 'stream'",
+            auto const mode =
+                service_mode_names[static_cast<std::size_t>(service.mode_)];
+            in.fault("classes in a service of mode '" + std::string(mode) + "'",
                      "classes only with mode 'requests'");
         }
+        if (service.mode_ == service_mode::forward && !service.vips_.empty())
+        {
+            in.fault("VIPs in a service of mode 'forward'",
+                     "VIPs of such a service only in 'routes'");
+        }
+        if (service.mode_ != service_mode::forward && service.vips_.empty() &&
+            detail::find_member(in, "vips") == nullptr)
+        {
+            in.fault("no field 'vips'", "this field is required");
+        }
     }
 
 private:
@@ -276,6 +292,129 @@
     std::map<endpoint, std::string> vips_; // to the service that has it first
 };
 
+// A share as written: services are known by name until all are read.
+struct named_share
+{
+    std::string service_;
+    std::uint32_t weight_ = 1;
+};
+
+struct named_route
+{
+    std::string name_;
+    endpoint vip_;
+    std::vector<named_share> shares_;
+};
+
+constexpr std::array<field<named_share>, 2> share_fields{{
+    {"service", presence::required,
+     [](value_reader const& in, named_share& out)
+     {
+         in.name(out.service_);
+     }},
+    {"weight", presence::optional,
+     [](value_reader const& in, named_share& out)
+     {
+         in.number(out.weight_, 0, max_share_weight);
+     }},
+}};
+
+void read_shares(value_reader const& in, named_route& out)
+{
+    if (!in.is_array(1, max_shares))
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < in.node().children_.size(); ++i)
+    {
+        detail::read_object(in.element(i), share_fields,
+                            out.shares_.emplace_back());
+    }
+}
+
+constexpr std::array<field<named_route>, 3> route_fields{{
+    {"name", presence::required,
+     [](value_reader const& in, named_route& out)
+     {
+         in.name(out.name_);
+     }},
+    {"vip", presence::required,
+     [](value_reader const& in, named_route& out)
+     {
+         in.address(out.vip_);
+     }},
+    {"shares", presence::required, read_shares},
+}};
+
+// Turns names of services into identifiers; reports unknown ones and VIPs that
+// stand twice.
+class route_checks
+{
+public:
+    explicit route_checks(organisation_template const& organisation)
+        : organisation_(organisation)
+    {
+        for (auto const& service : organisation.services_)
+        {
+            modes_.emplace(service.name_, service.mode_);
+            vips_.insert(service.vips_.begin(), service.vips_.end());
+        }
+    }
+
+    route_template check(value_reader const& in, named_route const& named)
+    {
+        route_template route{named.name_, named.vip_, {}};
+        if (named.vip_.port_ != 0 && !vips_.insert(named.vip_).second)
+        {
+            in.fault("VIP " + to_string(named.vip_) + " again",
+                     "each VIP in one route or service only");
+        }
+        for (auto const& share : named.shares_)
+        {
+            check_service(in, share.service_);
+            route.shares_.push_back(
+                {hash_name(organisation_.name_ + "/" + share.service_),
+                 share.weight_});
+        }
+        return route;
+    }
+
+private:
+    void check_service(value_reader const& in, std::string const& name) const
+    {
+        auto const found = modes_.find(name);
+        if (found == modes_.end())
+        {
+            in.fault("service '" + name + "'", "a service of this template");
+        }
+        else if (found->second != service_mode::forward)
+        {
+            in.fault("service '" + name + "' of another mode",
+                     "a service of mode 'forward'");
+        }
+    }
+
+    organisation_template const& organisation_;
+    std::map<std::string, service_mode> modes_;
+    std::set<endpoint> vips_;
+};
+
+// Runs after `name` and `services` were read.
+void read_routes(value_reader const& in, organisation_template& out)
+{
+    if (!in.is_array(0, max_routes))
+    {
+        return;
+    }
+    route_checks checks(out);
+    for (std::size_t i = 0; i < in.node().children_.size(); ++i)
+    {
+        named_route named;
+        detail::read_object(in.element(i), route_fields, named);
+        out.routes_.push_back(checks.check(in.element(i), named));
+    }
+}
+
 void read_services(value_reader const& in, organisation_template& out)
 {
     if (!in.is_array(0, max_services))
@@ -292,13 +431,14 @@
     }
 }
 
-constexpr std::array<field<organisation_template>, 2> organisation_fields{{
+constexpr std::array<field<organisation_template>, 3> organisation_fields{{
     {"name", presence::required,
      [](value_reader const& in, organisation_template& out)
      {
          in.name(out.name_);
      }},
     {"services", presence::required, read_services},
+    {"routes", presence::optional, read_routes},
 }};
 
 void number_services(organisation_template& organisation)
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t max_endpoints = 256;
 constexpr std::uint32_t least_control_bytes = 1'000;
 constexpr std::uint32_t most_control_bytes = 10'000'000;
+constexpr std::uint32_t most_port = 65'535;
+constexpr std::uint32_t most_watchers = 1'000;
+constexpr double most_cross_domain_load = 100;
 
 bool is_hex(char byte)
 {
@@ -59,7 +62,7 @@
     }
 }
 
-constexpr std::array<field<common_settings>, 7> common_fields{{
+constexpr std::array<field<common_settings>, 8> common_fields{{
     {"name", presence::required,
      [](value_reader const& in, common_settings& out)
      {
@@ -85,6 +88,11 @@
      {
          in.addresses(out.seeds_, 0, max_endpoints);
      }},
+    {"seed_port", presence::optional,
+     [](value_reader const& in, common_settings& out)
+     {
+         in.number(out.seed_port_, 1, most_port);
+     }},
     {"keys", presence::required, read_keys},
     {"control_bytes_per_second", presence::optional,
      [](value_reader const& in, common_settings& out)
@@ -94,7 +102,7 @@
      }},
 }};
 
-constexpr std::array<field<balancer_settings>, 2> balancer_fields{{
+constexpr std::array<field<balancer_settings>, 3> balancer_fields{{
     {"data", presence::required,
      [](value_reader const& in, balancer_settings& out)
      {
@@ -105,6 +113,78 @@
      {
          in.addresses(out.stores_, 0, max_endpoints);
      }},
+    {"store_watchers", presence::optional,
+     [](value_reader const& in, balancer_settings& out)
+     {
+         in.number(out.store_watchers_, 1, most_watchers);
+     }},
+}};
+
+constexpr std::array<field<forward_balancer_settings>, 6>
+    forward_balancer_fields{{
+        {"data", presence::required,
+         [](value_reader const& in, forward_balancer_settings& out)
+         {
+             in.address(out.balancer_.data_);
+         }},
+        {"stores", presence::optional,
+         [](value_reader const& in, forward_balancer_settings& out)
+         {
+             in.addresses(out.balancer_.stores_, 0, max_endpoints);
+         }},
+        {"store_watchers", presence::optional,
+         [](value_reader const& in, forward_balancer_settings& out)
+         {
+             in.number(out.balancer_.store_watchers_, 1, most_watchers);
+         }},
+        {"relay", presence::required,
+         [](value_reader const& in, forward_balancer_settings& out)
+         {
+             in.address(out.relay_);
+         }},
+        {"caller_port", presence::optional,
+         [](value_reader const& in, forward_balancer_settings& out)
+         {
+             in.number(out.caller_port_, 1, most_port);
+         }},
+        {"cross_domain_load", presence::optional,
+         [](value_reader const& in, forward_balancer_settings& out)
+         {
+             in.real(out.cross_domain_load_, 0, most_cross_domain_load);
+         }},
+    }};
+
+constexpr std::array<field<forward_agent_settings>, 6> forward_agent_fields{{
+    {"organisation", presence::required,
+     [](value_reader const& in, forward_agent_settings& out)
+     {
+         in.name(out.agent_.organisation_);
+     }},
+    {"service", presence::required,
+     [](value_reader const& in, forward_agent_settings& out)
+     {
+         in.name(out.agent_.service_);
+     }},
+    {"tunnel", presence::required,
+     [](value_reader const& in, forward_agent_settings& out)
+     {
+         in.address(out.agent_.tunnel_);
+     }},
+    {"backend", presence::required,
+     [](value_reader const& in, forward_agent_settings& out)
+     {
+         in.address(out.backend_);
+     }},
+    {"outbound", presence::required,
+     [](value_reader const& in, forward_agent_settings& out)
+     {
+         in.address(out.outbound_);
+     }},
+    {"caller_port", presence::optional,
+     [](value_reader const& in, forward_agent_settings& out)
+     {
+         in.number(out.caller_port_, 1, most_port);
+     }},
 }};
 
 constexpr std::array<field<agent_settings>, 5> agent_fields{{
@@ -135,6 +215,26 @@
      }},
 }};
 
+common_settings& common_of(balancer_settings& settings)
+{
+    return settings.common_;
+}
+
+common_settings& common_of(agent_settings& settings)
+{
+    return settings.common_;
+}
+
+common_settings& common_of(forward_balancer_settings& settings)
+{
+    return settings.balancer_.common_;
+}
+
+common_settings& common_of(forward_agent_settings& settings)
+{
+    return settings.agent_.common_;
+}
+
 // The table of one daemon: the common fields, then its own.
 template <typename Settings, std::size_t Own>
 auto join_fields(std::array<field<Settings>, Own> const& own)
@@ -146,7 +246,7 @@
                         common_fields[Index].presence_,
                         [](value_reader const& in, Settings& out)
                         {
-                            common_fields[Index].read_(in, out.common_);
+                            common_fields[Index].read_(in, common_of(out));
                         }}),
          ...);
     }
@@ -155,6 +255,18 @@
     return all;
 }
 
+void set_seed_ports(common_settings& common)
+{
+    if (common.seed_port_ == 0)
+    {
+        return;
+    }
+    for (auto& seed : common.seeds_)
+    {
+        seed.port_ = common.seed_port_;
+    }
+}
+
 template <typename Settings, std::size_t Own>
 parsed_settings<Settings>
 parse_settings(std::string_view text,
@@ -170,9 +282,22 @@
     value_reader const root(document.root_, "", result.errors_);
     detail::read_object(root, join_fields(own), result.value_);
     detail::sort_faults(result.errors_);
+    set_seed_ports(common_of(result.value_));
     return result;
 }
 
+template_error no_source_fault()
+{
+    return {"", 1, 1, "neither 'stores' nor 'seeds'",
+            "at least one of them, or the balancer can learn nothing"};
+}
+
+template_error no_seed_fault()
+{
+    return {"seeds", 1, 1, "no address",
+            "the control address of at least one balancer"};
+}
+
 } // namespace
 
 parsed_settings<balancer_settings>
@@ -183,9 +308,7 @@
     if (result.errors_.empty() && value.stores_.empty() &&
         value.common_.seeds_.empty())
     {
-        result.errors_.push_back(
-            {"", 1, 1, "neither 'stores' nor 'seeds'",
-             "at least one of them, or the balancer can learn nothing"});
+        result.errors_.push_back(no_source_fault());
     }
     return result;
 }
@@ -195,9 +318,41 @@
     auto result = parse_settings<agent_settings>(text, agent_fields);
     if (result.errors_.empty() && result.value_.common_.seeds_.empty())
     {
-        result.errors_.push_back(
-            {"seeds", 1, 1, "no address",
-             "the control address of at least one balancer"});
+        result.errors_.push_back(no_seed_fault());
+    }
+    return result;
+}
+
+parsed_settings<forward_balancer_settings>
+parse_forward_balancer_settings(std::string_view text)
+{
+    auto result = parse_settings<forward_balancer_settings>(
+        text, forward_balancer_fields);
+    auto const& value = result.value_.balancer_;
+    if (result.errors_.empty() && value.stores_.empty() &&
+        value.common_.seeds_.empty())
+    {
+        result.errors_.push_back(no_source_fault());
+    }
+    if (result.value_.caller_port_ == 0)
+    {
+        result.value_.caller_port_ = value.data_.port_;
+    }
+    return result;
+}
+
+parsed_settings<forward_agent_settings>
+parse_forward_agent_settings(std::string_view text)
+{
+    auto result =
+        parse_settings<forward_agent_settings>(text, forward_agent_fields);
+    if (result.errors_.empty() && result.value_.agent_.common_.seeds_.empty())
+    {
+        result.errors_.push_back(no_seed_fault());
+    }
+    if (result.value_.caller_port_ == 0)
+    {
+        result.value_.caller_port_ = result.value_.agent_.tunnel_.port_;
     }
     return result;
 }
--- /dev/null
+++ b/src/core/flow_forwarder.cpp
@@ -0,0 +1,257 @@
+// Decisions for packets of forwarded flows.
+#include <daisytrail/flow_forwarder.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+bool contains(std::vector<target_id> const& ids, target_id id)
+{
+    return std::ranges::find(ids, id) != ids.end();
+}
+
+} // namespace
+
+flow_forwarder::flow_forwarder(forward_directory& directory,
+                               flow_forwarder_settings settings, time_point now)
+    : directory_(directory), settings_(std::move(settings)), started_(now)
+{
+}
+
+flow_forwarder::flow* flow_forwarder::find(flow_key const& key)
+{
+    auto const found = index_.find(key);
+    if (found == index_.end())
+    {
+        return nullptr;
+    }
+    flows_.splice(flows_.end(), flows_, found->second);
+    return &*found->second;
+}
+
+flow_forwarder::flow& flow_forwarder::add(flow_key const& key, time_point now)
+{
+    if (flows_.size() >= settings_.max_flows_)
+    {
+        index_.erase(flows_.front().key_);
+        flows_.pop_front();
+    }
+    flows_.emplace_back();
+    auto& value = flows_.back();
+    value.key_ = key;
+    value.sent_ = now;
+    index_[key] = std::prev(flows_.end());
+    return value;
+}
+
+void flow_forwarder::erase(flow_key const& key)
+{
+    auto const found = index_.find(key);
+    if (found != index_.end())
+    {
+        flows_.erase(found->second);
+        index_.erase(found);
+    }
+}
+
+void flow_forwarder::tick(time_point now)
+{
+    while (!flows_.empty() && now > flows_.front().sent_ + settings_.flow_idle_)
+    {
+        index_.erase(flows_.front().key_);
+        flows_.pop_front();
+    }
+}
+
+placement_request flow_forwarder::request_for(flow const& value,
+                                              time_point now) const
+{
+    return {hash_flow(value.key_), settings_.failure_domain_, value.tried_,
+            now};
+}
+
+void flow_forwarder::choose(flow& value, forward_target const& target,
+                            time_point now)
+{
+    value.target_ = target.record_.target_;
+    value.began_ = now;
+}
+
+forward_action flow_forwarder::send(flow& value, forward_cause cause,
+                                    time_point now)
+{
+    auto* const target = directory_.find(value.target_);
+    if (target == nullptr)
+    {
+        return {forward_step::drop, forward_cause::no_target, nullptr};
+    }
+    value.sent_ = now;
+    directory_.sent(*target, now);
+    return {forward_step::send, cause, target};
+}
+
+forward_action flow_forwarder::on_packet(flow_packet const& packet,
+                                         time_point now)
+{
+    if (packet.syn_ && packet.ack_)
+    {
+        return {forward_step::drop, forward_cause::not_from_caller, nullptr};
+    }
+    if (!directory_.has_template())
+    {
+        return {forward_step::drop, forward_cause::no_template, nullptr};
+    }
+    auto const key = packet.flow_from_caller();
+    if (directory_.find_route(key.vip_) == nullptr)
+    {
+        erase(key);
+        return {packet.reset_ ? forward_step::drop : forward_step::reset,
+                forward_cause::no_route, nullptr};
+    }
+    auto* value = find(key);
+    if (value == nullptr)
+    {
+        value = &add(key, now);
+        return packet.opens_flow()
+                   ? open(*value, packet, forward_cause::placed, now)
+                   : search(*value, packet, forward_cause::searched, now);
+    }
+    if (packet.opens_flow())
+    {
+        bool const is_waiting = value->target_ != 0 &&
+                                now < value->began_ + settings_.syn_patience_;
+        if (is_waiting)
+        {
+            return send(*value, forward_cause::known, now);
+        }
+        value->tried_.push_back(value->target_);
+        return open(*value, packet, forward_cause::moved, now);
+    }
+    auto* const target = directory_.find(value->target_);
+    bool const is_lost = target == nullptr ||
+                         (value->searching_ &&
+                          now > value->began_ + settings_.search_patience_ &&
+                          target->heard_ < value->began_);
+    if (is_lost)
+    {
+        value->tried_.push_back(value->target_);
+        return search(*value, packet, forward_cause::search_goes_on, now);
+    }
+    return send(*value, forward_cause::known, now);
+}
+
+forward_action flow_forwarder::on_returned(flow_packet const& packet,
+                                           target_id from, time_point now)
+{
+    auto const key = packet.flow_from_caller();
+    if (!directory_.has_template() ||
+        directory_.find_route(key.vip_) == nullptr)
+    {
+        return {forward_step::drop, forward_cause::no_route, nullptr};
+    }
+    auto* value = find(key);
+    if (value == nullptr)
+    {
+        value = &add(key, now);
+    }
+    if (!contains(value->tried_, from))
+    {
+        value->tried_.push_back(from);
+    }
+    bool const has_moved_on = value->target_ != from && value->target_ != 0 &&
+                              !contains(value->tried_, value->target_);
+    if (has_moved_on)
+    {
+        return send(*value, forward_cause::search_goes_on, now);
+    }
+    return packet.opens_flow()
+               ? open(*value, packet, forward_cause::moved, now)
+               : search(*value, packet, forward_cause::search_goes_on, now);
+}
+
+forward_action flow_forwarder::open(flow& value, flow_packet const& packet,
+                                    forward_cause cause, time_point now)
+{
+    auto const& route = *directory_.find_route(value.key_.vip_);
+    auto const service = choose_service(route, hash_flow(value.key_));
+    auto* const target =
+        place_flow(directory_.members(service), request_for(value, now),
+                   settings_.placement_);
+    if (target == nullptr)
+    {
+        // A later copy of the SYN starts over.
+        erase(packet.flow_from_caller());
+        return {forward_step::reset, forward_cause::no_target, nullptr};
+    }
+    ++target->placed_since_;
+    choose(value, *target, now);
+    return send(value, cause, now);
+}
+
+forward_target* flow_forwarder::next_candidate(flow const& value,
+                                               route_template const& route,
+                                               time_point now)
+{
+    auto const request = request_for(value, now);
+    auto services = forward_directory::services_of(route);
+    auto const others = directory_.other_services(route);
+    services.insert(services.end(), others.begin(), others.end());
+    forward_target* silent = nullptr;
+    for (auto const service : services)
+    {
+        auto const& members = directory_.members(service);
+        for (auto* const target :
+             rank_targets(members, request, settings_.placement_))
+        {
+            if (contains(value.tried_, target->record_.target_))
+            {
+                continue;
+            }
+            if (!target->is_silent(now))
+            {
+                return target;
+            }
+            silent = silent == nullptr ? target : silent;
+        }
+    }
+    return silent;
+}
+
+forward_action flow_forwarder::search(flow& value, flow_packet const& packet,
+                                      forward_cause cause, time_point now)
+{
+    auto const& route = *directory_.find_route(value.key_.vip_);
+    auto* const target = next_candidate(value, route, now);
+    if (target == nullptr)
+    {
+        return give_up(value, packet, now);
+    }
+    value.searching_ = true;
+    choose(value, *target, now);
+    return send(value, cause, now);
+}
+
+// A reset tells the caller to open a new flow at once, but it must never hit a
+// flow that some backend server still holds.
+forward_action flow_forwarder::give_up(flow& value, flow_packet const& packet,
+                                       time_point now)
+{
+    auto const key = value.key_;
+    bool const is_sure = now > started_ + settings_.learning_time_ &&
+                         !directory_.may_miss_owner(now);
+    erase(key);
+    if (!is_sure)
+    {
+        return {forward_step::drop, forward_cause::owner_missing, nullptr};
+    }
+    bool const wants_reset = !packet.reset_;
+    return {wants_reset ? forward_step::reset : forward_step::drop,
+            forward_cause::nobody_holds, nullptr};
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/core/forward_directory.cpp
@@ -0,0 +1,174 @@
+// Routes and targets of forwarded flows.
+#include <daisytrail/forward_directory.hpp>
+
+#include <algorithm>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+// Time that a lost target's backend server may still hold its flows.
+constexpr std::chrono::seconds flow_memory{60};
+
+} // namespace
+
+bool forward_target::is_silent(time_point now) const
+{
+    return unanswered_since_ && now > *unanswered_since_ + agent_silence;
+}
+
+bool forward_directory::apply(target_record const& record, time_point now)
+{
+    auto& held = targets_[record.target_];
+    if (!held)
+    {
+        held = std::make_unique<forward_target>();
+    }
+    else if (!supersedes(record, held->record_))
+    {
+        return false;
+    }
+    bool const is_new_process =
+        held->record_.version_.incarnation_ != record.version_.incarnation_;
+    if (is_new_process)
+    {
+        held->has_report_ = false;
+        held->unanswered_since_.reset();
+    }
+    if (!may_own_flows(record.state_))
+    {
+        held->gone_at_ = now;
+    }
+    held->record_ = record;
+    rebuild_members();
+    return true;
+}
+
+void forward_directory::rebuild_members()
+{
+    members_.clear();
+    for (auto const& [id, target] : targets_)
+    {
+        if (may_own_flows(target->record_.state_))
+        {
+            members_[target->record_.service_].push_back(target.get());
+        }
+    }
+    for (auto& [service, members] : members_)
+    {
+        std::ranges::sort(members, {},
+                          [](forward_target const* member)
+                          { return member->record_.target_; });
+    }
+}
+
+bool forward_directory::apply(organisation_template const& value, revision at)
+{
+    auto& held = revisions_[value.name_];
+    if (at < held)
+    {
+        return false;
+    }
+    held = at;
+    newest_ = std::max(newest_, at);
+    templates_[value.name_] = value.routes_;
+    routes_.clear();
+    for (auto const& [organisation, routes] : templates_)
+    {
+        for (auto const& route : routes)
+        {
+            routes_.emplace(route.vip_, &route);
+        }
+    }
+    return true;
+}
+
+void forward_directory::heard(target_id target, load_report const& load,
+                              time_point now)
+{
+    auto* const held = find(target);
+    if (held == nullptr)
+    {
+        return;
+    }
+    held->heard_ = now;
+    held->unanswered_since_.reset();
+    held->load_ = load;
+    held->has_report_ = true;
+    held->reported_ = now;
+    held->placed_since_ = 0;
+}
+
+void forward_directory::sent(forward_target& target, time_point now)
+{
+    if (!target.unanswered_since_)
+    {
+        target.unanswered_since_ = now;
+    }
+}
+
+forward_target* forward_directory::find(target_id target)
+{
+    auto const found = targets_.find(target);
+    return found == targets_.end() ? nullptr : found->second.get();
+}
+
+route_template const* forward_directory::find_route(endpoint const& vip) const
+{
+    auto const found = routes_.find(vip);
+    return found == routes_.end() ? nullptr : found->second;
+}
+
+forward_directory::target_list const&
+forward_directory::members(service_id service) const
+{
+    static target_list const none;
+    auto const found = members_.find(service);
+    return found == members_.end() ? none : found->second;
+}
+
+std::vector<service_id>
+forward_directory::services_of(route_template const& route)
+{
+    std::vector<service_id> result;
+    for (auto const& share : route.shares_)
+    {
+        result.push_back(share.service_);
+    }
+    return result;
+}
+
+std::vector<service_id>
+forward_directory::other_services(route_template const& route) const
+{
+    std::vector<service_id> result;
+    for (auto const& [service, members] : members_)
+    {
+        if (std::ranges::find(route.shares_, service, &route_share::service_) ==
+            route.shares_.end())
+        {
+            result.push_back(service);
+        }
+    }
+    return result;
+}
+
+bool forward_directory::may_miss_owner(time_point now) const
+{
+    return std::ranges::any_of(
+        targets_,
+        [now](auto const& entry)
+        {
+            auto const& target = *entry.second;
+            if (target.record_.state_ == member_state::dead)
+            {
+                return now < target.gone_at_ + flow_memory;
+            }
+            return may_own_flows(target.record_.state_) &&
+                   (!target.has_report_ || target.is_silent(now));
+        });
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/agent_relay.cpp
@@ -0,0 +1,307 @@
+// Sockets around the agent's decisions for forwarded flows.
+#include "forward/agent_relay.hpp"
+
+#include <random>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds report_interval{100};
+// A balancer that sent nothing for this long gets no reports unasked.
+constexpr std::chrono::seconds correspondent_time{3};
+// A backend server that doesn't answer gets a SYN this often.
+constexpr std::chrono::milliseconds dark_probe_interval{250};
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+agent_relay::agent_relay(boost::asio::io_context& io,
+                         forward_agent_settings const& settings,
+                         packet_format const& format, backend_life const& life,
+                         metrics& counters)
+    : settings_(settings), format_(format), life_(life),
+      service_(hash_name(settings.agent_.organisation_ + "/" +
+                         settings.agent_.service_)),
+      target_(hash_name(settings.agent_.common_.name_)),
+      paths_(std::random_device{}()), balancers_(io, settings.agent_.tunnel_),
+      backend_(io, settings.outbound_),
+      passed_(counters.counter("daisytrail_packets_passed_total")),
+      answered_(counters.counter("daisytrail_packets_answered_total")),
+      malformed_(counters.counter("daisytrail_packets_malformed_total")),
+      refused_(counters.counter("daisytrail_packets_refused_total")),
+      lost_paths_(counters.counter("daisytrail_return_path_lost_total")),
+      response_time_(counters.latency("daisytrail_response_seconds"))
+{
+    counters.gauge("daisytrail_requests_under_way", [this]
+                   { return static_cast<double>(observer_.under_way()); });
+    counters.gauge("daisytrail_flows_open", [this]
+                   { return static_cast<double>(observer_.open_flows()); });
+    for (std::size_t i = 0; i < returned_.size(); ++i)
+    {
+        returned_[i] =
+            &counters.counter("daisytrail_packets_returned_total{reason=\"" +
+                              std::string(return_reason_names[i]) + "\"}");
+    }
+}
+
+void agent_relay::start()
+{
+    balancers_.start([this](std::span<std::byte> datagram, endpoint const& from)
+                     { on_balancer_datagram(datagram, from); },
+                     [this] { flush(); });
+    backend_.start([this](std::span<std::byte> datagram, endpoint const& from)
+                   { on_backend_datagram(datagram, from); },
+                   [this] { flush(); });
+}
+
+void agent_relay::stop()
+{
+    balancers_.stop();
+    backend_.stop();
+}
+
+void agent_relay::set_stopping()
+{
+    stopping_ = true;
+}
+
+void agent_relay::flush()
+{
+    refused_ += balancers_.flush() + backend_.flush();
+}
+
+bool agent_relay::accepts_flows(time_point now) const
+{
+    return life_.phase() == backend_phase::ready && !stopping_ &&
+           !observer_.is_dark(now);
+}
+
+void agent_relay::on_balancer_datagram(std::span<std::byte> datagram,
+                                       endpoint const& from)
+{
+    auto const now = current_time();
+    auto const reading = decode_relay(datagram);
+    if (!reading)
+    {
+        ++malformed_;
+        return;
+    }
+    auto const& message = reading->message_;
+    auto& sender = correspondents_[from];
+    sender.heard_ = now;
+    if (message.kind_ == relay_kind::question)
+    {
+        if (message.target_ == target_ && message.service_ == service_)
+        {
+            send_report(from, now);
+        }
+        return;
+    }
+    auto const bytes = datagram.last(reading->packet_.size());
+    auto const packet = format_.read(bytes);
+    if (message.kind_ != relay_kind::packet || !packet)
+    {
+        ++malformed_;
+        return;
+    }
+    sender.wants_report_ = true;
+    auto const reason = refusal(message, *packet, now);
+    if (reason == return_reason::none)
+    {
+        pass_in(*packet, bytes, from, now);
+    }
+    else
+    {
+        give_back(*packet, bytes, from, reason, now);
+    }
+}
+
+return_reason agent_relay::refusal(relay_message const& message,
+                                   flow_packet const& packet, time_point now)
+{
+    bool const is_mine =
+        message.target_ == target_ && message.service_ == service_;
+    if (!is_mine)
+    {
+        return return_reason::other_target;
+    }
+    if (life_.phase() == backend_phase::gone)
+    {
+        return return_reason::not_held;
+    }
+    if (!packet.opens_flow())
+    {
+        return return_reason::none;
+    }
+    if (life_.phase() != backend_phase::ready || stopping_)
+    {
+        return return_reason::not_accepting;
+    }
+    if (!observer_.is_dark(now))
+    {
+        return return_reason::none;
+    }
+    // A single SYN finds out whether it answers again.
+    if (now > dark_probe_ + dark_probe_interval)
+    {
+        dark_probe_ = now;
+        return return_reason::none;
+    }
+    return return_reason::no_answer;
+}
+
+void agent_relay::pass_in(flow_packet const& packet, std::span<std::byte> bytes,
+                          endpoint const& balancer, time_point now)
+{
+    format_.set_mark(bytes, paths_.add(balancer));
+    observer_.on_caller_packet(packet, now);
+    ++passed_;
+    backend_.head();
+    backend_.add(settings_.backend_, 0, bytes);
+}
+
+void agent_relay::give_back(flow_packet const& packet,
+                            std::span<std::byte> bytes,
+                            endpoint const& balancer, return_reason reason,
+                            time_point now)
+{
+    ++*returned_[static_cast<std::size_t>(reason)];
+    note_return(packet, reason, now);
+    format_.clear_return(bytes);
+    auto message = make_message(relay_kind::returned, now);
+    message.reason_ = reason;
+    auto const head_bytes = encode_relay_head(message, balancers_.head());
+    balancers_.add(balancer, head_bytes, bytes);
+}
+
+void agent_relay::on_backend_datagram(std::span<std::byte> datagram,
+                                      endpoint const& from)
+{
+    auto const now = current_time();
+    auto const packet = format_.read(datagram);
+    if (!packet || from.address_ != settings_.backend_.address_)
+    {
+        ++malformed_;
+        return;
+    }
+    if (packet->returned_)
+    {
+        observer_.on_returned(*packet, now);
+        if (auto const balancer = paths_.find(packet->mark_))
+        {
+            give_back(*packet, datagram, *balancer, return_reason::not_held,
+                      now);
+        }
+        else
+        {
+            ++lost_paths_;
+        }
+        return;
+    }
+    if (auto const took = observer_.on_backend_packet(*packet, now))
+    {
+        response_time_.add(std::chrono::duration<double>(*took).count());
+    }
+    ++answered_;
+    backend_.head();
+    backend_.add({packet->destination_.address_, settings_.caller_port_}, 0,
+                 datagram);
+}
+
+relay_message agent_relay::make_message(relay_kind kind, time_point now)
+{
+    relay_message message;
+    message.kind_ = kind;
+    message.service_ = service_;
+    message.target_ = target_;
+    message.revision_ = revision_;
+    message.load_ = observer_.report(now);
+    message.load_.share_ = life_.speed_share(now);
+    message.load_.accepts_ = accepts_flows(now);
+    return message;
+}
+
+void agent_relay::send_report(endpoint const& balancer, time_point now)
+{
+    auto const message = make_message(relay_kind::report, now);
+    auto const head_bytes = encode_relay_head(message, balancers_.head());
+    balancers_.add(balancer, head_bytes, {});
+}
+
+void agent_relay::send_reports(time_point now)
+{
+    reported_ = now;
+    for (auto& [balancer, state] : correspondents_)
+    {
+        if (state.wants_report_)
+        {
+            state.wants_report_ = false;
+            send_report(balancer, now);
+        }
+    }
+    std::erase_if(correspondents_, [now](auto const& entry)
+                  { return now > entry.second.heard_ + correspondent_time; });
+}
+
+void agent_relay::report_now(time_point now)
+{
+    for (auto& [balancer, state] : correspondents_)
+    {
+        state.wants_report_ = true;
+    }
+    send_reports(now);
+    flush();
+}
+
+void agent_relay::tick(time_point now)
+{
+    observer_.tick(now);
+    watch_darkness(now);
+    if (now >= reported_ + report_interval)
+    {
+        send_reports(now);
+    }
+    log_.report_suppressed();
+    flush();
+}
+
+void agent_relay::watch_darkness(time_point now)
+{
+    bool const dark = observer_.is_dark(now);
+    if (dark == dark_)
+    {
+        return;
+    }
+    dark_ = dark;
+    log_event(dark ? log_level::warning : log_level::info,
+              dark ? "backend_silent" : "backend_answers",
+              {{"under_way", observer_.under_way()},
+               {"flows", observer_.open_flows()}});
+    report_now(now);
+}
+
+void agent_relay::note_return(flow_packet const& packet, return_reason reason,
+                              time_point now)
+{
+    if (!log_.admit(now))
+    {
+        return;
+    }
+    log_event(log_level::info, "returned",
+              {{"flow", flow_name(packet.flow_from_caller())},
+               {"reason", to_string(reason)},
+               {"opens", packet.opens_flow()},
+               {"phase", to_string(life_.phase())},
+               {"run", life_.last().id_},
+               {"under_way", observer_.under_way()},
+               {"revision", revision_}});
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/agent_relay.hpp
@@ -0,0 +1,107 @@
+// An agent's data path in mode `forward`: packets from balancers go to the
+// backend server, its own packets straight to callers, and what it returns
+// back to the balancer.
+#pragma once
+
+#include "forward/datagram_port.hpp"
+#include "forward/decision_log.hpp"
+#include "net/metrics.hpp"
+
+#include <daisytrail/backend_life.hpp>
+#include <daisytrail/backend_observer.hpp>
+#include <daisytrail/packet_format.hpp>
+#include <daisytrail/relay_message.hpp>
+#include <daisytrail/return_paths.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <array>
+#include <map>
+
+namespace daisytrail
+{
+
+class agent_relay
+{
+public:
+    agent_relay(boost::asio::io_context& io,
+                forward_agent_settings const& settings,
+                packet_format const& format, backend_life const& life,
+                metrics& counters);
+
+    void start();
+    void stop();
+
+    // Takes no new flows from now on.
+    void set_stopping();
+
+    void tick(time_point now);
+
+    // Tells balancers that sent packets lately about a change at once.
+    void report_now(time_point now);
+
+    bool accepts_flows(time_point now) const;
+
+    std::uint32_t requests_under_way() const
+    {
+        return observer_.under_way();
+    }
+
+    void set_revision(revision at)
+    {
+        revision_ = at;
+    }
+
+private:
+    // A balancer that sent a datagram lately.
+    struct correspondent
+    {
+        time_point heard_{};
+        bool wants_report_ = false;
+    };
+
+    void on_balancer_datagram(std::span<std::byte> datagram,
+                              endpoint const& from);
+    void on_backend_datagram(std::span<std::byte> datagram,
+                             endpoint const& from);
+    return_reason refusal(relay_message const& message,
+                          flow_packet const& packet, time_point now);
+    void pass_in(flow_packet const& packet, std::span<std::byte> bytes,
+                 endpoint const& balancer, time_point now);
+    void give_back(flow_packet const& packet, std::span<std::byte> bytes,
+                   endpoint const& balancer, return_reason reason,
+                   time_point now);
+    void send_reports(time_point now);
+    void send_report(endpoint const& balancer, time_point now);
+    relay_message make_message(relay_kind kind, time_point now);
+    void note_return(flow_packet const& packet, return_reason reason,
+                     time_point now);
+    void watch_darkness(time_point now);
+    void flush();
+
+    forward_agent_settings settings_;
+    packet_format const& format_;
+    backend_life const& life_;
+    service_id service_;
+    target_id target_;
+    backend_observer observer_;
+    return_paths paths_;
+    datagram_port balancers_;
+    datagram_port backend_;
+    decision_log log_;
+    std::map<endpoint, correspondent> correspondents_;
+    revision revision_ = 0;
+    time_point reported_{};
+    time_point dark_probe_{}; // last SYN passed to a silent backend server
+    bool stopping_ = false;
+    bool dark_ = false;
+    std::uint64_t& passed_;
+    std::uint64_t& answered_;
+    std::uint64_t& malformed_;
+    std::uint64_t& refused_;
+    std::uint64_t& lost_paths_;
+    histogram& response_time_;
+    std::array<std::uint64_t*, static_cast<std::size_t>(return_reason::count)>
+        returned_{};
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/balancer_relay.cpp
@@ -0,0 +1,241 @@
+// Sockets around the decisions of flow_forwarder.
+#include "forward/balancer_relay.hpp"
+
+#include <algorithm>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+// A report this old is asked for again, so that placement knows idle targets.
+constexpr std::chrono::milliseconds report_age{1'000};
+constexpr std::chrono::milliseconds question_interval{250};
+// Questions in one tick.
+constexpr int questions_per_tick = 8;
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(forward_step::count)>
+    step_names{"send", "reset", "drop"};
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+flow_forwarder_settings
+make_forwarder_settings(forward_balancer_settings const& settings)
+{
+    flow_forwarder_settings result;
+    result.failure_domain_ = settings.balancer_.common_.failure_domain_;
+    result.placement_.cross_domain_load_ = settings.cross_domain_load_;
+    return result;
+}
+
+} // namespace
+
+balancer_relay::balancer_relay(boost::asio::io_context& io,
+                               forward_balancer_settings const& settings,
+                               packet_format const& format,
+                               forward_directory& directory, metrics& counters)
+    : settings_(settings), format_(format), directory_(directory),
+      core_(directory, make_forwarder_settings(settings), current_time()),
+      callers_(io, settings.balancer_.data_), agents_(io, settings.relay_),
+      received_(counters.counter("daisytrail_packets_received_total")),
+      malformed_(counters.counter("daisytrail_packets_malformed_total")),
+      returned_(counters.counter("daisytrail_packets_returned_total")),
+      refused_(counters.counter("daisytrail_packets_refused_total"))
+{
+    counters.gauge("daisytrail_flows_known",
+                   [this] { return static_cast<double>(core_.flow_count()); });
+    for (std::size_t step = 0; step < step_names.size(); ++step)
+    {
+        for (std::size_t cause = 0; cause < forward_cause_names.size(); ++cause)
+        {
+            actions_[{static_cast<forward_step>(step),
+                      static_cast<forward_cause>(cause)}] =
+                &counters.counter(
+                    "daisytrail_forward_total{step=\"" +
+                    std::string(step_names[step]) + "\",cause=\"" +
+                    std::string(forward_cause_names[cause]) + "\"}");
+        }
+    }
+}
+
+void balancer_relay::start()
+{
+    callers_.start([this](std::span<std::byte> datagram, endpoint const&)
+                   { on_caller_datagram(datagram); },
+                   [this] { flush(); });
+    agents_.start([this](std::span<std::byte> datagram, endpoint const&)
+                  { on_agent_datagram(datagram); },
+                  [this] { flush(); });
+}
+
+void balancer_relay::stop()
+{
+    callers_.stop();
+    agents_.stop();
+}
+
+void balancer_relay::flush()
+{
+    refused_ += callers_.flush() + agents_.flush();
+    reset_count_ = 0;
+}
+
+void balancer_relay::on_caller_datagram(std::span<std::byte> datagram)
+{
+    ++received_;
+    auto const packet = format_.read(datagram);
+    if (!packet || packet->returned_)
+    {
+        ++malformed_;
+        return;
+    }
+    auto const now = current_time();
+    carry_out(core_.on_packet(*packet, now), *packet, datagram, now);
+}
+
+void balancer_relay::on_agent_datagram(std::span<std::byte> datagram)
+{
+    auto const reading = decode_relay(datagram);
+    if (!reading)
+    {
+        ++malformed_;
+        return;
+    }
+    auto const now = current_time();
+    auto const& message = reading->message_;
+    take(message, now);
+    if (message.kind_ != relay_kind::returned)
+    {
+        return;
+    }
+    ++returned_;
+    auto const packet = format_.read(reading->packet_);
+    if (!packet)
+    {
+        ++malformed_;
+        return;
+    }
+    carry_out(core_.on_returned(*packet, message.target_, now), *packet,
+              reading->packet_, now);
+}
+
+void balancer_relay::take(relay_message const& message, time_point now)
+{
+    if (message.kind_ == relay_kind::report ||
+        message.kind_ == relay_kind::returned)
+    {
+        directory_.heard(message.target_, message.load_, now);
+    }
+}
+
+void balancer_relay::carry_out(forward_action const& action,
+                               flow_packet const& packet,
+                               std::span<std::byte const> bytes, time_point now)
+{
+    ++*actions_[{action.step_, action.cause_}];
+    if (action.cause_ != forward_cause::known)
+    {
+        note(action, packet, now);
+    }
+    switch (action.step_)
+    {
+    case forward_step::send:
+        send(*action.target_, bytes);
+        break;
+    case forward_step::reset:
+        reset(packet);
+        break;
+    case forward_step::drop:
+    case forward_step::count:
+        break;
+    }
+}
+
+void balancer_relay::send(forward_target const& target,
+                          std::span<std::byte const> bytes)
+{
+    relay_message message;
+    message.service_ = target.record_.service_;
+    message.target_ = target.record_.target_;
+    message.revision_ = directory_.newest_revision();
+    auto const head_bytes = encode_relay_head(message, agents_.head());
+    agents_.add(target.record_.tunnel_, head_bytes, bytes);
+}
+
+void balancer_relay::reset(flow_packet const& packet)
+{
+    if (reset_count_ == resets_.size())
+    {
+        flush();
+    }
+    auto& buffer = resets_[reset_count_++];
+    auto const bytes = format_.write_reset(packet, buffer);
+    callers_.head();
+    callers_.add({packet.source_.address_, settings_.caller_port_}, 0,
+                 std::span(buffer).first(bytes));
+}
+
+void balancer_relay::note(forward_action const& action,
+                          flow_packet const& packet, time_point now)
+{
+    if (!log_.admit(now))
+    {
+        return;
+    }
+    boost::json::object line{
+        {"flow", flow_name(packet.flow_from_caller())},
+        {"step", step_names[static_cast<std::size_t>(action.step_)]},
+        {"cause", to_string(action.cause_)},
+        {"revision", directory_.newest_revision()}};
+    if (action.target_ != nullptr)
+    {
+        auto const& target = *action.target_;
+        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - target.reported_);
+        line["target"] = target.record_.name_;
+        line["incarnation"] = target.record_.version_.incarnation_;
+        line["load"] = expected_load(target);
+        line["report_age_ms"] = target.has_report_ ? age.count() : -1;
+    }
+    log_event(log_level::info, "flow", line);
+}
+
+void balancer_relay::ask(forward_target& target, time_point now)
+{
+    target.questioned_ = now;
+    directory_.sent(target, now);
+    relay_message message;
+    message.kind_ = relay_kind::question;
+    message.service_ = target.record_.service_;
+    message.target_ = target.record_.target_;
+    message.revision_ = directory_.newest_revision();
+    auto const head_bytes = encode_relay_head(message, agents_.head());
+    agents_.add(target.record_.tunnel_, head_bytes, {});
+}
+
+void balancer_relay::tick(time_point now)
+{
+    core_.tick(now);
+    log_.report_suppressed();
+    int questions = 0;
+    for (auto const& [id, target] : directory_.targets())
+    {
+        bool const is_due =
+            may_own_flows(target->record_.state_) &&
+            now > target->questioned_ + question_interval &&
+            (!target->has_report_ || now > target->reported_ + report_age);
+        if (is_due && questions < questions_per_tick)
+        {
+            ask(*target, now);
+            ++questions;
+        }
+    }
+    flush();
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/balancer_relay.hpp
@@ -0,0 +1,64 @@
+// A balancer's data path in mode `forward`: packets from callers go to agents,
+// and what agents return goes on to the next target.
+#pragma once
+
+#include "forward/datagram_port.hpp"
+#include "forward/decision_log.hpp"
+#include "net/metrics.hpp"
+
+#include <daisytrail/flow_forwarder.hpp>
+#include <daisytrail/packet_format.hpp>
+#include <daisytrail/relay_message.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <array>
+#include <map>
+
+namespace daisytrail
+{
+
+class balancer_relay
+{
+public:
+    balancer_relay(boost::asio::io_context& io,
+                   forward_balancer_settings const& settings,
+                   packet_format const& format, forward_directory& directory,
+                   metrics& counters);
+
+    void start();
+    void stop();
+
+    // Asks silent targets and those with an old report.
+    void tick(time_point now);
+
+private:
+    void on_caller_datagram(std::span<std::byte> datagram);
+    void on_agent_datagram(std::span<std::byte> datagram);
+    void take(relay_message const& message, time_point now);
+    void carry_out(forward_action const& action, flow_packet const& packet,
+                   std::span<std::byte const> bytes, time_point now);
+    void send(forward_target const& target, std::span<std::byte const> bytes);
+    void reset(flow_packet const& packet);
+    void ask(forward_target& target, time_point now);
+    void note(forward_action const& action, flow_packet const& packet,
+              time_point now);
+    void flush();
+
+    forward_balancer_settings settings_;
+    packet_format const& format_;
+    forward_directory& directory_;
+    flow_forwarder core_;
+    datagram_port callers_;
+    datagram_port agents_;
+    decision_log log_;
+    std::array<std::array<std::byte, max_flow_packet_bytes>, batch_size>
+        resets_{}; // written resets of a batch
+    std::size_t reset_count_ = 0;
+    std::uint64_t& received_;
+    std::uint64_t& malformed_;
+    std::uint64_t& returned_;
+    std::uint64_t& refused_;
+    std::map<std::pair<forward_step, forward_cause>, std::uint64_t*> actions_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/datagram_port.cpp
@@ -0,0 +1,96 @@
+// Batched UDP input and output on the event loop.
+#include "forward/datagram_port.hpp"
+
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+// Batches handled before other events of the loop get a turn.
+constexpr int batches_per_turn = 8;
+
+} // namespace
+
+datagram_port::datagram_port(asio::io_context& io, endpoint const& local)
+    : socket_(io, asio::ip::udp::v4(), open_udp_socket(local)),
+      receiver_(socket_.native_handle()), sender_(socket_.native_handle())
+{
+}
+
+void datagram_port::start(handler on_datagram,
+                          std::function<void()> after_batch)
+{
+    on_datagram_ = std::move(on_datagram);
+    after_batch_ = std::move(after_batch);
+    wait();
+}
+
+void datagram_port::stop()
+{
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void datagram_port::wait()
+{
+    socket_.async_wait(asio::ip::udp::socket::wait_read,
+                       [this](boost::system::error_code code)
+                       {
+                           if (code || !socket_.is_open())
+                           {
+                               return;
+                           }
+                           read();
+                           if (socket_.is_open())
+                           {
+                               wait();
+                           }
+                       });
+}
+
+void datagram_port::read()
+{
+    for (int turn = 0; turn < batches_per_turn; ++turn)
+    {
+        auto const count = receiver_.receive();
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            if (!receiver_.truncated(i))
+            {
+                on_datagram_(receiver_.datagram(i), receiver_.sender(i));
+            }
+        }
+        after_batch_();
+        if (count < batch_size)
+        {
+            return;
+        }
+    }
+}
+
+std::span<std::byte> datagram_port::head()
+{
+    if (sender_.full())
+    {
+        refused_ += sender_.flush();
+    }
+    return sender_.header();
+}
+
+void datagram_port::add(endpoint const& to, std::size_t head_bytes,
+                        std::span<std::byte const> payload)
+{
+    sender_.add(to, head_bytes, payload);
+}
+
+std::size_t datagram_port::flush()
+{
+    return std::exchange(refused_, 0) + sender_.flush();
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/decision_log.cpp
@@ -0,0 +1,46 @@
+// Budget of log lines about single flows.
+#include "forward/decision_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+constexpr double lines_per_second = 100;
+constexpr double burst_lines = 200;
+
+} // namespace
+
+bool decision_log::admit(time_point now)
+{
+    auto const passed = std::chrono::duration<double>(now - filled_).count();
+    tokens_ = std::min(burst_lines, tokens_ + passed * lines_per_second);
+    filled_ = now;
+    if (tokens_ < 1)
+    {
+        ++suppressed_;
+        return false;
+    }
+    --tokens_;
+    return true;
+}
+
+void decision_log::report_suppressed()
+{
+    if (suppressed_ > 0)
+    {
+        log_event(log_level::warning, "flow_lines_suppressed",
+                  {{"lines", std::exchange(suppressed_, 0)}});
+    }
+}
+
+std::string flow_name(flow_key const& flow)
+{
+    return to_string(flow.caller_) + ">" + to_string(flow.vip_);
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/decision_log.hpp
@@ -0,0 +1,35 @@
+// Log lines of decisions on single flows: as many as the budget allows, the
+// rest counted and reported.
+#pragma once
+
+#include "net/log.hpp"
+
+#include <daisytrail/types.hpp>
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <string_view>
+
+namespace daisytrail
+{
+
+class decision_log
+{
+public:
+    // True if a line may be written now; otherwise it counts as suppressed.
+    bool admit(time_point now);
+
+    // Reports the lines that were suppressed since the last call, if any.
+    void report_suppressed();
+
+private:
+    double tokens_ = 0; // lines that may be written
+    time_point filled_{};
+    std::uint64_t suppressed_ = 0;
+};
+
+// "10.0.0.1:4000>198.18.0.1:443", as every line about a flow names it.
+std::string flow_name(flow_key const& flow);
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/forward_agent.cpp
@@ -0,0 +1,235 @@
+// Life cycle of an agent in mode `forward`.
+#include "forward/forward_agent.hpp"
+
+#include "net/log.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds tick_interval{50};
+// Until balancers have heard that no new flows are taken.
+constexpr std::chrono::milliseconds least_stop_time{400};
+// Requests under way may end until then.
+constexpr std::chrono::milliseconds most_stop_time{2'500};
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// An agent in this mode passes packets whatever the template says, so it
+// follows none.
+agent_settings without_template(agent_settings settings)
+{
+    settings.follows_template_ = false;
+    return settings;
+}
+
+} // namespace
+
+forward_agent::forward_agent(boost::asio::io_context& io,
+                             forward_agent_settings const& settings,
+                             packet_format const& format)
+    : settings_(settings), life_(settings.agent_.service_),
+      page_(io, settings.agent_.common_.http_),
+      relay_(io, settings, format, life_, metrics_),
+      control_(io, without_template(settings.agent_), metrics_, *this),
+      timer_(io, tick_interval, [this] { on_tick(); }),
+      signals_(io, SIGTERM, SIGINT, SIGHUP)
+{
+    add_pages();
+    wait_for_signal();
+    relay_.start();
+    publish();
+    control_.start();
+    timer_.start();
+    log_event(log_level::info, "started",
+              {{"version", DAISYTRAIL_VERSION},
+               {"service", settings_.agent_.service_},
+               {"tunnel", to_string(settings_.agent_.tunnel_)},
+               {"backend", to_string(settings_.backend_)},
+               {"control", to_string(settings_.agent_.common_.control_)}});
+}
+
+void forward_agent::add_pages()
+{
+    page_.route("GET", "/health",
+                [this](http_request const&)
+                {
+                    bool const accepts = relay_.accepts_flows(current_time());
+                    json::object const body{
+                        {"phase", to_string(life_.phase())},
+                        {"accepts", accepts},
+                        {"under_way", relay_.requests_under_way()},
+                        {"state", to_string(control_.self().state_)}};
+                    return make_response(accepts ? 200 : 503,
+                                         json::serialize(body));
+                });
+    page_.route("GET", "/metrics",
+                [this](http_request const&) {
+                    return make_response(200, metrics_.text(),
+                                         "text/plain; version=0.0.4");
+                });
+}
+
+announcement_outcome
+forward_agent::on_announcement(backend_announcement const& value)
+{
+    auto const before = life_.phase();
+    auto const previous_run = life_.last().id_;
+    auto const outcome = life_.on_announcement(value, current_time());
+    bool const is_news = outcome != announcement_outcome::accepted ||
+                         before != life_.phase() || previous_run != value.id_;
+    if (is_news)
+    {
+        log_event(log_level::info, "announcement",
+                  {{"run", value.id_},
+                   {"started", value.started_},
+                   {"sequence", value.sequence_},
+                   {"said", to_string(value.phase_)},
+                   {"before", to_string(before)},
+                   {"after", to_string(life_.phase())},
+                   {"outcome", to_string(outcome)}});
+        relay_.report_now(current_time());
+    }
+    publish();
+    return outcome;
+}
+
+void forward_agent::on_backend_end(std::string const& id)
+{
+    bool const is_current = life_.on_end(id);
+    log_event(log_level::info, "backend_ended",
+              {{"run", id},
+               {"current_run", life_.last().id_},
+               {"outcome", is_current ? "gone" : "not the current run"}});
+    if (is_current)
+    {
+        relay_.report_now(current_time());
+        publish();
+    }
+}
+
+member_state forward_agent::published_state() const
+{
+    if (life_.phase() == backend_phase::gone)
+    {
+        return member_state::left;
+    }
+    bool const takes_flows =
+        life_.phase() == backend_phase::ready && !stopping_since_;
+    return takes_flows ? member_state::ready : member_state::draining;
+}
+
+void forward_agent::publish()
+{
+    target_status status;
+    status.slots_ = std::max(1U, life_.last().slots_);
+    status.state_ = published_state();
+    if (status == published_)
+    {
+        return;
+    }
+    published_ = status;
+    control_.publish(status);
+    log_event(log_level::info, "published",
+              {{"state", to_string(status.state_)},
+               {"slots", status.slots_},
+               {"run", life_.last().id_}});
+}
+
+void forward_agent::wait_for_signal()
+{
+    signals_.async_wait(
+        [this](boost::system::error_code code, int signal)
+        {
+            if (!code)
+            {
+                on_signal(signal);
+                wait_for_signal();
+            }
+        });
+}
+
+void forward_agent::on_signal(int signal)
+{
+    if (signal == SIGHUP)
+    {
+        // Addresses can't change while the process runs.
+        log_event(log_level::info, "reload_ignored",
+                  {{"reason", "settings are read at the start only"}});
+        return;
+    }
+    if (stopping_since_)
+    {
+        return;
+    }
+    stopping_since_ = current_time();
+    log_event(log_level::info, "stopping",
+              {{"phase", to_string(life_.phase())},
+               {"under_way", relay_.requests_under_way()}});
+    relay_.set_stopping();
+    relay_.report_now(current_time());
+    publish();
+}
+
+void forward_agent::on_tick()
+{
+    auto const now = current_time();
+    relay_.tick(now);
+    if (stopping_since_)
+    {
+        end_stop_if_idle(now);
+    }
+}
+
+// The backend server may go on without its agent, which soon starts again;
+// then its flows only wait. So the stop waits for a moment without requests.
+void forward_agent::end_stop_if_idle(time_point now)
+{
+    bool const may_end = now >= *stopping_since_ + least_stop_time;
+    bool const must_end = now >= *stopping_since_ + most_stop_time;
+    if (must_end || (may_end && relay_.requests_under_way() == 0))
+    {
+        timer_.stop();
+        finish_stop();
+    }
+}
+
+void forward_agent::finish_stop()
+{
+    auto const end = [this]
+    {
+        relay_.stop();
+        page_.stop();
+        signals_.cancel();
+        log_event(log_level::info, "stopped",
+                  {{"phase", to_string(life_.phase())}});
+    };
+    if (life_.phase() == backend_phase::gone)
+    {
+        control_.stop(end);
+    }
+    else
+    {
+        control_.halt();
+        end();
+    }
+}
+
+void forward_agent::on_target(target_record const&) {}
+
+void forward_agent::on_organisation(organisation_template const&, revision) {}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/forward_agent.hpp
@@ -0,0 +1,69 @@
+// An agent process in mode `forward`: the data path beside one backend server,
+// that server's announcements, membership and the graceful stop.
+#pragma once
+
+#include "forward/agent_relay.hpp"
+#include "net/agent_control.hpp"
+#include "net/http_page.hpp"
+#include "net/metrics.hpp"
+#include "net/periodic_timer.hpp"
+
+#include <daisytrail/backend_life.hpp>
+#include <daisytrail/control.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <optional>
+
+namespace daisytrail
+{
+
+class forward_agent : public control_events
+{
+public:
+    // Binds and starts at once; throws error(unavailable) if an address is
+    // taken. `format` must outlive the agent.
+    forward_agent(boost::asio::io_context& io,
+                  forward_agent_settings const& settings,
+                  packet_format const& format);
+
+    // The backend server announced itself. New flows follow its state at once.
+    announcement_outcome on_announcement(backend_announcement const& value);
+
+    // The backend server's run with this id has ended.
+    void on_backend_end(std::string const& id);
+
+    http_page& page()
+    {
+        return page_;
+    }
+
+    void on_target(target_record const& record) override;
+    void on_organisation(organisation_template const& value,
+                         revision at) override;
+
+private:
+    void add_pages();
+    void wait_for_signal();
+    void on_signal(int signal);
+    void on_tick();
+    void publish();
+    void end_stop_if_idle(time_point now);
+    void finish_stop();
+    member_state published_state() const;
+
+    forward_agent_settings settings_;
+    metrics metrics_;
+    backend_life life_;
+    http_page page_;
+    agent_relay relay_;
+    agent_control control_;
+    periodic_timer timer_;
+    boost::asio::signal_set signals_;
+    std::optional<target_status> published_;
+    std::optional<time_point> stopping_since_;
+};
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/forward_balancer.cpp
@@ -0,0 +1,199 @@
+// Life cycle of a balancer in mode `forward`.
+#include "forward/forward_balancer.hpp"
+
+#include "net/log.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <csignal>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds tick_interval{100};
+// A stopped balancer goes on forwarding for this long, since the fabric still
+// sends packets to it.
+constexpr std::chrono::milliseconds linger_time{2'500};
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+json::object to_json(forward_target const& target, time_point now)
+{
+    return {{"name", target.record_.name_},
+            {"service", target.record_.service_},
+            {"state", to_string(target.record_.state_)},
+            {"failure_domain", target.record_.failure_domain_},
+            {"incarnation", target.record_.version_.incarnation_},
+            {"tunnel", to_string(target.record_.tunnel_)},
+            {"accepts", target.load_.accepts_},
+            {"under_way", target.load_.under_way_},
+            {"silent", target.is_silent(now)}};
+}
+
+} // namespace
+
+forward_balancer::forward_balancer(boost::asio::io_context& io,
+                                   forward_balancer_settings const& settings,
+                                   packet_format const& format,
+                                   std::unique_ptr<config_store> store)
+    : settings_(settings), page_(io, settings.balancer_.common_.http_),
+      relay_(io, settings, format, directory_, metrics_),
+      control_(io, settings.balancer_, metrics_, *this, std::move(store)),
+      timer_(io, tick_interval, [this] { on_tick(); }),
+      signals_(io, SIGTERM, SIGINT, SIGHUP)
+{
+    add_pages();
+    wait_for_signal();
+    relay_.start();
+    control_.start();
+    timer_.start();
+    log_event(log_level::info, "started",
+              {{"version", DAISYTRAIL_VERSION},
+               {"data", to_string(settings_.balancer_.data_)},
+               {"relay", to_string(settings_.relay_)},
+               {"control", to_string(settings_.balancer_.common_.control_)}});
+}
+
+bool forward_balancer::is_ready() const
+{
+    return !stops_at_ && directory_.has_template() &&
+           !directory_.targets().empty();
+}
+
+void forward_balancer::add_pages()
+{
+    page_.route(
+        "GET", "/health",
+        [this](http_request const&)
+        {
+            json::object const body{{"ready", is_ready()},
+                                    {"stopping", stops_at_.has_value()},
+                                    {"routes", directory_.route_count()},
+                                    {"targets", directory_.targets().size()},
+                                    {"revision", directory_.newest_revision()}};
+            return make_response(is_ready() ? 200 : 503, json::serialize(body));
+        });
+    page_.route("GET", "/metrics",
+                [this](http_request const&) {
+                    return make_response(200, metrics_.text(),
+                                         "text/plain; version=0.0.4");
+                });
+    page_.route("GET", "/view",
+                [this](http_request const&)
+                {
+                    json::array targets;
+                    for (auto const& [id, target] : directory_.targets())
+                    {
+                        targets.emplace_back(to_json(*target, current_time()));
+                    }
+                    return make_response(200, json::serialize(targets));
+                });
+    page_.route(
+        "GET", "/adopted",
+        [this](http_request const&)
+        { return make_response(200, json::serialize(control_.adopted())); });
+    page_.route(
+        "GET", "/members",
+        [this](http_request const&)
+        { return make_response(200, json::serialize(control_.members())); });
+}
+
+void forward_balancer::wait_for_signal()
+{
+    signals_.async_wait(
+        [this](boost::system::error_code code, int signal)
+        {
+            if (!code)
+            {
+                on_signal(signal);
+                wait_for_signal();
+            }
+        });
+}
+
+void forward_balancer::on_signal(int signal)
+{
+    if (signal == SIGHUP)
+    {
+        // Addresses can't change while the process runs.
+        log_event(log_level::info, "reload_ignored",
+                  {{"reason", "settings are read at the start only"}});
+        return;
+    }
+    if (!stops_at_)
+    {
+        begin_stop();
+    }
+}
+
+void forward_balancer::begin_stop()
+{
+    stops_at_ = current_time() + linger_time;
+    log_event(log_level::info, "stopping",
+              {{"linger_ms", linger_time.count()}});
+}
+
+void forward_balancer::on_tick()
+{
+    auto const now = current_time();
+    relay_.tick(now);
+    if (is_ready() != was_ready_)
+    {
+        was_ready_ = is_ready();
+        log_event(log_level::info, was_ready_ ? "ready" : "not_ready",
+                  {{"routes", directory_.route_count()},
+                   {"targets", directory_.targets().size()},
+                   {"revision", directory_.newest_revision()},
+                   {"stopping", stops_at_.has_value()}});
+    }
+    if (stops_at_ && now >= *stops_at_)
+    {
+        timer_.stop();
+        control_.stop([this] { finish_stop(); });
+    }
+}
+
+void forward_balancer::finish_stop()
+{
+    relay_.stop();
+    page_.stop();
+    signals_.cancel();
+    log_event(log_level::info, "stopped");
+}
+
+void forward_balancer::on_target(target_record const& record)
+{
+    bool const taken = directory_.apply(record, current_time());
+    log_event(log_level::info, "target_changed",
+              {{"target", record.name_},
+               {"service", record.service_},
+               {"incarnation", record.version_.incarnation_},
+               {"sequence", record.version_.sequence_},
+               {"state", to_string(record.state_)},
+               {"outcome", taken ? "taken" : "older than the one held"}});
+}
+
+void forward_balancer::on_organisation(organisation_template const& value,
+                                       revision at)
+{
+    auto const held = directory_.newest_revision();
+    bool const taken = directory_.apply(value, at);
+    log_event(log_level::info, "template",
+              {{"organisation", value.name_},
+               {"revision", at},
+               {"held", held},
+               {"routes", value.routes_.size()},
+               {"outcome", taken ? "in force" : "older than the one held"}});
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/src/forward/forward_balancer.hpp
@@ -0,0 +1,66 @@
+// A balancer process in mode `forward`: the data path, membership, templates
+// and the graceful stop.
+#pragma once
+
+#include "forward/balancer_relay.hpp"
+#include "net/balancer_control.hpp"
+#include "net/http_page.hpp"
+#include "net/metrics.hpp"
+#include "net/periodic_timer.hpp"
+
+#include <daisytrail/control.hpp>
+#include <daisytrail/forward_directory.hpp>
+#include <daisytrail/settings.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace daisytrail
+{
+
+class forward_balancer : public control_events
+{
+public:
+    // Binds and starts at once; throws error(unavailable) if an address is
+    // taken. `format` must outlive the balancer.
+    forward_balancer(boost::asio::io_context& io,
+                     forward_balancer_settings const& settings,
+                     packet_format const& format,
+                     std::unique_ptr<config_store> store);
+
+    // True if callers' packets may be sent here.
+    bool is_ready() const;
+
+    http_page& page()
+    {
+        return page_;
+    }
+
+    void on_target(target_record const& record) override;
+    void on_organisation(organisation_template const& value,
+                         revision at) override;
+
+private:
+    void add_pages();
+    void wait_for_signal();
+    void on_signal(int signal);
+    void on_tick();
+    void begin_stop();
+    void finish_stop();
+
+    forward_balancer_settings settings_;
+    metrics metrics_;
+    forward_directory directory_;
+    http_page page_;
+    balancer_relay relay_;
+    balancer_control control_;
+    periodic_timer timer_;
+    boost::asio::signal_set signals_;
+    std::optional<time_point> stops_at_; // set while stopping
+    bool was_ready_ = false;
+};
+
+} // namespace daisytrail
--- a/src/net/agent_control.cpp
+++ b/src/net/agent_control.cpp
@@ -41,8 +41,9 @@
     : link_(io, settings.common_, detail::start_incarnation(), counters),
       runner_(link_, events, counters),
       core_(make_record(settings, detail::start_incarnation()),
-            settings.organisation_, settings.common_.seeds_,
-            check_stored_template, std::random_device{}()),
+            settings.follows_template_ ? settings.organisation_ : "",
+            settings.common_.seeds_, check_stored_template,
+            std::random_device{}()),
       timer_(io, tick_interval, [this] { tick(); })
 {
     counters.gauge("daisytrail_control_observers", [this]
@@ -74,6 +75,12 @@
     publish({self.slots_, self.connections_, self.weight_, member_state::left});
 }
 
+void agent_control::halt()
+{
+    timer_.stop();
+    link_.stop();
+}
+
 boost::json::value agent_control::adopted() const
 {
     return detail::to_json(core_.templates(), core_.self().name_);
@@ -92,8 +99,7 @@
 
 void agent_control::finish()
 {
-    timer_.stop();
-    link_.stop();
+    halt();
     std::exchange(done_, nullptr)();
 }
 
--- a/src/net/agent_control.hpp
+++ b/src/net/agent_control.hpp
@@ -23,6 +23,9 @@
     // or after a short while.
     void stop(std::function<void()> done);
 
+    // Falls silent at once, without telling that the target has left.
+    void halt();
+
     void publish(target_status const& status) override;
 
     target_record const& self() const override
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -22,7 +22,6 @@
 constexpr milliseconds tick_interval{50};
 constexpr milliseconds stop_time{300};
 constexpr milliseconds duties_interval{500};
-constexpr std::size_t watchers = 2;
 constexpr std::size_t contacts_per_domain = 2;
 
 target_record make_record(balancer_settings const& settings, incarnation start)
@@ -50,6 +49,7 @@
       core_(make_record(settings, detail::start_incarnation()),
             settings.common_.seeds_, check_stored_template,
             std::random_device{}()),
+      watchers_(settings.store_watchers_),
       timer_(io, tick_interval, [this] { tick(); })
 {
     counters.gauge(
@@ -139,7 +139,7 @@
 void balancer_control::update_duties()
 {
     store_duties duties;
-    duties.watches_ = core_.has_duty(hash_name(template_prefix), watchers);
+    duties.watches_ = core_.has_duty(hash_name(template_prefix), watchers_);
     duties.seeks_contacts_ = core_.members().balancers().size() < 2;
     if (auto const slot = core_.contact_slot(contacts_per_domain))
     {
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -43,6 +43,7 @@
     detail::action_runner runner_;
     balancer_membership core_;
     std::unique_ptr<store_watcher> watcher_; // empty without a store
+    std::size_t watchers_; // balancers of the fleet that read the store
     periodic_timer timer_;
     std::function<void()> done_; // set while stopping
     time_point stop_deadline_;
--- a/src/net/http_page.cpp
+++ b/src/net/http_page.cpp
@@ -115,6 +115,30 @@
     routes_[method + ' ' + path] = std::move(handler);
 }
 
+void http_page::route_below(std::string const& method,
+                            std::string const& prefix, http_handler handler)
+{
+    prefix_routes_[method + ' ' + prefix] = std::move(handler);
+}
+
+http_handler const* http_page::find_route(std::string const& method,
+                                          std::string const& path) const
+{
+    auto const key = method + ' ' + path;
+    if (auto const route = routes_.find(key); route != routes_.end())
+    {
+        return &route->second;
+    }
+    for (auto const& [prefix, handler] : prefix_routes_)
+    {
+        if (key.starts_with(prefix))
+        {
+            return &handler;
+        }
+    }
+    return nullptr;
+}
+
 void http_page::stop()
 {
     boost::system::error_code ignored;
@@ -142,15 +166,14 @@
 {
     std::string const target(request.target());
     std::string const method(request.method_string());
-    auto const route =
-        routes_.find(method + ' ' + target.substr(0, target.find('?')));
-    if (route == routes_.end())
+    auto const* route = find_route(method, target.substr(0, target.find('?')));
+    if (route == nullptr)
     {
         return make_response(404, R"({"error":"not_found"})");
     }
     try
     {
-        return route->second(request);
+        return (*route)(request);
     }
     catch (error const& failure)
     {
--- a/src/net/http_page.hpp
+++ b/src/net/http_page.hpp
@@ -41,17 +41,25 @@
     void route(std::string const& method, std::string const& path,
                http_handler handler);
 
+    // Routes every path that starts with `prefix` and has no route of its own.
+    void route_below(std::string const& method, std::string const& prefix,
+                     http_handler handler);
+
     void stop();
 
 private:
     struct session;
 
     void accept();
+    http_handler const* find_route(std::string const& method,
+                                   std::string const& path) const;
     http_response answer(http_request const& request) const;
 
     boost::asio::ip::tcp::acceptor acceptor_;
     // Keyed by "METHOD path".
     std::map<std::string, http_handler> routes_;
+    // Keyed by "METHOD prefix".
+    std::map<std::string, http_handler> prefix_routes_;
 };
 
 } // namespace daisytrail
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -4,9 +4,11 @@
 #include <boost/json/serialize.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <chrono>
-#include <cstdio>
+#include <poll.h>
 #include <string>
+#include <unistd.h>
 
 namespace daisytrail
 {
@@ -21,7 +23,11 @@
     return name;
 }
 
-// Passes glog's own messages on unchanged; ours are JSON objects already.
+// A pipe that polls as writable takes this much without blocking (PIPE_BUF).
+constexpr std::size_t max_line_bytes = 4'096;
+
+// Writes lines to standard output. A reader that doesn't keep up costs lines,
+// never time; the next line that gets through tells how many.
 class json_sink : public google::LogSink
 {
 public:
@@ -29,9 +35,24 @@
               std::tm const*, char const* message, std::size_t length) override
     {
         std::string line(message, length);
+        if (lost_ > 0 && line.ends_with('}'))
+        {
+            line.pop_back();
+            line += ",\"lines_lost_before\":" + std::to_string(lost_) + '}';
+        }
+        line.resize(std::min(line.size(), max_line_bytes - 1));
         line += '\n';
-        std::fwrite(line.data(), 1, line.size(), stderr);
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        bool const is_writable =
+            ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        bool const is_written =
+            is_writable && ::write(STDOUT_FILENO, line.data(), line.size()) ==
+                               static_cast<ssize_t>(line.size());
+        lost_ = is_written ? 0 : lost_ + 1;
     }
+
+private:
+    std::uint64_t lost_ = 0; // lines since the last that was written
 };
 
 } // namespace
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -15,7 +15,7 @@
     error
 };
 
-// Starts glog with one JSON object a line on standard error. `process` is
+// Starts glog with one JSON object a line on standard output. `process` is
 // stamped on every line.
 void start_log(std::string_view program, std::string_view process);
 
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -1,7 +1,8 @@
 // Prometheus text exposition of counters, gauges and quantiles.
 #include "net/metrics.hpp"
 
-#include <array>
+#include <algorithm>
+#include <numeric>
 #include <sstream>
 
 namespace daisytrail
@@ -56,6 +57,30 @@
     return out.str();
 }
 
+void histogram::add(double seconds)
+{
+    auto const bucket = std::ranges::lower_bound(bounds_, seconds);
+    ++counts_[static_cast<std::size_t>(bucket - bounds_.begin())];
+    sum_ += seconds;
+}
+
+std::string histogram::text(std::string const& name) const
+{
+    std::ostringstream out;
+    std::uint64_t below = 0;
+    for (std::size_t i = 0; i < bounds_.size(); ++i)
+    {
+        below += counts_[i];
+        out << name << "_bucket{le=\"" << bounds_[i] << "\"} " << below << '\n';
+    }
+    auto const total =
+        std::accumulate(counts_.begin(), counts_.end(), std::uint64_t{0});
+    out << name << "_bucket{le=\"+Inf\"} " << total << '\n';
+    out << name << "_sum " << sum_ << '\n';
+    out << name << "_count " << total << '\n';
+    return out.str();
+}
+
 std::uint64_t& metrics::counter(std::string const& name)
 {
     auto& slot = counters_[name];
@@ -81,6 +106,16 @@
     return *slot;
 }
 
+histogram& metrics::latency(std::string const& name)
+{
+    auto& slot = histograms_[name];
+    if (!slot)
+    {
+        slot = std::make_unique<histogram>();
+    }
+    return *slot;
+}
+
 std::string metrics::text() const
 {
     std::ostringstream out;
@@ -100,6 +135,11 @@
         write_type(out, last, name, "summary");
         out << values->text(name);
     }
+    for (auto const& [name, values] : histograms_)
+    {
+        write_type(out, last, name, "histogram");
+        out << values->text(name);
+    }
     return out.str();
 }
 
--- a/src/net/metrics.hpp
+++ b/src/net/metrics.hpp
@@ -7,6 +7,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,6 +36,22 @@
     accumulator values_;
 };
 
+// Counts of a latency in seconds by buckets, for the Prometheus histogram type.
+class histogram
+{
+public:
+    void add(double seconds);
+    std::string text(std::string const& name) const;
+
+private:
+    static constexpr std::array<double, 13> bounds_{
+        0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+    // By bucket, each without the lower ones; the last has no upper bound.
+    std::array<std::uint64_t, bounds_.size() + 1> counts_{};
+    double sum_ = 0;
+};
+
 // Registry of one process, used on the event loop's thread only. References
 // that it returns stay valid for its life.
 //   auto& drops = metrics.counter("daisytrail_drops_total{kind=\"fragment\"}");
@@ -50,6 +67,8 @@
 
     summary& quantiles(std::string const& name);
 
+    histogram& latency(std::string const& name);
+
     // All metrics in the Prometheus text exposition format.
     std::string text() const;
 
@@ -57,6 +76,7 @@
     std::map<std::string, std::unique_ptr<std::uint64_t>> counters_;
     std::map<std::string, std::function<double()>> gauges_;
     std::map<std::string, std::unique_ptr<summary>> summaries_;
+    std::map<std::string, std::unique_ptr<histogram>> histograms_;
 };
 
 } // namespace daisytrail
--- a/src/net/udp_batch.cpp
+++ b/src/net/udp_batch.cpp
@@ -45,11 +45,16 @@
         buffers_[i] = {&storage_[i * datagram_words], max_datagram_bytes};
         messages_[i].msg_hdr.msg_iov = &buffers_[i];
         messages_[i].msg_hdr.msg_iovlen = 1;
+        messages_[i].msg_hdr.msg_name = &senders_[i];
     }
 }
 
 std::size_t udp_receiver::receive()
 {
+    for (auto& message : messages_)
+    {
+        message.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    }
     int const count = ::recvmmsg(socket_, messages_.data(), batch_size,
                                  MSG_DONTWAIT, nullptr);
     return count > 0 ? static_cast<std::size_t>(count) : 0;
@@ -61,6 +66,18 @@
             messages_[index].msg_len};
 }
 
+std::span<std::byte> udp_receiver::datagram(std::size_t index)
+{
+    return {static_cast<std::byte*>(buffers_[index].iov_base),
+            messages_[index].msg_len};
+}
+
+endpoint udp_receiver::sender(std::size_t index) const
+{
+    auto const& from = senders_[index];
+    return {ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)};
+}
+
 udp_sender::udp_sender(int socket)
     : socket_(socket), headers_(batch_size * header_capacity)
 {
--- a/src/net/udp_batch.hpp
+++ b/src/net/udp_batch.hpp
@@ -39,6 +39,11 @@
     // Datagram `index` of the last batch; starts 8-byte aligned.
     std::span<std::byte const> datagram(std::size_t index) const;
 
+    // The same bytes, for a change in place.
+    std::span<std::byte> datagram(std::size_t index);
+
+    endpoint sender(std::size_t index) const;
+
     bool truncated(std::size_t index) const
     {
         return (messages_[index].msg_hdr.msg_flags & MSG_TRUNC) != 0;
@@ -48,6 +53,7 @@
     int socket_;
     std::vector<std::uint64_t> storage_; // words, for the alignment
     std::array<iovec, batch_size> buffers_{};
+    std::array<sockaddr_in, batch_size> senders_{};
     std::array<mmsghdr, batch_size> messages_{};
 };
 
--- /dev/null
+++ b/src/rpc/forward.capnp
@@ -0,0 +1,25 @@
+# Messages between the balancer and the agent of a forwarded flow.
+@0xb6f0c2d94e81a357;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("daisytrail::wire");
+
+# Precedes a packet, or stands alone; see relay_message for the fields.
+struct RelayHead {
+  service @0 :UInt64;
+  target @1 :UInt64;
+  revision @2 :UInt64;
+  kind @3 :UInt8;
+  reason @4 :UInt8;
+  accepts @5 :Bool;
+  load @6 :LoadReport;
+}
+
+# What an agent tells of its backend server.
+struct LoadReport {
+  underWay @0 :UInt32;
+  meanUnderWayMilli @1 :UInt32;
+  responseMicros @2 :UInt32;
+  openFlows @3 :UInt32;
+  share @4 :UInt16;
+}
