A balancer resets a flow only when every target has returned it

After power cuts, resets made callers spend their tries before backend servers had announced themselves. Change: targets that gave no answer are kept apart from those that returned the packet; no reset while one of the former is left, and none while a target may take the SYN soon.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -43,6 +43,7 @@
     no_target,       // no target takes new flows
     nobody_holds,    // every target returned the packet
     owner_missing,   // a target that may hold the flow can't be asked
+    not_yet,         // a target may take the flow soon; a copy will come
     not_from_caller, // a packet that only a backend server sends
     count
 };
@@ -52,7 +53,7 @@
     forward_cause_names{"known",         "placed",         "moved",
                         "searched",      "search_goes_on", "no_template",
                         "no_route",      "no_target",      "nobody_holds",
-                        "owner_missing", "not_from_caller"};
+                        "owner_missing", "not_yet",        "not_from_caller"};
 
 constexpr std::string_view to_string(forward_cause cause)
 {
@@ -91,7 +92,7 @@
 
     // A packet that a target's agent returned.
     forward_action on_returned(flow_packet const& packet, target_id from,
-                               time_point now);
+                               return_reason reason, time_point now);
 
     // Forgets idle flows.
     void tick(time_point now);
@@ -105,11 +106,16 @@
     struct flow
     {
         flow_key key_;
-        target_id target_ = 0;         // 0: nowhere yet
-        time_point sent_{};            // last packet
-        time_point began_{};           // when target_ was chosen
-        bool searching_ = false;       // target_ may not be the owner
-        std::vector<target_id> tried_; // targets that don't hold the flow
+        target_id target_ = 0;   // 0: nowhere yet
+        time_point sent_{};      // last packet
+        time_point began_{};     // when target_ was chosen
+        bool searching_ = false; // target_ may not be the owner
+        // Targets that don't hold the flow or don't take it.
+        std::vector<target_id> denied_;
+        // Targets that gave no answer, or may take the flow later.
+        std::vector<target_id> unanswered_;
+
+        bool was_tried(target_id target) const;
     };
 
     using flow_list = std::list<flow>;
@@ -119,16 +125,19 @@
     void erase(flow_key const& key);
     void choose(flow& value, forward_target const& target, time_point now);
 
-    forward_action open(flow& value, flow_packet const& packet,
-                        forward_cause cause, time_point now);
+    forward_action open(flow& value, forward_cause cause, time_point now);
     forward_action search(flow& value, flow_packet const& packet,
                           forward_cause cause, time_point now);
     forward_action give_up(flow& value, flow_packet const& packet,
                            time_point now);
+    forward_action refuse(flow& value, service_id service);
+    bool may_take_soon(service_id service) const;
     forward_target* next_candidate(flow const& value,
                                    route_template const& route, time_point now);
     forward_action send(flow& value, forward_cause cause, time_point now);
-    placement_request request_for(flow const& value, time_point now) const;
+    placement_request request_for(flow const& value,
+                                  std::vector<target_id> const& excluded,
+                                  time_point now) const;
 
     forward_directory& directory_;
     flow_forwarder_settings settings_;
--- a/include/daisytrail/organisation.hpp
+++ b/include/daisytrail/organisation.hpp
@@ -101,7 +101,7 @@
 {
     std::string name_;
     std::vector<service_template> services_;
-    std::vector<route_template> routes_;
+    std::vector<route_template> routes_ = {};
 
     bool operator==(organisation_template const&) const = default;
 };
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -28,15 +28,23 @@
     none,
     not_held,      // the backend server holds no such flow, or is full
     other_target,  // the head names another target or service
-    not_accepting, // the backend server drains or hasn't announced itself
+    not_accepting, // the backend server drains or its agent stops
+    not_announced, // the agent started and hasn't heard the backend server yet
     no_answer,     // the backend server has stopped answering
     count
 };
 
+// True if the same target may take the flow a moment later.
+constexpr bool is_passing(return_reason reason)
+{
+    return reason == return_reason::not_announced ||
+           reason == return_reason::no_answer;
+}
+
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(return_reason::count)>
-    return_reason_names{"none", "not_held", "other_target", "not_accepting",
-                        "no_answer"};
+    return_reason_names{"none",          "not_held",      "other_target",
+                        "not_accepting", "not_announced", "no_answer"};
 
 constexpr std::string_view to_string(return_reason reason)
 {
--- a/src/config/json_document.cpp
+++ b/src/config/json_document.cpp
@@ -1,6 +1,6 @@
-// Boost.JSON's event parser, fed byte by byte so that each event is tied to the
-// position of its first byte. Its own support for comments fails when a comment
-// ends at the end of a buffer, so comments are blanked beforehand.
+// Boost.JSON's event parser, fed token by token so that each event is tied to
+// the position of its first byte. Its own support for comments fails when a
+// comment ends at the end of a buffer, so comments are blanked beforehand.
 #include "config/json_document.hpp"
 
 #include <boost/json/basic_parser_impl.hpp>
@@ -246,15 +246,34 @@
     return separators.find(byte) == std::string_view::npos;
 }
 
-void advance(text_position& at, char byte)
+// End of the token or single separator that starts at `from`.
+std::size_t token_end(std::string_view text, std::size_t from)
 {
-    if (byte == '\n')
+    constexpr std::string_view single = " \t\r\n,:[]{}";
+    if (text[from] == '"')
     {
-        ++at.line_;
-        at.column_ = 1;
-        return;
+        return std::min(skip_string(text, from), text.size());
+    }
+    if (single.find(text[from]) != std::string_view::npos)
+    {
+        return from + 1;
+    }
+    auto const end = text.find_first_of(" \t\r\n,:[]{}\"", from);
+    return std::min(end, text.size());
+}
+
+void advance(text_position& at, std::string_view passed)
+{
+    for (char const byte : passed)
+    {
+        if (byte == '\n')
+        {
+            ++at.line_;
+            at.column_ = 1;
+            continue;
+        }
+        ++at.column_;
     }
-    ++at.column_;
 }
 
 std::string describe(char byte)
@@ -282,25 +301,33 @@
     json_document document;
     text_position at;
     json::error_code code;
-    for (char const byte : blank_comments(text))
+    auto const plain = blank_comments(text);
+    std::string_view const whole = plain;
+    std::size_t from = 0;
+    while (from < whole.size())
     {
+        auto const token = whole.substr(from, token_end(whole, from) - from);
         auto& builder = parser.handler();
-        if (!builder.in_token_ && starts_token(byte))
+        if (!builder.in_token_ && starts_token(token.front()))
         {
             builder.in_token_ = true;
             builder.token_at_ = at;
         }
-        auto const used = parser.write_some(true, &byte, 1, code);
-        if (!code && used == 0)
+        auto const used =
+            parser.write_some(true, token.data(), token.size(), code);
+        if (!code && used < token.size())
         {
             code = json::error::extra_data;
         }
         if (code)
         {
-            document.errors_.push_back(syntax_error(at, describe(byte), code));
+            advance(at, token.substr(0, used));
+            auto const wrong = token[std::min(used, token.size() - 1)];
+            document.errors_.push_back(syntax_error(at, describe(wrong), code));
             return document;
         }
-        advance(at, byte);
+        advance(at, token);
+        from += token.size();
     }
     parser.write_some(false, "", 0, code);
     if (code)
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+bool flow_forwarder::flow::was_tried(target_id target) const
+{
+    return contains(denied_, target) || contains(unanswered_, target);
+}
+
 flow_forwarder::flow_forwarder(forward_directory& directory,
                                flow_forwarder_settings settings, time_point now)
     : directory_(directory), settings_(std::move(settings)), started_(now)
@@ -68,11 +73,12 @@
     }
 }
 
-placement_request flow_forwarder::request_for(flow const& value,
-                                              time_point now) const
+placement_request
+flow_forwarder::request_for(flow const& value,
+                            std::vector<target_id> const& excluded,
+                            time_point now) const
 {
-    return {hash_flow(value.key_), settings_.failure_domain_, value.tried_,
-            now};
+    return {hash_flow(value.key_), settings_.failure_domain_, excluded, now};
 }
 
 void flow_forwarder::choose(flow& value, forward_target const& target,
@@ -118,7 +124,7 @@
     {
         value = &add(key, now);
         return packet.opens_flow()
-                   ? open(*value, packet, forward_cause::placed, now)
+                   ? open(*value, forward_cause::placed, now)
                    : search(*value, packet, forward_cause::searched, now);
     }
     if (packet.opens_flow())
@@ -129,8 +135,8 @@
         {
             return send(*value, forward_cause::known, now);
         }
-        value->tried_.push_back(value->target_);
-        return open(*value, packet, forward_cause::moved, now);
+        value->unanswered_.push_back(value->target_);
+        return open(*value, forward_cause::moved, now);
     }
     auto* const target = directory_.find(value->target_);
     bool const is_lost = target == nullptr ||
@@ -139,14 +145,15 @@
                           target->heard_ < value->began_);
     if (is_lost)
     {
-        value->tried_.push_back(value->target_);
+        value->unanswered_.push_back(value->target_);
         return search(*value, packet, forward_cause::search_goes_on, now);
     }
     return send(*value, forward_cause::known, now);
 }
 
 forward_action flow_forwarder::on_returned(flow_packet const& packet,
-                                           target_id from, time_point now)
+                                           target_id from, return_reason reason,
+                                           time_point now)
 {
     auto const key = packet.flow_from_caller();
     if (!directory_.has_template() ||
@@ -159,45 +166,67 @@
     {
         value = &add(key, now);
     }
-    if (!contains(value->tried_, from))
+    auto& tried = packet.opens_flow() && is_passing(reason) ? value->unanswered_
+                                                            : value->denied_;
+    if (!contains(tried, from))
     {
-        value->tried_.push_back(from);
+        tried.push_back(from);
     }
     bool const has_moved_on = value->target_ != from && value->target_ != 0 &&
-                              !contains(value->tried_, value->target_);
+                              !value->was_tried(value->target_);
     if (has_moved_on)
     {
         return send(*value, forward_cause::search_goes_on, now);
     }
     return packet.opens_flow()
-               ? open(*value, packet, forward_cause::moved, now)
+               ? open(*value, forward_cause::moved, now)
                : search(*value, packet, forward_cause::search_goes_on, now);
 }
 
-forward_action flow_forwarder::open(flow& value, flow_packet const& packet,
-                                    forward_cause cause, time_point now)
+forward_action flow_forwarder::open(flow& value, forward_cause cause,
+                                    time_point now)
 {
     auto const& route = *directory_.find_route(value.key_.vip_);
     auto const service = choose_service(route, hash_flow(value.key_));
+    auto excluded = value.denied_;
+    excluded.insert(excluded.end(), value.unanswered_.begin(),
+                    value.unanswered_.end());
     auto* const target =
-        place_flow(directory_.members(service), request_for(value, now),
-                   settings_.placement_);
+        place_flow(directory_.members(service),
+                   request_for(value, excluded, now), settings_.placement_);
     if (target == nullptr)
     {
-        // A later copy of the SYN starts over.
-        erase(packet.flow_from_caller());
-        return {forward_step::reset, forward_cause::no_target, nullptr};
+        return refuse(value, service);
     }
     ++target->placed_since_;
     choose(value, *target, now);
     return send(value, cause, now);
 }
 
+// A reset makes the caller try again at once. While some target may take the
+// flow within the time of a SYN's copy, silence serves the caller better.
+forward_action flow_forwarder::refuse(flow& value, service_id service)
+{
+    bool const wait = !value.unanswered_.empty() || may_take_soon(service);
+    erase(flow_key{value.key_});
+    return wait ? forward_action{forward_step::drop, forward_cause::not_yet,
+                                 nullptr}
+                : forward_action{forward_step::reset, forward_cause::no_target,
+                                 nullptr};
+}
+
+bool flow_forwarder::may_take_soon(service_id service) const
+{
+    return std::ranges::any_of(directory_.members(service),
+                               [](forward_target const* target)
+                               { return !target->has_report_; });
+}
+
 forward_target* flow_forwarder::next_candidate(flow const& value,
                                                route_template const& route,
                                                time_point now)
 {
-    auto const request = request_for(value, now);
+    auto const request = request_for(value, value.denied_, now);
     auto services = forward_directory::services_of(route);
     auto const others = directory_.other_services(route);
     services.insert(services.end(), others.begin(), others.end());
@@ -208,7 +237,7 @@
         for (auto* const target :
              rank_targets(members, request, settings_.placement_))
         {
-            if (contains(value.tried_, target->record_.target_))
+            if (value.was_tried(target->record_.target_))
             {
                 continue;
             }
@@ -242,7 +271,8 @@
                                        time_point now)
 {
     auto const key = value.key_;
-    bool const is_sure = now > started_ + settings_.learning_time_ &&
+    bool const is_sure = value.unanswered_.empty() &&
+                         now > started_ + settings_.learning_time_ &&
                          !directory_.may_miss_owner(now);
     erase(key);
     if (!is_sure)
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -140,6 +140,10 @@
     {
         return return_reason::none;
     }
+    if (life_.phase() == backend_phase::unknown)
+    {
+        return return_reason::not_announced;
+    }
     if (life_.phase() != backend_phase::ready || stopping_)
     {
         return return_reason::not_accepting;
@@ -268,7 +272,7 @@
     {
         send_reports(now);
     }
-    log_.report_suppressed();
+    log_.report_suppressed(now);
     flush();
 }
 
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -120,8 +120,8 @@
         ++malformed_;
         return;
     }
-    carry_out(core_.on_returned(*packet, message.target_, now), *packet,
-              reading->packet_, now);
+    carry_out(core_.on_returned(*packet, message.target_, message.reason_, now),
+              *packet, reading->packet_, now);
 }
 
 void balancer_relay::take(relay_message const& message, time_point now)
@@ -221,7 +221,7 @@
 void balancer_relay::tick(time_point now)
 {
     core_.tick(now);
-    log_.report_suppressed();
+    log_.report_suppressed(now);
     int questions = 0;
     for (auto const& [id, target] : directory_.targets())
     {
--- a/src/forward/decision_log.cpp
+++ b/src/forward/decision_log.cpp
@@ -12,6 +12,7 @@
 
 constexpr double lines_per_second = 100;
 constexpr double burst_lines = 200;
+constexpr std::chrono::seconds report_interval{1};
 
 } // namespace
 
@@ -29,10 +30,11 @@
     return true;
 }
 
-void decision_log::report_suppressed()
+void decision_log::report_suppressed(time_point now)
 {
-    if (suppressed_ > 0)
+    if (suppressed_ > 0 && now >= reported_ + report_interval)
     {
+        reported_ = now;
         log_event(log_level::warning, "flow_lines_suppressed",
                   {{"lines", std::exchange(suppressed_, 0)}});
     }
--- a/src/forward/decision_log.hpp
+++ b/src/forward/decision_log.hpp
@@ -20,12 +20,13 @@
     // True if a line may be written now; otherwise it counts as suppressed.
     bool admit(time_point now);
 
-    // Reports the lines that were suppressed since the last call, if any.
-    void report_suppressed();
+    // Reports the lines that were suppressed, at most once a second.
+    void report_suppressed(time_point now);
 
 private:
     double tokens_ = 0; // lines that may be written
     time_point filled_{};
+    time_point reported_{};
     std::uint64_t suppressed_ = 0;
 };
 
--- a/src/net/stored_template.cpp
+++ b/src/net/stored_template.cpp
@@ -27,9 +27,7 @@
                               : json::serialize(*value);
 }
 
-} // namespace
-
-stored_template parse_stored_template(std::string_view value)
+stored_template read_value(std::string_view value)
 {
     boost::system::error_code code;
     auto const parsed = json::parse(value, code);
@@ -57,6 +55,32 @@
     return result;
 }
 
+// A value is checked and then read, and a large one takes milliseconds.
+struct last_reading
+{
+    std::string text_;
+    stored_template value_;
+};
+
+last_reading& last()
+{
+    thread_local last_reading held;
+    return held;
+}
+
+} // namespace
+
+stored_template parse_stored_template(std::string_view value)
+{
+    auto& held = last();
+    if (held.text_ != value || value.empty())
+    {
+        auto fresh = read_value(value);
+        held = {std::string(value), std::move(fresh)};
+    }
+    return held.value_;
+}
+
 std::optional<std::string> check_stored_template(std::string_view value)
 {
     try
--- /dev/null
+++ b/test/unit/flow_forwarder_test.cpp
@@ -0,0 +1,281 @@
+// Tests of a balancer's decisions for forwarded flows.
+#include <daisytrail/flow_forwarder.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr endpoint vip{0x0A000001, 443};
+constexpr std::string_view service_name = "org/orders";
+
+struct forwarding_fixture
+{
+    forwarding_fixture()
+    {
+        organisation_template organisation{"org", {}, {}};
+        organisation.routes_.push_back(
+            {"main", vip, {{hash_name(service_name), 1}}});
+        directory_.apply(organisation, 1);
+        flow_forwarder_settings settings;
+        settings.failure_domain_ = "a";
+        forwarder_ =
+            std::make_unique<flow_forwarder>(directory_, settings, now_ - 1min);
+    }
+
+    target_record add_target(std::string const& name,
+                             member_state state = member_state::ready,
+                             bool reports = true)
+    {
+        target_record record;
+        record.name_ = name;
+        record.target_ = hash_name(name);
+        record.service_ = hash_name(service_name);
+        record.failure_domain_ = "a";
+        record.slots_ = 4;
+        record.state_ = state;
+        record.version_ = {1, ++sequence_};
+        directory_.apply(record, now_);
+        if (reports)
+        {
+            report(name, {});
+        }
+        return record;
+    }
+
+    void report(std::string const& name, load_report load)
+    {
+        load.accepts_ = true;
+        directory_.heard(hash_name(name), load, now_);
+    }
+
+    flow_packet packet(std::uint16_t port) const
+    {
+        flow_packet result;
+        result.source_ = {0x64000001, port};
+        result.destination_ = vip;
+        result.ack_ = true;
+        result.payload_bytes_ = 100;
+        return result;
+    }
+
+    flow_packet syn(std::uint16_t port, std::uint8_t copy = 0) const
+    {
+        auto result = packet(port);
+        result.syn_ = true;
+        result.ack_ = false;
+        result.payload_bytes_ = 0;
+        result.syn_copy_ = copy;
+        return result;
+    }
+
+    forward_action send(flow_packet const& value)
+    {
+        return forwarder_->on_packet(value, now_);
+    }
+
+    forward_action give_back(flow_packet const& value, forward_target* from,
+                             return_reason reason = return_reason::not_held)
+    {
+        directory_.heard(from->record_.target_, {.accepts_ = true}, now_);
+        return forwarder_->on_returned(value, from->record_.target_, reason,
+                                       now_);
+    }
+
+    time_point now_{1h};
+    std::uint64_t sequence_ = 0;
+    forward_directory directory_;
+    std::unique_ptr<flow_forwarder> forwarder_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(forwarding_fixture, "packets of a flow follow its SYN")
+{
+    add_target("one");
+    add_target("two");
+    auto const opened = send(syn(1));
+    REQUIRE(opened.step_ == forward_step::send);
+    CHECK(opened.cause_ == forward_cause::placed);
+    auto const next = send(packet(1));
+    CHECK(next.cause_ == forward_cause::known);
+    CHECK(next.target_ == opened.target_);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "an unknown flow is searched until a target keeps it")
+{
+    add_target("one");
+    add_target("two");
+    add_target("three");
+    auto const first = send(packet(1));
+    REQUIRE(first.step_ == forward_step::send);
+    auto const second = give_back(packet(1), first.target_);
+    REQUIRE(second.step_ == forward_step::send);
+    CHECK(second.target_ != first.target_);
+    CHECK(send(packet(1)).target_ == second.target_);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a flow that every target returned is reset")
+{
+    add_target("one");
+    add_target("two");
+    auto const first = send(packet(1));
+    auto const second = give_back(packet(1), first.target_);
+    auto const end = give_back(packet(1), second.target_);
+    CHECK(end.step_ == forward_step::reset);
+    CHECK(end.cause_ == forward_cause::nobody_holds);
+}
+
+// A balancer that was busy for 300 ms had not read the owner's reports, took
+// it for silent, asked all others and reset an open flow.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a target that only seemed silent may own the flow")
+{
+    add_target("one");
+    add_target("two");
+    now_ += 10ms;
+    auto const owner = send(packet(1));
+    now_ += 320ms;
+    auto const other = send(packet(1));
+    REQUIRE(other.target_ != owner.target_);
+    auto const end = give_back(packet(1), other.target_);
+    CHECK(end.step_ == forward_step::drop);
+    CHECK(end.cause_ == forward_cause::owner_missing);
+    // The next packet begins a new search.
+    CHECK(send(packet(1)).step_ == forward_step::send);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "no reset while a dead target may hold the flow")
+{
+    auto gone = add_target("one");
+    add_target("two");
+    gone.state_ = member_state::dead;
+    directory_.apply(gone, now_);
+    auto const only = send(packet(1));
+    auto const end = give_back(packet(1), only.target_);
+    CHECK(end.step_ == forward_step::drop);
+    CHECK(end.cause_ == forward_cause::owner_missing);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "a SYN that is returned goes on")
+{
+    add_target("one");
+    add_target("two");
+    auto const first = send(syn(1));
+    auto const second = give_back(syn(1), first.target_);
+    REQUIRE(second.step_ == forward_step::send);
+    CHECK(second.cause_ == forward_cause::moved);
+    auto const end = give_back(syn(1), second.target_);
+    CHECK(end.step_ == forward_step::reset);
+    CHECK(end.cause_ == forward_cause::no_target);
+}
+
+// After a power cut agents are back before their backend servers announce
+// themselves. Resets made callers use up their tries within milliseconds.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "no reset while a target may take the flow soon")
+{
+    add_target("one");
+    auto const first = send(syn(1));
+    auto const end =
+        give_back(syn(1), first.target_, return_reason::not_announced);
+    CHECK(end.step_ == forward_step::drop);
+    CHECK(end.cause_ == forward_cause::not_yet);
+    now_ += 200ms;
+    CHECK(send(syn(1, 1)).step_ == forward_step::send);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a late copy of a SYN tries another target")
+{
+    add_target("one");
+    add_target("two");
+    auto const first = send(syn(1));
+    now_ += 50ms;
+    CHECK(send(syn(1, 1)).target_ == first.target_);
+    now_ += 150ms;
+    CHECK(send(syn(1, 1)).target_ != first.target_);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "an unknown VIP is reset")
+{
+    add_target("one");
+    auto value = syn(1);
+    value.destination_.port_ = 444;
+    auto const action = send(value);
+    CHECK(action.step_ == forward_step::reset);
+    CHECK(action.cause_ == forward_cause::no_route);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "a caller's SYN+ACK is dropped")
+{
+    add_target("one");
+    auto value = syn(1);
+    value.ack_ = true;
+    CHECK(send(value).cause_ == forward_cause::not_from_caller);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "an older template doesn't come back into force")
+{
+    add_target("one");
+    organisation_template const without_routes{"org", {}, {}};
+    CHECK(directory_.apply(without_routes, 5));
+    organisation_template with_route = without_routes;
+    with_route.routes_.push_back({"main", vip, {{hash_name(service_name), 1}}});
+    CHECK_FALSE(directory_.apply(with_route, 4));
+    CHECK(send(syn(1)).cause_ == forward_cause::no_route);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "an open flow is found after its route moved to another "
+                  "service")
+{
+    add_target("one");
+    auto const opened = send(syn(1));
+    organisation_template moved{"org", {}, {}};
+    moved.routes_.push_back({"main", vip, {{hash_name("org/other"), 1}}});
+    directory_.apply(moved, 2);
+    CHECK(send(packet(1)).target_ == opened.target_);
+    // Another balancer has never seen the flow.
+    flow_forwarder elsewhere(directory_, {}, now_ - 1min);
+    CHECK(elsewhere.on_packet(packet(1), now_).target_ == opened.target_);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "a draining target takes no new flow")
+{
+    add_target("one", member_state::draining);
+    add_target("two");
+    for (std::uint16_t port = 1; port < 20; ++port)
+    {
+        CHECK(send(syn(port)).target_->record_.name_ == "two");
+    }
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "the less loaded target is preferred")
+{
+    add_target("one");
+    add_target("two");
+    for (std::uint16_t port = 1; port < 20; ++port)
+    {
+        report("one", {.under_way_ = 12, .mean_under_way_ = 12});
+        report("two", {.under_way_ = 1, .mean_under_way_ = 1});
+        CHECK(send(syn(port)).target_->record_.name_ == "two");
+    }
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "flows idle for long are forgotten")
+{
+    add_target("one");
+    send(syn(1));
+    CHECK(forwarder_->flow_count() == 1);
+    now_ += 2min;
+    forwarder_->tick(now_);
+    CHECK(forwarder_->flow_count() == 0);
+}
