A stopped process ends its event loop; balancers that start don't refuse flows

Change: the loop is stopped; 1.3 s of lingering in place of 2.5; a new balancer is ready once no further target has become known for 150 ms; it drops SYNs that it can't place while it learns; a search in vain is repeated after 250 ms. Windows after power cuts hardly moved: flows that died with their backend servers wait for their deadline.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -77,6 +77,8 @@
     duration syn_patience_ = std::chrono::milliseconds(150);
     // A packet of an unknown flow that a silent target got is tried elsewhere.
     duration search_patience_ = std::chrono::milliseconds(150);
+    // Pause after a search that found no owner.
+    duration search_pause_ = std::chrono::milliseconds(250);
     // After its start a balancer doesn't know every target yet.
     duration learning_time_ = std::chrono::seconds(5);
 };
@@ -114,6 +116,7 @@
         std::vector<target_id> denied_;
         // Targets that gave no answer, or may take the flow later.
         std::vector<target_id> unanswered_;
+        time_point rests_until_{}; // no search before, after one in vain
 
         bool was_tried(target_id target) const;
     };
@@ -130,8 +133,8 @@
                           forward_cause cause, time_point now);
     forward_action give_up(flow& value, flow_packet const& packet,
                            time_point now);
-    forward_action refuse(flow& value, service_id service);
-    bool may_take_soon(service_id service) const;
+    forward_action refuse(flow& value, service_id service, time_point now);
+    bool may_take_soon(service_id service, time_point now) const;
     forward_target* next_candidate(flow const& value,
                                    route_template const& route, time_point now);
     forward_action send(flow& value, forward_cause cause, time_point now);
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -138,6 +138,10 @@
         value->unanswered_.push_back(value->target_);
         return open(*value, forward_cause::moved, now);
     }
+    if (now < value->rests_until_)
+    {
+        return {forward_step::drop, forward_cause::owner_missing, nullptr};
+    }
     auto* const target = directory_.find(value->target_);
     bool const is_lost = target == nullptr ||
                          (value->searching_ &&
@@ -145,7 +149,10 @@
                           target->heard_ < value->began_);
     if (is_lost)
     {
-        value->unanswered_.push_back(value->target_);
+        if (value->target_ != 0)
+        {
+            value->unanswered_.push_back(value->target_);
+        }
         return search(*value, packet, forward_cause::search_goes_on, now);
     }
     return send(*value, forward_cause::known, now);
@@ -196,7 +203,7 @@
                    request_for(value, excluded, now), settings_.placement_);
     if (target == nullptr)
     {
-        return refuse(value, service);
+        return refuse(value, service, now);
     }
     ++target->placed_since_;
     choose(value, *target, now);
@@ -205,9 +212,10 @@
 
 // A reset makes the caller try again at once. While some target may take the
 // flow within the time of a SYN's copy, silence serves the caller better.
-forward_action flow_forwarder::refuse(flow& value, service_id service)
+forward_action flow_forwarder::refuse(flow& value, service_id service,
+                                      time_point now)
 {
-    bool const wait = !value.unanswered_.empty() || may_take_soon(service);
+    bool const wait = !value.unanswered_.empty() || may_take_soon(service, now);
     erase(flow_key{value.key_});
     return wait ? forward_action{forward_step::drop, forward_cause::not_yet,
                                  nullptr}
@@ -215,9 +223,10 @@
                                  nullptr};
 }
 
-bool flow_forwarder::may_take_soon(service_id service) const
+bool flow_forwarder::may_take_soon(service_id service, time_point now) const
 {
-    return std::ranges::any_of(directory_.members(service),
+    return now < started_ + settings_.learning_time_ ||
+           std::ranges::any_of(directory_.members(service),
                                [](forward_target const* target)
                                { return !target->has_report_; });
 }
@@ -270,15 +279,18 @@
 forward_action flow_forwarder::give_up(flow& value, flow_packet const& packet,
                                        time_point now)
 {
-    auto const key = value.key_;
     bool const is_sure = value.unanswered_.empty() &&
                          now > started_ + settings_.learning_time_ &&
                          !directory_.may_miss_owner(now);
-    erase(key);
     if (!is_sure)
     {
+        value.target_ = 0;
+        value.denied_.clear();
+        value.unanswered_.clear();
+        value.rests_until_ = now + settings_.search_pause_;
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
+    erase(flow_key{value.key_});
     bool const wants_reset = !packet.reset_;
     return {wants_reset ? forward_step::reset : forward_step::drop,
             forward_cause::nobody_holds, nullptr};
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -41,7 +41,7 @@
 forward_agent::forward_agent(boost::asio::io_context& io,
                              forward_agent_settings const& settings,
                              packet_format const& format)
-    : settings_(settings), life_(settings.agent_.service_),
+    : io_(io), settings_(settings), life_(settings.agent_.service_),
       page_(io, settings.agent_.common_.http_),
       relay_(io, settings, format, life_, metrics_),
       control_(io, without_template(settings.agent_), metrics_, *this),
@@ -213,9 +213,8 @@
     {
         relay_.stop();
         page_.stop();
-        signals_.cancel();
-        log_event(log_level::info, "stopped",
-                  {{"phase", to_string(life_.phase())}});
+        // The page may have connections open that nobody uses.
+        io_.stop();
     };
     if (life_.phase() == backend_phase::gone)
     {
--- a/src/forward/forward_agent.hpp
+++ b/src/forward/forward_agent.hpp
@@ -54,6 +54,7 @@
     void finish_stop();
     member_state published_state() const;
 
+    boost::asio::io_context& io_;
     forward_agent_settings settings_;
     metrics metrics_;
     backend_life life_;
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -20,7 +20,10 @@
 constexpr std::chrono::milliseconds tick_interval{100};
 // A stopped balancer goes on forwarding for this long, since the fabric still
 // sends packets to it.
-constexpr std::chrono::milliseconds linger_time{2'500};
+constexpr std::chrono::milliseconds linger_time{1'300};
+// A balancer that has just started is ready once no further target has become
+// known for this long.
+constexpr std::chrono::milliseconds settle_time{150};
 
 time_point current_time()
 {
@@ -46,7 +49,7 @@
                                    forward_balancer_settings const& settings,
                                    packet_format const& format,
                                    std::unique_ptr<config_store> store)
-    : settings_(settings), page_(io, settings.balancer_.common_.http_),
+    : io_(io), settings_(settings), page_(io, settings.balancer_.common_.http_),
       relay_(io, settings, format, directory_, metrics_),
       control_(io, settings.balancer_, metrics_, *this, std::move(store)),
       timer_(io, tick_interval, [this] { on_tick(); }),
@@ -66,8 +69,7 @@
 
 bool forward_balancer::is_ready() const
 {
-    return !stops_at_ && directory_.has_template() &&
-           !directory_.targets().empty();
+    return !stops_at_ && has_settled_;
 }
 
 void forward_balancer::add_pages()
@@ -147,6 +149,10 @@
 {
     auto const now = current_time();
     relay_.tick(now);
+    has_settled_ =
+        has_settled_ ||
+        (directory_.has_template() && !directory_.targets().empty() &&
+         now >= learned_ + settle_time);
     if (is_ready() != was_ready_)
     {
         was_ready_ = is_ready();
@@ -167,12 +173,16 @@
 {
     relay_.stop();
     page_.stop();
-    signals_.cancel();
-    log_event(log_level::info, "stopped");
+    // Pages may have connections open that nobody uses.
+    io_.stop();
 }
 
 void forward_balancer::on_target(target_record const& record)
 {
+    if (directory_.find(record.target_) == nullptr)
+    {
+        learned_ = current_time();
+    }
     bool const taken = directory_.apply(record, current_time());
     log_event(log_level::info, "target_changed",
               {{"target", record.name_},
--- a/src/forward/forward_balancer.hpp
+++ b/src/forward/forward_balancer.hpp
@@ -51,6 +51,7 @@
     void begin_stop();
     void finish_stop();
 
+    boost::asio::io_context& io_;
     forward_balancer_settings settings_;
     metrics metrics_;
     forward_directory directory_;
@@ -60,6 +61,8 @@
     periodic_timer timer_;
     boost::asio::signal_set signals_;
     std::optional<time_point> stops_at_; // set while stopping
+    time_point learned_{}; // when the last new target became known
+    bool has_settled_ = false;
     bool was_ready_ = false;
 };
 
--- a/test/unit/flow_forwarder_test.cpp
+++ b/test/unit/flow_forwarder_test.cpp
@@ -146,7 +146,9 @@
     auto const end = give_back(packet(1), other.target_);
     CHECK(end.step_ == forward_step::drop);
     CHECK(end.cause_ == forward_cause::owner_missing);
-    // The next packet begins a new search.
+    // A later packet begins a new search.
+    CHECK(send(packet(1)).step_ == forward_step::drop);
+    now_ += 300ms;
     CHECK(send(packet(1)).step_ == forward_step::send);
 }
 
@@ -191,6 +193,18 @@
     CHECK(send(syn(1, 1)).step_ == forward_step::send);
 }
 
+// After a power cut balancers were back before the agents and reset every SYN.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a balancer that has just started doesn't refuse flows")
+{
+    forwarder_ = std::make_unique<flow_forwarder>(
+        directory_, flow_forwarder_settings{}, now_);
+    CHECK(send(syn(1)).cause_ == forward_cause::not_yet);
+    now_ += 200ms;
+    add_target("one");
+    CHECK(send(syn(1, 1)).step_ == forward_step::send);
+}
+
 TEST_CASE_FIXTURE(forwarding_fixture,
                   "a late copy of a SYN tries another target")
 {
