Flows of dead and stopped backend servers are reset

Cause: after power cuts and crashes, callers of lost flows waited for their deadlines: a dead target blocked every reset for 60 s, and each packet in flight searched all targets again with every retransmission. Change: a target that was declared dead blocks no reset; an agent returns packets once its backend server has answered no SYN for 1.2 s; beyond three targets one packet carries a flow's search on; a new run clears what was observed of the former.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -23,6 +23,8 @@
     // A SYN is answered at once by a backend server that runs.
     duration syn_silence_ = std::chrono::milliseconds(150);
     duration data_silence_ = std::chrono::seconds(1);
+    // After this long without an answer it holds no flows that anyone waits for.
+    duration stopped_silence_ = std::chrono::milliseconds(1'200);
 };
 
 class backend_observer
@@ -43,9 +45,15 @@
 
     void tick(time_point now);
 
-    // True if it has stopped answering.
+    // True if it doesn't answer, so that new flows should go elsewhere.
     bool is_dark(time_point now) const;
 
+    // True if it has not answered SYNs for so long that it must have stopped.
+    bool is_stopped(time_point now) const;
+
+    // Another run of the backend server has begun; it holds no flows.
+    void on_new_run();
+
     std::uint32_t under_way() const
     {
         return under_way_;
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -43,6 +43,7 @@
     no_target,       // no target takes new flows
     nobody_holds,    // every target returned the packet
     owner_missing,   // a target that may hold the flow can't be asked
+    other_searches,  // another packet of the flow carries the search on
     not_yet,         // a target may take the flow soon; a copy will come
     not_from_caller, // a packet that only a backend server sends
     count
@@ -53,7 +54,8 @@
     forward_cause_names{"known",         "placed",         "moved",
                         "searched",      "search_goes_on", "no_template",
                         "no_route",      "no_target",      "nobody_holds",
-                        "owner_missing", "not_yet",        "not_from_caller"};
+                        "owner_missing", "other_searches", "not_yet",
+                        "not_from_caller"};
 
 constexpr std::string_view to_string(forward_cause cause)
 {
@@ -80,7 +82,10 @@
     // Pause after a search that found no owner.
     duration search_pause_ = std::chrono::milliseconds(250);
     // After its start a balancer doesn't know every target yet.
-    duration learning_time_ = std::chrono::seconds(5);
+    duration learning_time_ = std::chrono::milliseconds(1'500);
+    // Targets that every packet of a flow may be offered to; further ones are
+    // asked by one packet alone.
+    std::size_t shared_search_ = 3;
 };
 
 class flow_forwarder
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -29,7 +29,6 @@
     std::optional<time_point> unanswered_since_;
     time_point questioned_{};        // last question sent
     std::uint32_t placed_since_ = 0; // flows placed here since load_ came
-    time_point gone_at_{};           // when it left or died
 
     // True if the agent hasn't answered for so long that new flows should go
     // elsewhere.
@@ -45,7 +44,7 @@
     using target_list = std::vector<forward_target*>;
 
     // Takes a record unless a newer one is held; returns false if it does.
-    bool apply(target_record const& record, time_point now);
+    bool apply(target_record const& record);
 
     // Takes a template unless a newer revision is held.
     bool apply(organisation_template const& value, revision at);
@@ -70,8 +69,9 @@
     // Services in the order of a route's shares.
     static std::vector<service_id> services_of(route_template const& route);
 
-    // True if a target left without having ended its flows, or can't be
-    // reached: it may hold a flow that no other target holds.
+    // True if a target can't be asked now, as while its agent restarts: it may
+    // hold a flow that no other target holds. One that was declared dead doesn't
+    // count, since its callers wait in vain.
     bool may_miss_owner(time_point now) const;
 
     std::unordered_map<target_id, std::unique_ptr<forward_target>> const&
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -175,6 +175,20 @@
             now > *data_unanswered_ + settings_.data_silence_);
 }
 
+bool backend_observer::is_stopped(time_point now) const
+{
+    return syn_unanswered_ &&
+           now > *syn_unanswered_ + settings_.stopped_silence_;
+}
+
+void backend_observer::on_new_run()
+{
+    flows_.clear();
+    under_way_ = 0;
+    syn_unanswered_.reset();
+    data_unanswered_.reset();
+}
+
 load_report backend_observer::report(time_point now)
 {
     constexpr double micros = 1e6;
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -183,6 +183,11 @@
                               !value->was_tried(value->target_);
     if (has_moved_on)
     {
+        bool const is_long = value->denied_.size() > settings_.shared_search_;
+        if (is_long && !packet.opens_flow())
+        {
+            return {forward_step::drop, forward_cause::other_searches, nullptr};
+        }
         return send(*value, forward_cause::search_goes_on, now);
     }
     return packet.opens_flow()
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -6,20 +6,12 @@
 namespace daisytrail
 {
 
-namespace
-{
-
-// Time that a lost target's backend server may still hold its flows.
-constexpr std::chrono::seconds flow_memory{60};
-
-} // namespace
-
 bool forward_target::is_silent(time_point now) const
 {
     return unanswered_since_ && now > *unanswered_since_ + agent_silence;
 }
 
-bool forward_directory::apply(target_record const& record, time_point now)
+bool forward_directory::apply(target_record const& record)
 {
     auto& held = targets_[record.target_];
     if (!held)
@@ -37,10 +29,6 @@
         held->has_report_ = false;
         held->unanswered_since_.reset();
     }
-    if (!may_own_flows(record.state_))
-    {
-        held->gone_at_ = now;
-    }
     held->record_ = record;
     rebuild_members();
     return true;
@@ -162,10 +150,6 @@
         [now](auto const& entry)
         {
             auto const& target = *entry.second;
-            if (target.record_.state_ == member_state::dead)
-            {
-                return now < target.gone_at_ + flow_memory;
-            }
             return may_own_flows(target.record_.state_) &&
                    (!target.has_report_ || target.is_silent(now));
         });
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -12,8 +12,9 @@
 constexpr std::chrono::milliseconds report_interval{100};
 // A balancer that sent nothing for this long gets no reports unasked.
 constexpr std::chrono::seconds correspondent_time{3};
-// A backend server that doesn't answer gets a SYN this often.
-constexpr std::chrono::milliseconds dark_probe_interval{250};
+// A backend server that doesn't answer gets single SYNs, ever more rarely.
+constexpr std::chrono::milliseconds first_probe_wait{250};
+constexpr std::chrono::milliseconds most_probe_wait{2'000};
 
 time_point current_time()
 {
@@ -80,7 +81,13 @@
 bool agent_relay::accepts_flows(time_point now) const
 {
     return life_.phase() == backend_phase::ready && !stopping_ &&
-           !observer_.is_dark(now);
+           (!observer_.is_dark(now) || now >= next_probe_);
+}
+
+void agent_relay::on_new_run()
+{
+    observer_.on_new_run();
+    probe_wait_ = first_probe_wait;
 }
 
 void agent_relay::on_balancer_datagram(std::span<std::byte> datagram,
@@ -138,27 +145,24 @@
     }
     if (!packet.opens_flow())
     {
-        return return_reason::none;
+        return observer_.is_stopped(now) ? return_reason::no_answer
+                                         : return_reason::none;
     }
     if (life_.phase() == backend_phase::unknown)
     {
         return return_reason::not_announced;
     }
-    if (life_.phase() != backend_phase::ready || stopping_)
-    {
-        return return_reason::not_accepting;
-    }
-    if (!observer_.is_dark(now))
+    if (!accepts_flows(now))
     {
-        return return_reason::none;
+        return observer_.is_dark(now) ? return_reason::no_answer
+                                      : return_reason::not_accepting;
     }
-    // A single SYN finds out whether it answers again.
-    if (now > dark_probe_ + dark_probe_interval)
+    if (observer_.is_dark(now))
     {
-        dark_probe_ = now;
-        return return_reason::none;
+        next_probe_ = now + probe_wait_;
+        probe_wait_ = std::min<duration>(2 * probe_wait_, most_probe_wait);
     }
-    return return_reason::no_answer;
+    return return_reason::none;
 }
 
 void agent_relay::pass_in(flow_packet const& packet, std::span<std::byte> bytes,
@@ -284,6 +288,8 @@
         return;
     }
     dark_ = dark;
+    probe_wait_ = first_probe_wait;
+    next_probe_ = now + first_probe_wait;
     log_event(dark ? log_level::warning : log_level::info,
               dark ? "backend_silent" : "backend_answers",
               {{"under_way", observer_.under_way()},
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -34,11 +34,15 @@
     // Takes no new flows from now on.
     void set_stopping();
 
+    // The backend server has started again.
+    void on_new_run();
+
     void tick(time_point now);
 
     // Tells balancers that sent packets lately about a change at once.
     void report_now(time_point now);
 
+    // True if a new flow would be passed to the backend server.
     bool accepts_flows(time_point now) const;
 
     std::uint32_t requests_under_way() const
@@ -91,7 +95,8 @@
     std::map<endpoint, correspondent> correspondents_;
     revision revision_ = 0;
     time_point reported_{};
-    time_point dark_probe_{}; // last SYN passed to a silent backend server
+    time_point next_probe_{}; // when a silent backend server gets a SYN again
+    duration probe_wait_{};   // until the probe after that
     bool stopping_ = false;
     bool dark_ = false;
     std::uint64_t& passed_;
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -91,6 +91,10 @@
     auto const outcome = life_.on_announcement(value, current_time());
     bool const is_news = outcome != announcement_outcome::accepted ||
                          before != life_.phase() || previous_run != value.id_;
+    if (previous_run != value.id_ && outcome == announcement_outcome::accepted)
+    {
+        relay_.on_new_run();
+    }
     if (is_news)
     {
         log_event(log_level::info, "announcement",
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -183,7 +183,7 @@
     {
         learned_ = current_time();
     }
-    bool const taken = directory_.apply(record, current_time());
+    bool const taken = directory_.apply(record);
     log_event(log_level::info, "target_changed",
               {{"target", record.name_},
                {"service", record.service_},
--- /dev/null
+++ b/test/unit/backend_observer_test.cpp
@@ -0,0 +1,190 @@
+// Tests of what an agent learns from packets, and of its backend server's life.
+#include <daisytrail/backend_life.hpp>
+#include <daisytrail/backend_observer.hpp>
+#include <daisytrail/return_paths.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct observer_fixture
+{
+    flow_packet request(std::uint16_t port, std::uint32_t sequence,
+                        std::size_t bytes = 100) const
+    {
+        flow_packet packet;
+        packet.source_ = {1, port};
+        packet.destination_ = {2, 443};
+        packet.ack_ = true;
+        packet.sequence_ = sequence;
+        packet.payload_bytes_ = bytes;
+        return packet;
+    }
+
+    flow_packet syn(std::uint16_t port) const
+    {
+        auto packet = request(port, 0, 0);
+        packet.syn_ = true;
+        packet.ack_ = false;
+        return packet;
+    }
+
+    flow_packet answer(std::uint16_t port, std::size_t bytes = 100) const
+    {
+        flow_packet packet;
+        packet.source_ = {2, 443};
+        packet.destination_ = {1, port};
+        packet.ack_ = true;
+        packet.payload_bytes_ = bytes;
+        return packet;
+    }
+
+    time_point now_{1h};
+    backend_observer observer_;
+};
+
+backend_announcement announce(std::string const& id, std::uint64_t started,
+                              std::uint64_t sequence,
+                              backend_phase phase = backend_phase::ready)
+{
+    backend_announcement value;
+    value.id_ = id;
+    value.service_ = "orders";
+    value.started_ = started;
+    value.sequence_ = sequence;
+    value.phase_ = phase;
+    return value;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(observer_fixture, "a request counts until its answer begins")
+{
+    observer_.on_caller_packet(request(1, 100), now_);
+    observer_.on_caller_packet(request(2, 100), now_);
+    CHECK(observer_.under_way() == 2);
+    auto const took = observer_.on_backend_packet(answer(1), now_ + 30ms);
+    REQUIRE(took);
+    CHECK(*took == 30ms);
+    CHECK(observer_.under_way() == 1);
+    CHECK_FALSE(observer_.on_backend_packet(answer(1), now_ + 31ms));
+}
+
+TEST_CASE_FIXTURE(observer_fixture, "a retransmitted request counts once")
+{
+    observer_.on_caller_packet(request(1, 100), now_);
+    observer_.on_backend_packet(answer(1), now_ + 10ms);
+    observer_.on_caller_packet(request(1, 100), now_ + 200ms);
+    CHECK(observer_.under_way() == 0);
+    observer_.on_caller_packet(request(1, 200), now_ + 300ms);
+    CHECK(observer_.under_way() == 1);
+}
+
+TEST_CASE_FIXTURE(observer_fixture, "acknowledgements are no answers")
+{
+    observer_.on_caller_packet(request(1, 100), now_);
+    CHECK_FALSE(observer_.on_backend_packet(answer(1, 0), now_ + 5ms));
+    CHECK(observer_.under_way() == 1);
+}
+
+TEST_CASE_FIXTURE(observer_fixture, "a returned packet ends its request")
+{
+    observer_.on_caller_packet(request(1, 100), now_);
+    observer_.on_returned(request(1, 100), now_);
+    CHECK(observer_.under_way() == 0);
+    CHECK(observer_.open_flows() == 0);
+}
+
+TEST_CASE_FIXTURE(observer_fixture,
+                  "a backend server that answers no SYN is dark, then stopped")
+{
+    observer_.on_caller_packet(syn(1), now_);
+    CHECK_FALSE(observer_.is_dark(now_ + 100ms));
+    CHECK(observer_.is_dark(now_ + 200ms));
+    CHECK_FALSE(observer_.is_stopped(now_ + 1s));
+    CHECK(observer_.is_stopped(now_ + 1'300ms));
+    observer_.on_backend_packet(answer(9, 0), now_ + 2s);
+    CHECK_FALSE(observer_.is_dark(now_ + 2s));
+}
+
+TEST_CASE_FIXTURE(observer_fixture, "a long request alone isn't darkness")
+{
+    observer_.on_caller_packet(request(1, 100), now_);
+    CHECK_FALSE(observer_.is_dark(now_ + 900ms));
+    CHECK_FALSE(observer_.is_stopped(now_ + 5s));
+}
+
+TEST_CASE_FIXTURE(observer_fixture, "a new run starts without flows")
+{
+    observer_.on_caller_packet(request(1, 100), now_);
+    observer_.on_caller_packet(syn(2), now_);
+    observer_.on_new_run();
+    CHECK(observer_.under_way() == 0);
+    CHECK_FALSE(observer_.is_dark(now_ + 1h));
+}
+
+TEST_CASE("announcements of a former run or out of order change nothing")
+{
+    backend_life life("orders");
+    time_point const now{1h};
+    CHECK(life.phase() == backend_phase::unknown);
+    CHECK(life.on_announcement(announce("b", 20, 5), now) ==
+          announcement_outcome::accepted);
+    CHECK(life.on_announcement(announce("a", 10, 9, backend_phase::draining),
+                               now) == announcement_outcome::older_run);
+    CHECK(life.on_announcement(announce("b", 20, 4, backend_phase::draining),
+                               now) == announcement_outcome::out_of_order);
+    CHECK(life.phase() == backend_phase::ready);
+}
+
+TEST_CASE("a run that drains doesn't become ready again, its successor does")
+{
+    backend_life life("orders");
+    time_point const now{1h};
+    life.on_announcement(announce("a", 10, 1), now);
+    life.on_announcement(announce("a", 10, 2, backend_phase::draining), now);
+    CHECK(life.phase() == backend_phase::draining);
+    CHECK(life.on_announcement(announce("a", 10, 3), now) ==
+          announcement_outcome::after_draining);
+    // Started again under the id that it had; its sequence begins anew.
+    CHECK(life.on_announcement(announce("a", 30, 1), now) ==
+          announcement_outcome::accepted);
+    CHECK(life.phase() == backend_phase::ready);
+}
+
+TEST_CASE("only the current run can end")
+{
+    backend_life life("orders");
+    time_point const now{1h};
+    life.on_announcement(announce("b", 20, 1), now);
+    CHECK_FALSE(life.on_end("a"));
+    CHECK(life.on_end("b"));
+    CHECK(life.phase() == backend_phase::gone);
+}
+
+TEST_CASE("an announcement of another service is refused")
+{
+    backend_life life("orders");
+    auto value = announce("a", 1, 1);
+    value.service_ = "sheets";
+    CHECK(life.on_announcement(value, time_point{1h}) ==
+          announcement_outcome::other_service);
+    CHECK(life.phase() == backend_phase::unknown);
+}
+
+TEST_CASE("return paths know only marks that weren't overwritten")
+{
+    return_paths paths(7, 4);
+    auto const first = paths.add({1, 1});
+    CHECK(paths.find(first) == endpoint{1, 1});
+    for (std::uint16_t i = 2; i < 6; ++i)
+    {
+        paths.add({1, i});
+    }
+    CHECK_FALSE(paths.find(first));
+    CHECK_FALSE(paths.find(first + 100));
+}
