New flows are placed by the time to answer, long and short ones apart

Change: agents tell the time to answer without queueing; short flows are weighed by the requests under way, long ones by the load that open flows bring; three candidates of other failure domains are weighed too, at a price by the bytes that the route's flows send.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -7,6 +7,7 @@
 #include <daisytrail/relay_message.hpp>
 #include <daisytrail/types.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -32,6 +33,12 @@
 public:
     explicit backend_observer(backend_observer_settings settings = {});
 
+    // Requests that the backend server runs at the same time.
+    void set_slots(std::uint32_t slots)
+    {
+        slots_ = std::max(1U, slots);
+    }
+
     // A packet was passed to the backend server.
     void on_caller_packet(flow_packet const& packet, time_point now);
 
@@ -64,7 +71,7 @@
         return flows_.size();
     }
 
-    // under_way_, mean_under_way_, response_micros_ and open_flows_ are set.
+    // under_way_, mean_under_way_, service_micros_ and open_flows_ are set.
     load_report report(time_point now);
 
 private:
@@ -74,6 +81,8 @@
         bool has_data_ = false;
         bool awaits_answer_ = false;
         time_point asked_{}; // meaningful while awaits_answer_
+        // Requests for each slot when this one came, itself among them.
+        double crowding_ = 1;
         time_point seen_{};
     };
 
@@ -83,9 +92,10 @@
 
     backend_observer_settings settings_;
     std::unordered_map<flow_key, flow, flow_hash> flows_;
+    std::uint32_t slots_ = 1;
     std::uint32_t under_way_ = 0; // flows that await an answer
     double mean_under_way_ = 0;
-    double response_seconds_ = 0; // smoothed; 0 before the first answer
+    double service_seconds_ = 0; // smoothed; 0 before the first answer
     time_point smoothed_{};
     time_point swept_{};
     // First SYN or data since the backend server last sent anything.
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -9,11 +9,13 @@
 #include <daisytrail/forward_directory.hpp>
 #include <daisytrail/packet_format.hpp>
 #include <daisytrail/placement.hpp>
+#include <daisytrail/route_profile.hpp>
 #include <daisytrail/types.hpp>
 
 #include <array>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -115,6 +117,9 @@
         flow_key key_;
         target_id target_ = 0;   // 0: nowhere yet
         time_point sent_{};      // last packet
+        time_point opened_{};  // when this balancer first saw the flow
+        std::uint64_t bytes_ = 0; // that the caller sent
+        bool is_profiled_ = false; // counts in its route's profile
         time_point began_{};     // when target_ was chosen
         bool searching_ = false; // target_ may not be the owner
         // Targets that don't hold the flow or don't take it.
@@ -131,6 +136,7 @@
     flow* find(flow_key const& key);
     flow& add(flow_key const& key, time_point now);
     void erase(flow_key const& key);
+    void profile(flow& value, flow_packet const& packet, time_point now);
     void choose(flow& value, forward_target const& target, time_point now);
 
     forward_action open(flow& value, forward_cause cause, time_point now);
@@ -150,6 +156,7 @@
     forward_directory& directory_;
     flow_forwarder_settings settings_;
     time_point started_;
+    std::map<endpoint, route_profile> profiles_; // by VIP
     flow_list flows_; // least recently used first
     std::unordered_map<flow_key, flow_list::iterator, flow_hash> index_;
 };
--- a/include/daisytrail/placement.hpp
+++ b/include/daisytrail/placement.hpp
@@ -16,14 +16,13 @@
 // How a service's targets are weighed against one another.
 struct placement_settings
 {
-    // Ranked candidates among which the least loaded one is taken; a small
-    // number lets any balancer find the flow again by the same ranking.
-    std::size_t choices_ = 4;
-    // Weight of the own failure domain in the ranking, against 1 of others.
-    double own_domain_weight_ = 30;
-    // Load that the way to another failure domain is worth: 1 is a queue of as
-    // many requests as the backend server has slots.
-    double cross_domain_load_ = 0.5;
+    // Best-ranked targets that are weighed. Small numbers let any balancer find
+    // the flow again by the same ranking.
+    std::size_t own_domain_choices_ = 3;
+    std::size_t other_domain_choices_ = 3;
+    // Time that a kilobyte to another failure domain is worth.
+    double cross_domain_ms_per_kilobyte_ = 15;
+    double cross_domain_ms_ = 2; // there and back
 };
 
 // What a balancer weighs for one flow.
@@ -32,16 +31,16 @@
     std::uint64_t flow_ = 0; // hash of the flow
     std::string_view own_domain_;
     std::span<target_id const> excluded_; // that returned the flow's packet
+    bool is_long_ = false;                // brings many requests over time
+    double kilobytes_ = 1;                // that the caller sends
     time_point now_{};
 };
 
-// Expected load of a target with one more request; 1 is all slots in use.
-double expected_load(forward_target const& target);
-
 // The service that a new flow goes to, by the weights of the route's shares.
 service_id choose_service(route_template const& route, std::uint64_t flow);
 
-// Targets by weighted rendezvous hashing, the own failure domain first.
+// All targets: the best of the own failure domain, the best of the others, then
+// the rest, each part by rendezvous hashing.
 std::vector<forward_target*>
 rank_targets(forward_directory::target_list const& members,
              placement_request const& request,
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -56,7 +56,7 @@
 {
     std::uint32_t under_way_ = 0;       // requests without an answer yet
     double mean_under_way_ = 0;         // smoothed over about a second
-    std::uint32_t response_micros_ = 0; // smoothed time to answer
+    std::uint32_t service_micros_ = 0; // smoothed time to answer, without queueing
     std::uint32_t open_flows_ = 0;
     std::uint16_t share_ = 100; // percent of a warm backend server's speed
     bool accepts_ = false;      // takes new flows
--- a/include/daisytrail/settings.hpp
+++ b/include/daisytrail/settings.hpp
@@ -52,9 +52,9 @@
     balancer_settings balancer_;
     endpoint relay_;                // datagrams from and to agents
     std::uint16_t caller_port_ = 0; // of callers' VMs; default: data_'s port
-    // Load that the way to another failure domain is worth; 1 is a queue of as
-    // many requests as a backend server has slots.
-    double cross_domain_load_ = 0.5;
+    // Time that a kilobyte to another failure domain is worth waiting for a
+    // backend server of the own one.
+    double cross_domain_ms_per_kilobyte_ = 15;
 };
 
 // Settings of an agent of forwarded flows.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint32_t most_control_bytes = 10'000'000;
 constexpr std::uint32_t most_port = 65'535;
 constexpr std::uint32_t most_watchers = 1'000;
-constexpr double most_cross_domain_load = 100;
+constexpr double most_cross_domain_ms = 10'000;
 
 bool is_hex(char byte)
 {
@@ -147,10 +147,11 @@
          {
              in.number(out.caller_port_, 1, most_port);
          }},
-        {"cross_domain_load", presence::optional,
+        {"cross_domain_ms_per_kilobyte", presence::optional,
          [](value_reader const& in, forward_balancer_settings& out)
          {
-             in.real(out.cross_domain_load_, 0, most_cross_domain_load);
+             in.real(out.cross_domain_ms_per_kilobyte_, 0,
+                     most_cross_domain_ms);
          }},
     }};
 
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr std::chrono::seconds sweep_interval{1};
-constexpr double response_smoothing = 0.1; // weight of the newest answer
+constexpr double service_smoothing = 0.1; // weight of the newest answer
 
 // True if `left` comes after `right` in sequence space, which wraps around.
 bool is_after(std::uint32_t left, std::uint32_t right)
@@ -77,6 +77,7 @@
         value.awaits_answer_ = true;
         value.asked_ = now;
         ++under_way_;
+        value.crowding_ = std::max(1.0, static_cast<double>(under_way_) / slots_);
     }
 }
 
@@ -96,12 +97,12 @@
     if (packet.payload_bytes_ > 0 && value.awaits_answer_)
     {
         took = now - value.asked_;
-        auto const sample = seconds(*took);
-        response_seconds_ =
-            response_seconds_ == 0
+        auto const sample = seconds(*took) / value.crowding_;
+        service_seconds_ =
+            service_seconds_ == 0
                 ? sample
-                : response_seconds_ +
-                      response_smoothing * (sample - response_seconds_);
+                : service_seconds_ +
+                      service_smoothing * (sample - service_seconds_);
         end_request(value);
     }
     if (packet.reset_)
@@ -196,8 +197,8 @@
     load_report result;
     result.under_way_ = under_way_;
     result.mean_under_way_ = mean_under_way_;
-    result.response_micros_ =
-        static_cast<std::uint32_t>(std::lround(response_seconds_ * micros));
+    result.service_micros_ =
+        static_cast<std::uint32_t>(std::lround(service_seconds_ * micros));
     result.open_flows_ = static_cast<std::uint32_t>(flows_.size());
     return result;
 }
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -50,6 +50,7 @@
     auto& value = flows_.back();
     value.key_ = key;
     value.sent_ = now;
+    value.opened_ = now;
     index_[key] = std::prev(flows_.end());
     return value;
 }
@@ -78,7 +79,43 @@
                             std::vector<target_id> const& excluded,
                             time_point now) const
 {
-    return {hash_flow(value.key_), settings_.failure_domain_, excluded, now};
+    placement_request request;
+    request.flow_ = hash_flow(value.key_);
+    request.own_domain_ = settings_.failure_domain_;
+    request.excluded_ = excluded;
+    request.now_ = now;
+    auto const found = profiles_.find(value.key_.vip_);
+    auto const profile =
+        found == profiles_.end() ? route_profile{} : found->second;
+    request.is_long_ = profile.is_long();
+    request.kilobytes_ = profile.kilobytes();
+    return request;
+}
+
+void flow_forwarder::profile(flow& value, flow_packet const& packet,
+                             time_point now)
+{
+    value.bytes_ += packet.payload_bytes_;
+    if (value.is_profiled_)
+    {
+        return;
+    }
+    bool const is_long = now > value.opened_ + route_profile::long_age;
+    bool const has_ended = packet.fin_ || packet.reset_;
+    if (!is_long && !has_ended)
+    {
+        return;
+    }
+    value.is_profiled_ = true;
+    auto& held = profiles_[value.key_.vip_];
+    if (is_long)
+    {
+        held.on_long_flow(value.bytes_);
+    }
+    else
+    {
+        held.on_short_flow(value.bytes_);
+    }
 }
 
 void flow_forwarder::choose(flow& value, forward_target const& target,
@@ -127,6 +164,7 @@
                    ? open(*value, forward_cause::placed, now)
                    : search(*value, packet, forward_cause::searched, now);
     }
+    profile(*value, packet, now);
     if (packet.opens_flow())
     {
         bool const is_waiting = value->target_ != 0 &&
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -3,7 +3,6 @@
 #include <daisytrail/placement.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace daisytrail
@@ -12,52 +11,136 @@
 namespace
 {
 
-// Uniform number in (0, 1) for a flow and a target.
-double uniform(std::uint64_t flow, target_id target)
+constexpr double micros_per_ms = 1'000;
+
+// Time to answer that is assumed before any target has told one.
+constexpr double default_service_ms = 30;
+
+std::uint64_t mix(std::uint64_t flow, target_id target)
 {
     constexpr std::uint64_t first_factor = 0xbf58476d1ce4e5b9ULL;
     constexpr std::uint64_t second_factor = 0x94d049bb133111ebULL;
-    constexpr double two_to_minus_53 = 1.0 / 9'007'199'254'740'992.0;
     std::uint64_t x = flow ^ (target * first_factor);
     x = (x ^ (x >> 30U)) * first_factor;
     x = (x ^ (x >> 27U)) * second_factor;
-    x ^= x >> 31U;
-    return (static_cast<double>(x >> 11U) + 0.5) * two_to_minus_53;
+    return x ^ (x >> 31U);
 }
 
-bool is_excluded(forward_target const& target, placement_request const& request)
+// Uniform number in (0, 1) for a flow and a seed.
+double uniform(std::uint64_t flow, std::uint64_t seed)
 {
-    return std::ranges::find(request.excluded_, target.record_.target_) !=
-           request.excluded_.end();
+    constexpr double two_to_minus_53 = 1.0 / 9'007'199'254'740'992.0;
+    return (static_cast<double>(mix(flow, seed) >> 11U) + 0.5) *
+           two_to_minus_53;
+}
+
+bool is_near(forward_target const& target, placement_request const& request)
+{
+    return target.record_.failure_domain_ == request.own_domain_;
 }
 
 bool can_take(forward_target const& target, placement_request const& request)
 {
+    bool const is_excluded =
+        std::ranges::find(request.excluded_, target.record_.target_) !=
+        request.excluded_.end();
     return takes_new_work(target.record_.state_) &&
            !target.is_silent(request.now_) &&
-           (!target.has_report_ || target.load_.accepts_) &&
-           !is_excluded(target, request);
+           (!target.has_report_ || target.load_.accepts_) && !is_excluded;
 }
 
-double cost(forward_target const& target, placement_request const& request,
-            placement_settings const& settings)
+double slots_of(forward_target const& target)
 {
-    bool const is_near = target.record_.failure_domain_ == request.own_domain_;
-    return expected_load(target) + (is_near ? 0 : settings.cross_domain_load_);
+    return std::max(1U, target.record_.slots_);
 }
 
-} // namespace
+// What the members of a service have in common.
+struct service_figures
+{
+    double service_ms_ = default_service_ms; // mean time to answer
+    // Requests that one open flow brings a millisecond.
+    double requests_per_flow_ms_ = 0;
+};
+
+service_figures figures_of(forward_directory::target_list const& members)
+{
+    double total_ms = 0;
+    double flow_ms = 0; // open flows by time to answer
+    double under_way = 0;
+    std::size_t count = 0;
+    for (auto const* member : members)
+    {
+        auto const& load = member->load_;
+        if (!member->has_report_ || load.service_micros_ == 0)
+        {
+            continue;
+        }
+        auto const service_ms = load.service_micros_ / micros_per_ms;
+        ++count;
+        total_ms += service_ms;
+        flow_ms += load.open_flows_ * service_ms;
+        under_way += load.mean_under_way_;
+    }
+    service_figures result;
+    if (count > 0)
+    {
+        result.service_ms_ = total_ms / static_cast<double>(count);
+    }
+    if (flow_ms > 0)
+    {
+        result.requests_per_flow_ms_ = under_way / flow_ms;
+    }
+    return result;
+}
 
-double expected_load(forward_target const& target)
+double service_ms(forward_target const& target, service_figures const& figures)
 {
-    auto const slots = std::max(1U, target.record_.slots_);
     auto const& load = target.load_;
-    double const now = load.under_way_;
-    double const busy = (now + load.mean_under_way_) / 2;
-    double const speed = std::max<double>(load.share_, 1) / 100;
-    return (busy + target.placed_since_ + 1) / (slots * speed);
+    auto const own = load.service_micros_ > 0
+                         ? load.service_micros_ / micros_per_ms
+                         : figures.service_ms_;
+    return own * 100 / std::max<double>(load.share_, 1);
 }
 
+// A short flow brings one request now: it waits for those under way.
+double short_flow_ms(forward_target const& target,
+                     service_figures const& figures)
+{
+    double const under_way = target.load_.under_way_ + target.placed_since_ + 1;
+    return service_ms(target, figures) *
+           std::max(1.0, under_way / slots_of(target));
+}
+
+// A long flow brings requests for as long as it is open: what counts is the
+// load that all open flows bring, half of it as measured.
+double long_flow_ms(forward_target const& target,
+                    service_figures const& figures)
+{
+    auto const own_ms = service_ms(target, figures);
+    double const flows = target.load_.open_flows_ + target.placed_since_ + 1;
+    auto const expected = flows * figures.requests_per_flow_ms_ * own_ms;
+    auto const busy = expected + target.load_.mean_under_way_;
+    // Before any load is known, flows are spread evenly.
+    constexpr double ms_per_flow = 0.1;
+    return own_ms * (1 + busy / slots_of(target)) + ms_per_flow * flows;
+}
+
+double cost_ms(forward_target const& target, placement_request const& request,
+               placement_settings const& settings,
+               service_figures const& figures)
+{
+    auto const here = request.is_long_ ? long_flow_ms(target, figures)
+                                       : short_flow_ms(target, figures);
+    auto const way =
+        is_near(target, request)
+            ? 0
+            : settings.cross_domain_ms_ +
+                  settings.cross_domain_ms_per_kilobyte_ * request.kilobytes_;
+    return here + way;
+}
+
+} // namespace
+
 service_id choose_service(route_template const& route, std::uint64_t flow)
 {
     std::uint64_t total = 0;
@@ -69,7 +152,7 @@
     {
         return route.shares_.front().service_;
     }
-    constexpr target_id share_seed = 0x73686172;
+    constexpr std::uint64_t share_seed = 0x73686172;
     auto const point = uniform(flow, share_seed) * static_cast<double>(total);
     double passed = 0;
     for (auto const& share : route.shares_)
@@ -88,22 +171,38 @@
              placement_request const& request,
              placement_settings const& settings)
 {
-    std::vector<std::pair<double, forward_target*>> scored;
+    struct scored_target
+    {
+        bool is_far_;
+        std::uint64_t score_;
+        forward_target* target_;
+    };
+    std::vector<scored_target> scored;
     scored.reserve(members.size());
     for (auto* const member : members)
     {
-        bool const is_near =
-            member->record_.failure_domain_ == request.own_domain_;
-        double const weight = is_near ? settings.own_domain_weight_ : 1;
-        auto const u = uniform(request.flow_, member->record_.target_);
-        scored.emplace_back(-std::log(u) / weight, member);
+        scored.push_back({!is_near(*member, request),
+                          mix(request.flow_, member->record_.target_), member});
     }
-    std::ranges::sort(scored);
+    std::ranges::sort(scored, {},
+                      [](scored_target const& value)
+                      { return std::pair(value.is_far_, value.score_); });
+    auto const first_far =
+        std::ranges::find(scored, true, &scored_target::is_far_);
+    auto const near_count = first_far - scored.begin();
+    auto const rest = std::min<std::ptrdiff_t>(
+        near_count,
+        static_cast<std::ptrdiff_t>(settings.own_domain_choices_));
+    // The best of other domains come before the rest of the own one.
+    auto const far_choices = std::min<std::ptrdiff_t>(
+        scored.end() - first_far,
+        static_cast<std::ptrdiff_t>(settings.other_domain_choices_));
+    std::rotate(scored.begin() + rest, first_far, first_far + far_choices);
     std::vector<forward_target*> result;
     result.reserve(scored.size());
-    for (auto const& [score, member] : scored)
+    for (auto const& value : scored)
     {
-        result.push_back(member);
+        result.push_back(value.target_);
     }
     return result;
 }
@@ -112,6 +211,7 @@
                            placement_request const& request,
                            placement_settings const& settings)
 {
+    auto const figures = figures_of(members);
     forward_target* best = nullptr;
     double lowest = std::numeric_limits<double>::infinity();
     std::size_t weighed = 0;
@@ -121,13 +221,14 @@
         {
             continue;
         }
-        auto const value = cost(*member, request, settings);
+        auto const value = cost_ms(*member, request, settings, figures);
         if (value < lowest)
         {
             lowest = value;
             best = member;
         }
-        if (++weighed >= settings.choices_)
+        if (++weighed >=
+            settings.own_domain_choices_ + settings.other_domain_choices_)
         {
             break;
         }
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -229,7 +229,6 @@
     message.kind_ = kind;
     message.service_ = service_;
     message.target_ = target_;
-    message.revision_ = revision_;
     message.load_ = observer_.report(now);
     message.load_.share_ = life_.speed_share(now);
     message.load_.accepts_ = accepts_flows(now);
@@ -310,8 +309,7 @@
                {"opens", packet.opens_flow()},
                {"phase", to_string(life_.phase())},
                {"run", life_.last().id_},
-               {"under_way", observer_.under_way()},
-               {"revision", revision_}});
+               {"under_way", observer_.under_way()}});
 }
 
 } // namespace daisytrail
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -50,9 +50,10 @@
         return observer_.under_way();
     }
 
-    void set_revision(revision at)
+    // Requests that the backend server runs at the same time.
+    void set_slots(std::uint32_t slots)
     {
-        revision_ = at;
+        observer_.set_slots(slots);
     }
 
 private:
@@ -93,7 +94,6 @@
     datagram_port backend_;
     decision_log log_;
     std::map<endpoint, correspondent> correspondents_;
-    revision revision_ = 0;
     time_point reported_{};
     time_point next_probe_{}; // when a silent backend server gets a SYN again
     duration probe_wait_{};   // until the probe after that
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -29,7 +29,8 @@
 {
     flow_forwarder_settings result;
     result.failure_domain_ = settings.balancer_.common_.failure_domain_;
-    result.placement_.cross_domain_load_ = settings.cross_domain_load_;
+    result.placement_.cross_domain_ms_per_kilobyte_ =
+        settings.cross_domain_ms_per_kilobyte_;
     return result;
 }
 
@@ -199,7 +200,8 @@
             now - target.reported_);
         line["target"] = target.record_.name_;
         line["incarnation"] = target.record_.version_.incarnation_;
-        line["load"] = expected_load(target);
+        line["under_way"] = target.load_.under_way_;
+        line["placed_since"] = target.placed_since_;
         line["report_age_ms"] = target.has_report_ ? age.count() : -1;
     }
     log_event(log_level::info, "flow", line);
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -95,6 +95,7 @@
     {
         relay_.on_new_run();
     }
+    relay_.set_slots(life_.last().slots_);
     if (is_news)
     {
         log_event(log_level::info, "announcement",
--- a/src/rpc/forward.capnp
+++ b/src/rpc/forward.capnp
@@ -19,7 +19,7 @@
 struct LoadReport {
   underWay @0 :UInt32;
   meanUnderWayMilli @1 :UInt32;
-  responseMicros @2 :UInt32;
+  serviceMicros @2 :UInt32;
   openFlows @3 :UInt32;
   share @4 :UInt16;
 }
--- a/src/rpc/relay_message.cpp
+++ b/src/rpc/relay_message.cpp
@@ -33,7 +33,7 @@
     to.setUnderWay(from.under_way_);
     to.setMeanUnderWayMilli(static_cast<std::uint32_t>(
         std::lround(std::max(0.0, from.mean_under_way_) * milli)));
-    to.setResponseMicros(from.response_micros_);
+    to.setServiceMicros(from.service_micros_);
     to.setOpenFlows(from.open_flows_);
     to.setShare(from.share_);
 }
@@ -49,7 +49,7 @@
     auto const load = root.getLoad();
     result.load_.under_way_ = load.getUnderWay();
     result.load_.mean_under_way_ = load.getMeanUnderWayMilli() / milli;
-    result.load_.response_micros_ = load.getResponseMicros();
+    result.load_.service_micros_ = load.getServiceMicros();
     result.load_.open_flows_ = load.getOpenFlows();
     result.load_.share_ =
         has_load(result.kind_) ? load.getShare() : load_report{}.share_;
