--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -21,10 +21,14 @@
     duration flow_idle_ = std::chrono::seconds(60);
     duration request_timeout_ = std::chrono::seconds(10); // no longer counted
     duration smoothing_ = std::chrono::seconds(1); // of requests under way
+    // A request without an answer for this long counts as failed.
+    duration hang_time_ = std::chrono::seconds(2);
+    duration failure_memory_ = std::chrono::seconds(4);
     // A SYN is answered at once by a backend server that runs.
     duration syn_silence_ = std::chrono::milliseconds(150);
     duration data_silence_ = std::chrono::seconds(1);
-    // After this long without an answer it holds no flows that anyone waits for.
+    // After this long without an answer it holds no flows that anyone waits
+    // for.
     duration stopped_silence_ = std::chrono::milliseconds(1'200);
 };
 
@@ -71,7 +75,7 @@
         return flows_.size();
     }
 
-    // under_way_, mean_under_way_, service_micros_ and open_flows_ are set.
+    // Sets all but share_ and accepts_.
     load_report report(time_point now);
 
 private:
@@ -80,7 +84,8 @@
         std::uint32_t next_sequence_ = 0; // after the caller's last data
         bool has_data_ = false;
         bool awaits_answer_ = false;
-        time_point asked_{}; // meaningful while awaits_answer_
+        bool has_failed_ = false; // counted as failed already
+        time_point asked_{};      // meaningful while awaits_answer_
         // Requests for each slot when this one came, itself among them.
         double crowding_ = 1;
         time_point seen_{};
@@ -89,12 +94,14 @@
     void answered(time_point now);
     void end_request(flow& value);
     void smooth(time_point now);
+    void note_outcome(flow& value, bool failed);
 
     backend_observer_settings settings_;
     std::unordered_map<flow_key, flow, flow_hash> flows_;
     std::uint32_t slots_ = 1;
     std::uint32_t under_way_ = 0; // flows that await an answer
     double mean_under_way_ = 0;
+    double failure_share_ = 0;   // of the latest requests; fades with time
     double service_seconds_ = 0; // smoothed; 0 before the first answer
     time_point smoothed_{};
     time_point swept_{};
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -53,10 +53,10 @@
 
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(forward_cause::count)>
-    forward_cause_names{"known",         "placed",         "moved",
-                        "searched",      "search_goes_on", "no_template",
-                        "no_route",      "no_target",      "nobody_holds",
-                        "owner_missing", "other_searches", "not_yet",
+    forward_cause_names{"known",          "placed",         "moved",
+                        "searched",       "search_goes_on", "no_template",
+                        "no_route",       "no_target",      "nobody_holds",
+                        "owner_missing",  "other_searches", "not_yet",
                         "not_from_caller"};
 
 constexpr std::string_view to_string(forward_cause cause)
@@ -115,13 +115,13 @@
     struct flow
     {
         flow_key key_;
-        target_id target_ = 0;   // 0: nowhere yet
-        time_point sent_{};      // last packet
-        time_point opened_{};  // when this balancer first saw the flow
-        std::uint64_t bytes_ = 0; // that the caller sent
+        target_id target_ = 0;     // 0: nowhere yet
+        time_point sent_{};        // last packet
+        time_point opened_{};      // when this balancer first saw the flow
+        std::uint64_t bytes_ = 0;  // that the caller sent
         bool is_profiled_ = false; // counts in its route's profile
-        time_point began_{};     // when target_ was chosen
-        bool searching_ = false; // target_ may not be the owner
+        time_point began_{};       // when target_ was chosen
+        bool searching_ = false;   // target_ may not be the owner
         // Targets that don't hold the flow or don't take it.
         std::vector<target_id> denied_;
         // Targets that gave no answer, or may take the flow later.
@@ -157,7 +157,7 @@
     flow_forwarder_settings settings_;
     time_point started_;
     std::map<endpoint, route_profile> profiles_; // by VIP
-    flow_list flows_; // least recently used first
+    flow_list flows_;                            // least recently used first
     std::unordered_map<flow_key, flow_list::iterator, flow_hash> index_;
 };
 
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -11,7 +11,8 @@
 {
 
 constexpr std::chrono::seconds sweep_interval{1};
-constexpr double service_smoothing = 0.1; // weight of the newest answer
+constexpr double outcome_smoothing = 0.05; // weight of the newest request
+constexpr double service_smoothing = 0.1;  // weight of the newest answer
 
 // True if `left` comes after `right` in sequence space, which wraps around.
 bool is_after(std::uint32_t left, std::uint32_t right)
@@ -75,9 +76,11 @@
     if (!value.awaits_answer_)
     {
         value.awaits_answer_ = true;
+        value.has_failed_ = false;
         value.asked_ = now;
         ++under_way_;
-        value.crowding_ = std::max(1.0, static_cast<double>(under_way_) / slots_);
+        value.crowding_ =
+            std::max(1.0, static_cast<double>(under_way_) / slots_);
     }
 }
 
@@ -103,10 +106,15 @@
                 ? sample
                 : service_seconds_ +
                       service_smoothing * (sample - service_seconds_);
+        note_outcome(value, false);
         end_request(value);
     }
     if (packet.reset_)
     {
+        if (value.awaits_answer_)
+        {
+            note_outcome(value, true);
+        }
         end_request(value);
         flows_.erase(found);
     }
@@ -140,9 +148,20 @@
     }
 }
 
+void backend_observer::note_outcome(flow& value, bool failed)
+{
+    if (!value.has_failed_)
+    {
+        value.has_failed_ = failed;
+        failure_share_ +=
+            outcome_smoothing * ((failed ? 1.0 : 0.0) - failure_share_);
+    }
+}
+
 void backend_observer::smooth(time_point now)
 {
     auto const passed = seconds(now - smoothed_);
+    failure_share_ *= std::exp(-passed / seconds(settings_.failure_memory_));
     auto const keep = std::exp(-passed / seconds(settings_.smoothing_));
     mean_under_way_ = under_way_ + (mean_under_way_ - under_way_) * keep;
     smoothed_ = now;
@@ -160,6 +179,10 @@
     {
         auto& value = at->second;
         bool const is_idle = now > value.seen_ + settings_.flow_idle_;
+        if (value.awaits_answer_ && now > value.asked_ + settings_.hang_time_)
+        {
+            note_outcome(value, true);
+        }
         if (is_idle || now > value.asked_ + settings_.request_timeout_)
         {
             end_request(value);
@@ -186,6 +209,7 @@
 {
     flows_.clear();
     under_way_ = 0;
+    failure_share_ = 0;
     syn_unanswered_.reset();
     data_unanswered_.reset();
 }
@@ -199,6 +223,7 @@
     result.mean_under_way_ = mean_under_way_;
     result.service_micros_ =
         static_cast<std::uint32_t>(std::lround(service_seconds_ * micros));
+    result.failure_share_ = failure_share_;
     result.open_flows_ = static_cast<std::uint32_t>(flows_.size());
     return result;
 }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -54,6 +54,14 @@
     return std::max(1U, target.record_.slots_);
 }
 
+// Time that a failed request costs its caller, who has to try again.
+constexpr double failure_ms = 500;
+
+// Bounds of a target's time to answer relative to its siblings'. A backend
+// server that fails at once seems fast, and would draw all new flows.
+constexpr double least_relative_time = 0.4;
+constexpr double most_relative_time = 6;
+
 // What the members of a service have in common.
 struct service_figures
 {
@@ -99,7 +107,10 @@
     auto const own = load.service_micros_ > 0
                          ? load.service_micros_ / micros_per_ms
                          : figures.service_ms_;
-    return own * 100 / std::max<double>(load.share_, 1);
+    auto const plausible =
+        std::clamp(own, least_relative_time * figures.service_ms_,
+                   most_relative_time * figures.service_ms_);
+    return plausible * 100 / std::max<double>(load.share_, 1);
 }
 
 // A short flow brings one request now: it waits for those under way.
@@ -136,7 +147,7 @@
             ? 0
             : settings.cross_domain_ms_ +
                   settings.cross_domain_ms_per_kilobyte_ * request.kilobytes_;
-    return here + way;
+    return here + way + failure_ms * target.load_.failure_share_;
 }
 
 } // namespace
@@ -191,8 +202,7 @@
         std::ranges::find(scored, true, &scored_target::is_far_);
     auto const near_count = first_far - scored.begin();
     auto const rest = std::min<std::ptrdiff_t>(
-        near_count,
-        static_cast<std::ptrdiff_t>(settings.own_domain_choices_));
+        near_count, static_cast<std::ptrdiff_t>(settings.own_domain_choices_));
     // The best of other domains come before the rest of the own one.
     auto const far_choices = std::min<std::ptrdiff_t>(
         scored.end() - first_far,
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -149,10 +149,9 @@
 {
     auto const now = current_time();
     relay_.tick(now);
-    has_settled_ =
-        has_settled_ ||
-        (directory_.has_template() && !directory_.targets().empty() &&
-         now >= learned_ + settle_time);
+    has_settled_ = has_settled_ || (directory_.has_template() &&
+                                    !directory_.targets().empty() &&
+                                    now >= learned_ + settle_time);
     if (is_ready() != was_ready_)
     {
         was_ready_ = is_ready();
--- a/src/rpc/forward.capnp
+++ b/src/rpc/forward.capnp
@@ -22,4 +22,5 @@
   serviceMicros @2 :UInt32;
   openFlows @3 :UInt32;
   share @4 :UInt16;
+  failurePerMille @5 :UInt16;
 }
--- a/src/rpc/relay_message.cpp
+++ b/src/rpc/relay_message.cpp
@@ -36,6 +36,8 @@
     to.setServiceMicros(from.service_micros_);
     to.setOpenFlows(from.open_flows_);
     to.setShare(from.share_);
+    to.setFailurePerMille(static_cast<std::uint16_t>(
+        std::lround(std::clamp(from.failure_share_, 0.0, 1.0) * milli)));
 }
 
 relay_message read_head(wire::RelayHead::Reader const& root)
@@ -53,6 +55,7 @@
     result.load_.open_flows_ = load.getOpenFlows();
     result.load_.share_ =
         has_load(result.kind_) ? load.getShare() : load_report{}.share_;
+    result.load_.failure_share_ = load.getFailurePerMille() / milli;
     result.load_.accepts_ = root.getAccepts();
     return result;
 }
