Closed flows and refusals don't count as load and speed

Change: flows closed by both ends are forgotten; an answer that overtakes the queue counts as failed, not as fast; answers that waited weigh less.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -18,7 +18,7 @@
 struct backend_observer_settings
 {
     std::size_t max_flows_ = 20'000; // more are passed but not observed
-    duration flow_idle_ = std::chrono::seconds(60);
+    duration flow_idle_ = std::chrono::seconds(20);
     duration request_timeout_ = std::chrono::seconds(10); // no longer counted
     duration smoothing_ = std::chrono::seconds(1); // of requests under way
     // A request without an answer for this long counts as failed.
@@ -72,7 +72,7 @@
 
     std::size_t open_flows() const
     {
-        return flows_.size();
+        return open_flows_;
     }
 
     // Sets all but share_ and accepts_.
@@ -84,6 +84,8 @@
         std::uint32_t next_sequence_ = 0; // after the caller's last data
         bool has_data_ = false;
         bool awaits_answer_ = false;
+        bool caller_finished_ = false; // sent a FIN
+        bool backend_finished_ = false;
         bool has_failed_ = false; // counted as failed already
         time_point asked_{};      // meaningful while awaits_answer_
         // Requests for each slot when this one came, itself among them.
@@ -91,13 +93,19 @@
         time_point seen_{};
     };
 
-    void answered(time_point now);
+    using flow_map = std::unordered_map<flow_key, flow, flow_hash>;
+
+    flow_map::iterator find_or_add(flow_packet const& packet, time_point now);
+    flow_map::iterator erase(flow_map::iterator at);
+    void answered();
     void end_request(flow& value);
     void smooth(time_point now);
+    void note_answer(flow& value, double took);
     void note_outcome(flow& value, bool failed);
 
     backend_observer_settings settings_;
-    std::unordered_map<flow_key, flow, flow_hash> flows_;
+    flow_map flows_;
+    std::uint32_t open_flows_ = 0; // flows with data
     std::uint32_t slots_ = 1;
     std::uint32_t under_way_ = 0; // flows that await an answer
     double mean_under_way_ = 0;
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -12,7 +12,11 @@
 
 constexpr std::chrono::seconds sweep_interval{1};
 constexpr double outcome_smoothing = 0.05; // weight of the newest request
-constexpr double service_smoothing = 0.1;  // weight of the newest answer
+constexpr double service_smoothing = 0.1; // weight of the newest answer
+// The same for an answer that waited, since its wait is only estimated.
+constexpr double crowded_service_smoothing = 0.02;
+// An answer that takes less than this part of the usual time didn't wait.
+constexpr double refusal_time_share = 0.3;
 
 // True if `left` comes after `right` in sequence space, which wraps around.
 bool is_after(std::uint32_t left, std::uint32_t right)
@@ -40,22 +44,21 @@
     {
         syn_unanswered_ = now;
     }
-    auto const key = packet.flow_from_caller();
-    if (packet.reset_)
+    auto const found = find_or_add(packet, now);
+    if (found == flows_.end())
     {
-        if (auto const found = flows_.find(key); found != flows_.end())
-        {
-            end_request(found->second);
-            flows_.erase(found);
-        }
         return;
     }
-    if (flows_.size() >= settings_.max_flows_ && !flows_.contains(key))
+    auto& value = found->second;
+    value.caller_finished_ = value.caller_finished_ || packet.fin_;
+    bool const has_closed =
+        packet.reset_ || (packet.payload_bytes_ == 0 &&
+                          value.caller_finished_ && value.backend_finished_);
+    if (has_closed)
     {
+        erase(found);
         return;
     }
-    auto& value = flows_[key];
-    value.seen_ = now;
     if (packet.payload_bytes_ == 0)
     {
         return;
@@ -71,6 +74,7 @@
     {
         return;
     }
+    open_flows_ += value.has_data_ ? 0 : 1;
     value.has_data_ = true;
     value.next_sequence_ = end;
     if (!value.awaits_answer_)
@@ -88,7 +92,7 @@
 backend_observer::on_backend_packet(flow_packet const& packet, time_point now)
 {
     smooth(now);
-    answered(now);
+    answered();
     auto const found = flows_.find(packet.flow_from_backend());
     if (found == flows_.end())
     {
@@ -100,23 +104,22 @@
     if (packet.payload_bytes_ > 0 && value.awaits_answer_)
     {
         took = now - value.asked_;
-        auto const sample = seconds(*took) / value.crowding_;
-        service_seconds_ =
-            service_seconds_ == 0
-                ? sample
-                : service_seconds_ +
-                      service_smoothing * (sample - service_seconds_);
-        note_outcome(value, false);
+        note_answer(value, seconds(*took));
         end_request(value);
     }
+    value.backend_finished_ = value.backend_finished_ || packet.fin_;
+    if (value.backend_finished_ && value.caller_finished_)
+    {
+        erase(found);
+        return took;
+    }
     if (packet.reset_)
     {
         if (value.awaits_answer_)
         {
             note_outcome(value, true);
         }
-        end_request(value);
-        flows_.erase(found);
+        erase(found);
     }
     return took;
 }
@@ -124,16 +127,43 @@
 void backend_observer::on_returned(flow_packet const& packet, time_point now)
 {
     smooth(now);
-    answered(now);
+    answered();
     auto const found = flows_.find(packet.flow_from_caller());
     if (found != flows_.end())
     {
-        end_request(found->second);
-        flows_.erase(found);
+        erase(found);
+    }
+}
+
+// An acknowledgement alone doesn't make a flow known: it may be the last one.
+backend_observer::flow_map::iterator
+backend_observer::find_or_add(flow_packet const& packet, time_point now)
+{
+    auto const key = packet.flow_from_caller();
+    auto found = flows_.find(key);
+    bool const is_worth_adding =
+        (packet.payload_bytes_ > 0 || packet.opens_flow()) && !packet.reset_;
+    if (found == flows_.end() && is_worth_adding &&
+        flows_.size() < settings_.max_flows_)
+    {
+        found = flows_.emplace(key, flow{}).first;
+    }
+    if (found != flows_.end())
+    {
+        found->second.seen_ = now;
     }
+    return found;
+}
+
+backend_observer::flow_map::iterator
+backend_observer::erase(flow_map::iterator at)
+{
+    end_request(at->second);
+    open_flows_ -= at->second.has_data_ ? 1 : 0;
+    return flows_.erase(at);
 }
 
-void backend_observer::answered(time_point)
+void backend_observer::answered()
 {
     syn_unanswered_.reset();
     data_unanswered_.reset();
@@ -148,6 +178,25 @@
     }
 }
 
+// An answer that overtakes the queue is a refusal: the backend server is full.
+void backend_observer::note_answer(flow& value, double took)
+{
+    bool const is_crowded = value.crowding_ > 1;
+    if (is_crowded && took < refusal_time_share * service_seconds_)
+    {
+        note_outcome(value, true);
+        return;
+    }
+    note_outcome(value, false);
+    auto const sample = took / value.crowding_;
+    auto const weight =
+        is_crowded ? crowded_service_smoothing : service_smoothing;
+    service_seconds_ = service_seconds_ == 0
+                           ? sample
+                           : service_seconds_ +
+                                 weight * (sample - service_seconds_);
+}
+
 void backend_observer::note_outcome(flow& value, bool failed)
 {
     if (!value.has_failed_)
@@ -183,11 +232,11 @@
         {
             note_outcome(value, true);
         }
-        if (is_idle || now > value.asked_ + settings_.request_timeout_)
+        if (now > value.asked_ + settings_.request_timeout_)
         {
             end_request(value);
         }
-        at = is_idle ? flows_.erase(at) : std::next(at);
+        at = is_idle ? erase(at) : std::next(at);
     }
 }
 
@@ -208,6 +257,7 @@
 void backend_observer::on_new_run()
 {
     flows_.clear();
+    open_flows_ = 0;
     under_way_ = 0;
     failure_share_ = 0;
     syn_unanswered_.reset();
@@ -224,7 +274,7 @@
     result.service_micros_ =
         static_cast<std::uint32_t>(std::lround(service_seconds_ * micros));
     result.failure_share_ = failure_share_;
-    result.open_flows_ = static_cast<std::uint32_t>(flows_.size());
+    result.open_flows_ = open_flows_;
     return result;
 }
 
--- a/test/unit/backend_observer_test.cpp
+++ b/test/unit/backend_observer_test.cpp
@@ -188,3 +188,40 @@
     CHECK_FALSE(paths.find(first));
     CHECK_FALSE(paths.find(first + 100));
 }
+
+// Closed flows stayed in the count for a minute: 950 in place of 40.
+TEST_CASE_FIXTURE(observer_fixture, "a flow that both ends closed isn't open")
+{
+    observer_.on_caller_packet(syn(1), now_);
+    CHECK(observer_.open_flows() == 0);
+    observer_.on_caller_packet(request(1, 100), now_);
+    CHECK(observer_.open_flows() == 1);
+    auto end = answer(1);
+    end.fin_ = true;
+    observer_.on_backend_packet(end, now_ + 20ms);
+    auto last = request(1, 200, 0);
+    last.fin_ = true;
+    observer_.on_caller_packet(last, now_ + 21ms);
+    observer_.on_caller_packet(request(1, 201, 0), now_ + 22ms);
+    CHECK(observer_.open_flows() == 0);
+}
+
+// A full backend server refuses within a millisecond and looked fast.
+TEST_CASE_FIXTURE(observer_fixture,
+                  "refusals of a full backend server aren't fast answers")
+{
+    observer_.set_slots(2);
+    observer_.on_caller_packet(request(1, 100), now_);
+    observer_.on_backend_packet(answer(1), now_ + 30ms);
+    for (std::uint16_t port = 2; port < 12; ++port)
+    {
+        observer_.on_caller_packet(request(port, 100), now_ + 40ms);
+    }
+    for (std::uint16_t port = 6; port < 12; ++port)
+    {
+        observer_.on_backend_packet(answer(port), now_ + 41ms);
+    }
+    auto const report = observer_.report(now_ + 41ms);
+    CHECK(report.service_micros_ == 30'000);
+    CHECK(report.failure_share_ > 0.2);
+}
