A searched flow settles only when its owner answers; list of targets in the store

A copy of its SYN had left a half-open flow there, whose backend server swallows what it gets. Earlier: callers of lost flows waited 1.5 s after a power cut until a balancer took its view for whole. Change: agents tell when a backend server answers on a searched flow; data without an answer for 150 ms goes on to the next target. One balancer keeps the list of targets in the store; another that starts may reset as soon as it has met them all. A backend server counts as stopped after three SYNs.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -27,8 +27,9 @@
     // A SYN is answered at once by a backend server that runs.
     duration syn_silence_ = std::chrono::milliseconds(150);
     duration data_silence_ = std::chrono::seconds(1);
-    // After this long without an answer it holds no flows that anyone waits
-    // for.
+    // After this long and this many SYNs without any packet from it, it holds
+    // no flows that anyone waits for.
+    std::uint32_t stopped_syns_ = 3;
     duration stopped_silence_ = std::chrono::milliseconds(1'200);
 };
 
@@ -115,6 +116,7 @@
     time_point swept_{};
     // First SYN or data since the backend server last sent anything.
     std::optional<time_point> syn_unanswered_;
+    std::uint32_t syns_unanswered_ = 0;
     std::optional<time_point> data_unanswered_;
 };
 
--- a/include/daisytrail/control.hpp
+++ b/include/daisytrail/control.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace daisytrail
 {
@@ -23,6 +24,12 @@
     // An organisation's template at this revision is in force here.
     virtual void on_organisation(organisation_template const& value,
                                  revision at) = 0;
+
+    // The targets that were known before this process started.
+    virtual void on_target_list(std::vector<target_id> const& targets)
+    {
+        (void)targets;
+    }
 };
 
 // What an agent tells the fleet about its target.
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -69,6 +69,8 @@
     forward_step step_ = forward_step::drop;
     forward_cause cause_ = forward_cause::known;
     forward_target* target_ = nullptr; // set for `send`
+    // The agent is to tell whether its backend server holds the flow.
+    bool asks_owner_ = false;
 };
 
 struct flow_forwarder_settings
@@ -79,11 +81,13 @@
     duration flow_idle_ = std::chrono::seconds(60); // then forgotten
     // A SYN without an answer for this long goes to another target.
     duration syn_patience_ = std::chrono::milliseconds(150);
-    // A packet of an unknown flow that a silent target got is tried elsewhere.
+    // Data of a searched flow that nobody answered for this long is tried at
+    // another target: a backend server with a half-open flow returns nothing.
     duration search_patience_ = std::chrono::milliseconds(150);
     // Pause after a search that found no owner.
     duration search_pause_ = std::chrono::milliseconds(250);
-    // After its start a balancer doesn't know every target yet.
+    // After its start a balancer doesn't know every target yet, unless it has
+    // met all of those that the store lists.
     duration learning_time_ = std::chrono::milliseconds(1'500);
     // Targets that every packet of a flow may be offered to; further ones are
     // asked by one packet alone.
@@ -103,6 +107,9 @@
     forward_action on_returned(flow_packet const& packet, target_id from,
                                return_reason reason, time_point now);
 
+    // The target's backend server answers on the flow.
+    void on_held(flow_key const& key, target_id by);
+
     // Forgets idle flows.
     void tick(time_point now);
 
@@ -122,6 +129,7 @@
         bool is_profiled_ = false; // counts in its route's profile
         time_point began_{};       // when target_ was chosen
         bool searching_ = false;   // target_ may not be the owner
+        bool has_split_ = false;   // SYNs went to several targets
         // Targets that don't hold the flow or don't take it.
         std::vector<target_id> denied_;
         // Targets that gave no answer, or may take the flow later.
@@ -145,6 +153,7 @@
     forward_action give_up(flow& value, flow_packet const& packet,
                            time_point now);
     forward_action refuse(flow& value, service_id service, time_point now);
+    bool is_learning(time_point now) const;
     bool may_take_soon(service_id service, time_point now) const;
     forward_target* next_candidate(flow const& value,
                                    route_template const& route, time_point now);
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -49,6 +49,12 @@
     // Takes a template unless a newer revision is held.
     bool apply(organisation_template const& value, revision at);
 
+    // These targets existed before this process started.
+    void expect(std::vector<target_id> const& targets);
+
+    // True once expect() was called and each of its targets is known.
+    bool has_met_all() const;
+
     // Notes a datagram from a target's agent.
     void heard(target_id target, load_report const& load, time_point now);
 
@@ -106,6 +112,8 @@
     // Points into templates_.
     std::map<endpoint, route_template const*> routes_;
     revision newest_ = 0;
+    bool has_list_ = false;           // expect() was called
+    std::vector<target_id> expected_; // that aren't known yet
 };
 
 } // namespace daisytrail
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -20,6 +20,7 @@
     returned, // agent to balancer: the packet isn't for this backend server
     question, // balancer to agent: asks for a report
     report,   // agent to balancer: load and state alone
+    held,     // agent to balancer: the backend server answers on this flow
     count
 };
 
@@ -74,6 +75,10 @@
     target_id target_ = 0;  // addressee, or the target that answers
     revision revision_ = 0; // of the template that the sender has in force
     load_report load_;      // from agents only
+    // With `packet`: the balancer doesn't know whether this target holds the
+    // flow and wants to hear if it does.
+    bool asks_owner_ = false;
+    flow_key flow_; // with `held` only
 
     bool operator==(relay_message const&) const = default;
 };
--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -28,6 +28,11 @@
 // contact_prefix + failure domain + "/" + slot number; value is an endpoint.
 inline constexpr std::string_view contact_prefix = "daisytrail/contacts/";
 
+// Key of the list of targets that may own flows, as one balancer last saw it:
+// their identifiers in hex, separated by spaces. A balancer that starts knows
+// from it which targets it hasn't met yet.
+inline constexpr std::string_view target_list_key = "daisytrail/targets";
+
 struct store_entry
 {
     std::string key_;
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::chrono::seconds sweep_interval{1};
 constexpr double outcome_smoothing = 0.05; // weight of the newest request
-constexpr double service_smoothing = 0.1; // weight of the newest answer
+constexpr double service_smoothing = 0.1;  // weight of the newest answer
 // The same for an answer that waited, since its wait is only estimated.
 constexpr double crowded_service_smoothing = 0.02;
 // An answer that takes less than this part of the usual time didn't wait.
@@ -40,9 +40,10 @@
                                         time_point now)
 {
     smooth(now);
-    if (packet.opens_flow() && !syn_unanswered_)
+    if (packet.opens_flow())
     {
-        syn_unanswered_ = now;
+        syn_unanswered_ = syn_unanswered_.value_or(now);
+        ++syns_unanswered_;
     }
     auto const found = find_or_add(packet, now);
     if (found == flows_.end())
@@ -166,6 +167,7 @@
 void backend_observer::answered()
 {
     syn_unanswered_.reset();
+    syns_unanswered_ = 0;
     data_unanswered_.reset();
 }
 
@@ -191,10 +193,10 @@
     auto const sample = took / value.crowding_;
     auto const weight =
         is_crowded ? crowded_service_smoothing : service_smoothing;
-    service_seconds_ = service_seconds_ == 0
-                           ? sample
-                           : service_seconds_ +
-                                 weight * (sample - service_seconds_);
+    service_seconds_ =
+        service_seconds_ == 0
+            ? sample
+            : service_seconds_ + weight * (sample - service_seconds_);
 }
 
 void backend_observer::note_outcome(flow& value, bool failed)
@@ -250,7 +252,7 @@
 
 bool backend_observer::is_stopped(time_point now) const
 {
-    return syn_unanswered_ &&
+    return syn_unanswered_ && syns_unanswered_ >= settings_.stopped_syns_ &&
            now > *syn_unanswered_ + settings_.stopped_silence_;
 }
 
@@ -260,8 +262,7 @@
     open_flows_ = 0;
     under_way_ = 0;
     failure_share_ = 0;
-    syn_unanswered_.reset();
-    data_unanswered_.reset();
+    answered();
 }
 
 load_report backend_observer::report(time_point now)
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -135,7 +135,7 @@
     }
     value.sent_ = now;
     directory_.sent(*target, now);
-    return {forward_step::send, cause, target};
+    return {forward_step::send, cause, target, value.searching_};
 }
 
 forward_action flow_forwarder::on_packet(flow_packet const& packet,
@@ -174,17 +174,23 @@
             return send(*value, forward_cause::known, now);
         }
         value->unanswered_.push_back(value->target_);
+        value->has_split_ = true;
         return open(*value, forward_cause::moved, now);
     }
     if (now < value->rests_until_)
     {
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
-    auto* const target = directory_.find(value->target_);
-    bool const is_lost = target == nullptr ||
-                         (value->searching_ &&
-                          now > value->began_ + settings_.search_patience_ &&
-                          target->heard_ < value->began_);
+    if (std::exchange(value->has_split_, false))
+    {
+        value->searching_ = true;
+        value->unanswered_.clear();
+        value->began_ = now;
+    }
+    bool const is_unanswered = value->searching_ && packet.payload_bytes_ > 0 &&
+                               now > value->began_ + settings_.search_patience_;
+    bool const is_lost =
+        is_unanswered || directory_.find(value->target_) == nullptr;
     if (is_lost)
     {
         if (value->target_ != 0)
@@ -233,6 +239,20 @@
                : search(*value, packet, forward_cause::search_goes_on, now);
 }
 
+void flow_forwarder::on_held(flow_key const& key, target_id by)
+{
+    auto* const value = find(key);
+    if (value == nullptr)
+    {
+        return;
+    }
+    value->target_ = by;
+    value->searching_ = false;
+    value->denied_.clear();
+    value->unanswered_.clear();
+    value->rests_until_ = {};
+}
+
 forward_action flow_forwarder::open(flow& value, forward_cause cause,
                                     time_point now)
 {
@@ -266,9 +286,15 @@
                                  nullptr};
 }
 
+bool flow_forwarder::is_learning(time_point now) const
+{
+    return now < started_ + settings_.learning_time_ &&
+           !directory_.has_met_all();
+}
+
 bool flow_forwarder::may_take_soon(service_id service, time_point now) const
 {
-    return now < started_ + settings_.learning_time_ ||
+    return is_learning(now) ||
            std::ranges::any_of(directory_.members(service),
                                [](forward_target const* target)
                                { return !target->has_report_; });
@@ -322,8 +348,7 @@
 forward_action flow_forwarder::give_up(flow& value, flow_packet const& packet,
                                        time_point now)
 {
-    bool const is_sure = value.unanswered_.empty() &&
-                         now > started_ + settings_.learning_time_ &&
+    bool const is_sure = value.unanswered_.empty() && !is_learning(now) &&
                          !directory_.may_miss_owner(now);
     if (!is_sure)
     {
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -30,10 +30,24 @@
         held->unanswered_since_.reset();
     }
     held->record_ = record;
+    std::erase(expected_, record.target_);
     rebuild_members();
     return true;
 }
 
+void forward_directory::expect(std::vector<target_id> const& targets)
+{
+    has_list_ = true;
+    expected_ = targets;
+    std::erase_if(expected_,
+                  [this](target_id id) { return targets_.contains(id); });
+}
+
+bool forward_directory::has_met_all() const
+{
+    return has_list_ && expected_.empty();
+}
+
 void forward_directory::rebuild_members()
 {
     members_.clear();
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr std::chrono::milliseconds report_interval{100};
+// Flows whose owner is asked for at the same time.
+constexpr std::size_t max_owner_questions = 10'000;
 // A balancer that sent nothing for this long gets no reports unasked.
 constexpr std::chrono::seconds correspondent_time{3};
 // A backend server that doesn't answer gets single SYNs, ever more rarely.
@@ -122,6 +124,11 @@
     auto const reason = refusal(message, *packet, now);
     if (reason == return_reason::none)
     {
+        if (message.asks_owner_ &&
+            owner_questions_.size() < max_owner_questions)
+        {
+            owner_questions_[packet->flow_from_caller()] = from;
+        }
         pass_in(*packet, bytes, from, now);
     }
     else
@@ -201,6 +208,7 @@
     }
     if (packet->returned_)
     {
+        owner_questions_.erase(packet->flow_from_caller());
         observer_.on_returned(*packet, now);
         if (auto const balancer = paths_.find(packet->mark_))
         {
@@ -213,6 +221,7 @@
         }
         return;
     }
+    tell_owner(*packet, now);
     if (auto const took = observer_.on_backend_packet(*packet, now))
     {
         response_time_.add(std::chrono::duration<double>(*took).count());
@@ -223,6 +232,25 @@
                  datagram);
 }
 
+// A SYN+ACK may belong to a flow that another backend server has opened.
+void agent_relay::tell_owner(flow_packet const& packet, time_point now)
+{
+    if (owner_questions_.empty() || packet.syn_)
+    {
+        return;
+    }
+    auto const found = owner_questions_.find(packet.flow_from_backend());
+    if (found == owner_questions_.end())
+    {
+        return;
+    }
+    auto message = make_message(relay_kind::held, now);
+    message.flow_ = found->first;
+    auto const head_bytes = encode_relay_head(message, balancers_.head());
+    balancers_.add(found->second, head_bytes, {});
+    owner_questions_.erase(found);
+}
+
 relay_message agent_relay::make_message(relay_kind kind, time_point now)
 {
     relay_message message;
@@ -253,6 +281,11 @@
             send_report(balancer, now);
         }
     }
+    if (owner_questions_.size() == max_owner_questions)
+    {
+        // Most are of flows that their callers have left.
+        owner_questions_.clear();
+    }
     std::erase_if(correspondents_, [now](auto const& entry)
                   { return now > entry.second.heard_ + correspondent_time; });
 }
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -16,6 +16,7 @@
 
 #include <array>
 #include <map>
+#include <unordered_map>
 
 namespace daisytrail
 {
@@ -72,6 +73,7 @@
                           flow_packet const& packet, time_point now);
     void pass_in(flow_packet const& packet, std::span<std::byte> bytes,
                  endpoint const& balancer, time_point now);
+    void tell_owner(flow_packet const& packet, time_point now);
     void give_back(flow_packet const& packet, std::span<std::byte> bytes,
                    endpoint const& balancer, return_reason reason,
                    time_point now);
@@ -94,6 +96,8 @@
     datagram_port backend_;
     decision_log log_;
     std::map<endpoint, correspondent> correspondents_;
+    // Balancers that want to hear whether the backend server holds a flow.
+    std::unordered_map<flow_key, endpoint, flow_hash> owner_questions_;
     time_point reported_{};
     time_point next_probe_{}; // when a silent backend server gets a SYN again
     duration probe_wait_{};   // until the probe after that
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -132,6 +132,10 @@
     {
         directory_.heard(message.target_, message.load_, now);
     }
+    if (message.kind_ == relay_kind::held)
+    {
+        core_.on_held(message.flow_, message.target_);
+    }
 }
 
 void balancer_relay::carry_out(forward_action const& action,
@@ -146,7 +150,7 @@
     switch (action.step_)
     {
     case forward_step::send:
-        send(*action.target_, bytes);
+        send(action, bytes);
         break;
     case forward_step::reset:
         reset(packet);
@@ -157,10 +161,12 @@
     }
 }
 
-void balancer_relay::send(forward_target const& target,
+void balancer_relay::send(forward_action const& action,
                           std::span<std::byte const> bytes)
 {
+    auto const& target = *action.target_;
     relay_message message;
+    message.asks_owner_ = action.asks_owner_;
     message.service_ = target.record_.service_;
     message.target_ = target.record_.target_;
     message.revision_ = directory_.newest_revision();
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -37,7 +37,7 @@
     void take(relay_message const& message, time_point now);
     void carry_out(forward_action const& action, flow_packet const& packet,
                    std::span<std::byte const> bytes, time_point now);
-    void send(forward_target const& target, std::span<std::byte const> bytes);
+    void send(forward_action const& action, std::span<std::byte const> bytes);
     void reset(flow_packet const& packet);
     void ask(forward_target& target, time_point now);
     void note(forward_action const& action, flow_packet const& packet,
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -192,6 +192,11 @@
                {"outcome", taken ? "taken" : "older than the one held"}});
 }
 
+void forward_balancer::on_target_list(std::vector<target_id> const& targets)
+{
+    directory_.expect(targets);
+}
+
 void forward_balancer::on_organisation(organisation_template const& value,
                                        revision at)
 {
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -1,12 +1,14 @@
 // Timer, socket and store around a balancer's membership.
 #include "net/balancer_control.hpp"
 
+#include "net/log.hpp"
 #include "net/stored_template.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 #include <random>
+#include <sstream>
 #include <utility>
 
 namespace daisytrail
@@ -45,7 +47,7 @@
                                    metrics& counters, control_events& events,
                                    std::unique_ptr<config_store> store)
     : link_(io, settings.common_, detail::start_incarnation(), counters),
-      runner_(link_, events, counters),
+      events_(events), runner_(link_, events, counters),
       core_(make_record(settings, detail::start_incarnation()),
             settings.common_.seeds_, check_stored_template,
             std::random_device{}()),
@@ -75,7 +77,8 @@
         watcher_->start([this](store_entry const& entry)
                         { take_template(entry); },
                         [this](std::vector<endpoint> const& found)
-                        { core_.add_seeds(found); });
+                        { core_.add_seeds(found); },
+                        [this](std::string const& value) { take_list(value); });
     }
     timer_.start();
     tick();
@@ -147,9 +150,46 @@
                               core_.self().failure_domain_ + "/" +
                               std::to_string(*slot);
     }
+    if (core_.has_duty(hash_name(target_list_key), 1))
+    {
+        duties.target_list_ = target_list();
+    }
     watcher_->set_duties(std::move(duties));
 }
 
+std::string balancer_control::target_list() const
+{
+    std::ostringstream list;
+    list << std::hex;
+    for (auto const& [id, entry] : core_.members().all())
+    {
+        auto const& record = entry.record_;
+        if (record.service_ != balancer_service && may_own_flows(record.state_))
+        {
+            list << id << ' ';
+        }
+    }
+    return list.str();
+}
+
+void balancer_control::take_list(std::string const& value)
+{
+    std::istringstream list(value);
+    std::vector<target_id> targets;
+    target_id id = 0;
+    while (list >> std::hex >> id)
+    {
+        targets.push_back(id);
+    }
+    log_event(log_level::info, "target_list",
+              {{"targets", targets.size()}, {"source", "store"}});
+    // Before the first start there is no list, which says nothing.
+    if (!targets.empty())
+    {
+        events_.on_target_list(targets);
+    }
+}
+
 void balancer_control::take_template(store_entry const& entry)
 {
     // A removed key takes nothing out of force.
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -37,9 +37,12 @@
 private:
     void tick();
     void take_template(store_entry const& entry);
+    void take_list(std::string const& value);
+    std::string target_list() const;
     void update_duties();
 
     control_link link_;
+    control_events& events_;
     detail::action_runner runner_;
     balancer_membership core_;
     std::unique_ptr<store_watcher> watcher_; // empty without a store
--- a/src/net/store_watcher.cpp
+++ b/src/net/store_watcher.cpp
@@ -17,11 +17,12 @@
 
 constexpr milliseconds tick_interval{100};
 constexpr milliseconds first_backoff{200};
-constexpr milliseconds max_backoff{10'000};
+constexpr milliseconds max_backoff{2'000};
 // Templates are read again now and then, in case a watch is silent but broken.
 constexpr milliseconds read_interval{30'000};
 constexpr milliseconds contacts_interval{2'000};
 constexpr milliseconds renew_interval{20'000};
+constexpr milliseconds list_interval{2'000}; // between writes
 constexpr std::chrono::seconds lease_time{60};
 // Calls at the store: one a second on average, a few at once.
 constexpr std::uint32_t calls_per_second = 1;
@@ -46,10 +47,12 @@
 store_watcher::~store_watcher() = default;
 
 void store_watcher::start(template_handler on_template,
-                          contacts_handler on_contacts)
+                          contacts_handler on_contacts, list_handler on_list)
 {
     on_template_ = std::move(on_template);
     on_contacts_ = std::move(on_contacts);
+    on_list_ = std::move(on_list);
+    tick();
     schedule();
 }
 
@@ -103,6 +106,16 @@
     {
         read_contacts();
     }
+    if (on_list_ && !listing_ && may_call(list_))
+    {
+        read_list();
+    }
+    bool const list_changed =
+        duties_.target_list_ && *duties_.target_list_ != written_list_;
+    if (!on_list_ && list_changed && !listing_ && may_call(list_))
+    {
+        write_list();
+    }
     if (!leasing_ && (duties_.contact_key_ || lease_id_ != 0) &&
         may_call(lease_))
     {
@@ -286,6 +299,48 @@
     store_->grant_lease(lease_time, guarded(put));
 }
 
+void store_watcher::read_list()
+{
+    listing_ = true;
+    store_->range(std::string(target_list_key), 1,
+                  guarded(
+                      [this](store_answer const& answer)
+                      {
+                          listing_ = false;
+                          if (answer.error_)
+                          {
+                              failed(list_, answer);
+                              return;
+                          }
+                          succeeded(list_, list_interval);
+                          auto const handler = std::exchange(on_list_, nullptr);
+                          handler(answer.entries_.empty()
+                                      ? std::string()
+                                      : answer.entries_.front().value_);
+                      }));
+}
+
+// Two balancers may both keep the list for a moment; the later one wins, and
+// both hold nearly the same.
+void store_watcher::write_list()
+{
+    listing_ = true;
+    auto const value = *duties_.target_list_;
+    store_->swap({}, {{std::string(target_list_key), value}},
+                 guarded(
+                     [this, value](store_answer const& answer)
+                     {
+                         listing_ = false;
+                         if (answer.error_)
+                         {
+                             failed(list_, answer);
+                             return;
+                         }
+                         written_list_ = value;
+                         succeeded(list_, list_interval);
+                     }));
+}
+
 void store_watcher::read_contacts()
 {
     seeking_ = true;
--- a/src/net/store_watcher.hpp
+++ b/src/net/store_watcher.hpp
@@ -26,6 +26,8 @@
     bool watches_ = false;                   // templates
     std::optional<std::string> contact_key_; // to be held under a lease
     bool seeks_contacts_ = false;            // knows no other balancer
+    // The list of targets, on the balancer that keeps it in the store.
+    std::optional<std::string> target_list_;
 };
 
 class store_watcher
@@ -40,7 +42,12 @@
                   metrics& counters);
     ~store_watcher();
 
-    void start(template_handler on_template, contacts_handler on_contacts);
+    // Takes the value of target_list_key, once after the start; empty if there
+    // is none.
+    using list_handler = std::function<void(std::string const&)>;
+
+    void start(template_handler on_template, contacts_handler on_contacts,
+               list_handler on_list);
     void stop();
     void set_duties(store_duties duties);
 
@@ -63,6 +70,8 @@
     void hold_contact();
     void grant();
     void read_contacts();
+    void read_list();
+    void write_list();
     store_handler guarded(std::function<void(store_answer const&)> handler);
 
     std::unique_ptr<config_store> store_;
@@ -72,15 +81,19 @@
     std::mt19937 random_;
     template_handler on_template_;
     contacts_handler on_contacts_;
+    list_handler on_list_; // empty once called
     store_duties duties_;
     backoff templates_;
     backoff contacts_;
     backoff lease_;
+    backoff list_;
     std::uint64_t watch_epoch_ = 0; // events of earlier watches are ignored
     bool watching_ = false;
     bool reading_ = false;
     bool seeking_ = false;
     bool leasing_ = false;
+    bool listing_ = false;
+    std::string written_list_; // that the store holds
     std::int64_t lease_id_ = 0;
     std::string held_key_;
     bool stopped_ = false;
--- a/src/rpc/forward.capnp
+++ b/src/rpc/forward.capnp
@@ -13,6 +13,15 @@
   reason @4 :UInt8;
   accepts @5 :Bool;
   load @6 :LoadReport;
+  asksOwner @7 :Bool;
+  flow @8 :FlowName;
+}
+
+struct FlowName {
+  callerAddress @0 :UInt32;
+  callerPort @1 :UInt16;
+  vipPort @2 :UInt16;
+  vipAddress @3 :UInt32;
 }
 
 # What an agent tells of its backend server.
--- a/src/rpc/relay_message.cpp
+++ b/src/rpc/relay_message.cpp
@@ -28,6 +28,20 @@
     return kind == relay_kind::returned || kind == relay_kind::report;
 }
 
+void write_flow(wire::FlowName::Builder to, flow_key const& from)
+{
+    to.setCallerAddress(from.caller_.address_);
+    to.setCallerPort(from.caller_.port_);
+    to.setVipAddress(from.vip_.address_);
+    to.setVipPort(from.vip_.port_);
+}
+
+flow_key read_flow(wire::FlowName::Reader const& from)
+{
+    return {{from.getCallerAddress(), from.getCallerPort()},
+            {from.getVipAddress(), from.getVipPort()}};
+}
+
 void write_load(wire::LoadReport::Builder to, load_report const& from)
 {
     to.setUnderWay(from.under_way_);
@@ -48,6 +62,11 @@
     result.revision_ = root.getRevision();
     result.kind_ = static_cast<relay_kind>(root.getKind());
     result.reason_ = static_cast<return_reason>(root.getReason());
+    result.asks_owner_ = root.getAsksOwner();
+    if (result.kind_ == relay_kind::held)
+    {
+        result.flow_ = read_flow(root.getFlow());
+    }
     auto const load = root.getLoad();
     result.load_.under_way_ = load.getUnderWay();
     result.load_.mean_under_way_ = load.getMeanUnderWayMilli() / milli;
@@ -75,6 +94,11 @@
     root.setKind(static_cast<std::uint8_t>(message.kind_));
     root.setReason(static_cast<std::uint8_t>(message.reason_));
     root.setAccepts(message.load_.accepts_);
+    root.setAsksOwner(message.asks_owner_);
+    if (message.kind_ == relay_kind::held)
+    {
+        write_flow(root.initFlow(), message.flow_);
+    }
     if (has_load(message.kind_))
     {
         write_load(root.initLoad(), message.load_);
--- a/test/unit/backend_observer_test.cpp
+++ b/test/unit/backend_observer_test.cpp
@@ -105,6 +105,10 @@
     observer_.on_caller_packet(syn(1), now_);
     CHECK_FALSE(observer_.is_dark(now_ + 100ms));
     CHECK(observer_.is_dark(now_ + 200ms));
+    // One lost SYN isn't enough.
+    CHECK_FALSE(observer_.is_stopped(now_ + 5s));
+    observer_.on_caller_packet(syn(2), now_ + 400ms);
+    observer_.on_caller_packet(syn(3), now_ + 800ms);
     CHECK_FALSE(observer_.is_stopped(now_ + 1s));
     CHECK(observer_.is_stopped(now_ + 1'300ms));
     observer_.on_backend_packet(answer(9, 0), now_ + 2s);
--- a/test/unit/flow_forwarder_test.cpp
+++ b/test/unit/flow_forwarder_test.cpp
@@ -227,6 +227,57 @@
     CHECK(send(syn(1, 1)).step_ == forward_step::send);
 }
 
+// A copy of the SYN had gone to a second backend server, which swallowed the
+// flow's packets for 4 s in place of returning them.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "data that nobody answers is tried at another target")
+{
+    add_target("one");
+    add_target("two");
+    auto const first = send(packet(1));
+    CHECK(first.asks_owner_);
+    now_ += 200ms;
+    report("one", {});
+    report("two", {});
+    auto const second = send(packet(1));
+    REQUIRE(second.step_ == forward_step::send);
+    CHECK(second.target_ != first.target_);
+    forwarder_->on_held(packet(1).flow_from_caller(),
+                        second.target_->record_.target_);
+    now_ += 500ms;
+    auto const third = send(packet(1));
+    CHECK(third.target_ == second.target_);
+    CHECK_FALSE(third.asks_owner_);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "an owner that answers late keeps its flow")
+{
+    add_target("one");
+    add_target("two");
+    auto const owner = send(packet(1));
+    now_ += 200ms;
+    auto const other = send(packet(1));
+    give_back(packet(1), other.target_);
+    forwarder_->on_held(packet(1).flow_from_caller(),
+                        owner.target_->record_.target_);
+    CHECK(send(packet(1)).target_ == owner.target_);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "after SYNs to two targets the flow's owner is searched")
+{
+    add_target("one");
+    add_target("two");
+    auto const first = send(syn(1));
+    now_ += 200ms;
+    auto const second = send(syn(1, 1));
+    REQUIRE(second.target_ != first.target_);
+    CHECK(send(packet(1)).asks_owner_);
+    now_ += 200ms;
+    CHECK(send(packet(1)).target_ == first.target_);
+}
+
 // After a power cut balancers were back before the agents and reset every SYN.
 TEST_CASE_FIXTURE(forwarding_fixture,
                   "a balancer that has just started doesn't refuse flows")
@@ -239,6 +290,25 @@
     CHECK(send(syn(1, 1)).step_ == forward_step::send);
 }
 
+// After a power cut callers of lost flows waited until the balancers had been
+// up for a while.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a balancer that has met all listed targets may reset")
+{
+    forwarder_ = std::make_unique<flow_forwarder>(
+        directory_, flow_forwarder_settings{}, now_);
+    add_target("one");
+    directory_.expect({hash_name("one"), hash_name("two")});
+    auto const first = send(packet(1));
+    CHECK(give_back(packet(1), first.target_).step_ == forward_step::drop);
+    add_target("two");
+    now_ += 300ms;
+    auto const second = send(packet(1));
+    auto const third = give_back(packet(1), second.target_);
+    REQUIRE(third.step_ == forward_step::send);
+    CHECK(give_back(packet(1), third.target_).step_ == forward_step::reset);
+}
+
 TEST_CASE_FIXTURE(forwarding_fixture,
                   "a late copy of a SYN tries another target")
 {
