A packet that met another target is returned in its addressee's name

The address of a target that had gone belonged to another one; what that one returned counted as its own refusal, so the balancer sent the packet to the first again and again. Change: the return names the addressee; a target whose address is another's takes no new flows and holds none. Tests of the data path on loopback sockets, of the platform's translation, of routes in templates and in plan.

--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -58,6 +58,9 @@
     // Notes a datagram from a target's agent.
     void heard(target_id target, load_report const& load, time_point now);
 
+    // Another target answers at this one's address.
+    void displaced(target_id target, time_point now);
+
     // Notes a datagram to a target's agent.
     void sent(forward_target& target, time_point now);
 
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -72,7 +72,9 @@
     relay_kind kind_ = relay_kind::packet;
     return_reason reason_ = return_reason::none;
     service_id service_ = 0;
-    target_id target_ = 0;  // addressee, or the target that answers
+    // Addressee, or the target that answers; with the reason other_target, the
+    // addressee that wasn't met.
+    target_id target_ = 0;
     revision revision_ = 0; // of the template that the sender has in force
     load_report load_;      // from agents only
     // With `packet`: the balancer doesn't know whether this target holds the
--- a/src/cli/template_diff.cpp
+++ b/src/cli/template_diff.cpp
@@ -82,6 +82,27 @@
     flatten(value.limits_, path, out);
 }
 
+std::string service_name(organisation_template const& organisation,
+                         service_id id)
+{
+    auto const found =
+        std::ranges::find(organisation.services_, id, &service_template::id_);
+    return found == organisation.services_.end() ? std::string("?")
+                                                 : found->name_;
+}
+
+void flatten(route_template const& value,
+             organisation_template const& organisation, flat_template& out)
+{
+    auto const path = "routes[" + value.name_ + "]";
+    out[path + ".vip"] = to_string(value.vip_);
+    for (auto const& share : value.shares_)
+    {
+        auto const name = service_name(organisation, share.service_);
+        out[path + ".shares[" + name + "]"] = std::to_string(share.weight_);
+    }
+}
+
 flat_template flatten(organisation_template const& value)
 {
     flat_template out;
@@ -89,6 +110,10 @@
     {
         flatten(service, out);
     }
+    for (auto const& route : value.routes_)
+    {
+        flatten(route, value, out);
+    }
     return out;
 }
 
@@ -108,7 +133,17 @@
 };
 
 // The first rule whose part occurs in the path decides.
-constexpr std::array<effect_rule, 11> effect_rules{{
+constexpr std::array<effect_rule, 16> effect_rules{{
+    {".shares[", edit::changed, flow_effect::none,
+     "new flows follow the weights; open ones stay where they are"},
+    {".shares[", edit::removed, flow_effect::none,
+     "new flows go to the other services; open ones stay where they are"},
+    {"routes[", edit::changed, flow_effect::broken,
+     "packets to the old VIP are refused from now on: open flows to it break"},
+    {"routes[", edit::removed, flow_effect::broken,
+     "the route ends: its open flows break"},
+    {"routes[", edit::added, flow_effect::none,
+     "new flows to this VIP are accepted"},
     {".failure_domains", edit::changed, flow_effect::drained,
      "targets outside them drain: they take no new flows and keep open ones"},
     {".failure_domains", edit::added, flow_effect::none,
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -103,6 +103,13 @@
     held->placed_since_ = 0;
 }
 
+void forward_directory::displaced(target_id target, time_point now)
+{
+    load_report refuses;
+    refuses.accepts_ = false;
+    heard(target, refuses, now);
+}
+
 void forward_directory::sent(forward_target& target, time_point now)
 {
     if (!target.unanswered_since_)
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -133,7 +133,10 @@
     }
     else
     {
-        give_back(*packet, bytes, from, reason, now);
+        auto answer = make_message(relay_kind::returned, now);
+        answer.reason_ = reason;
+        answer.target_ = message.target_;
+        give_back(*packet, bytes, from, answer, now);
     }
 }
 
@@ -184,14 +187,12 @@
 
 void agent_relay::give_back(flow_packet const& packet,
                             std::span<std::byte> bytes,
-                            endpoint const& balancer, return_reason reason,
+                            endpoint const& balancer, relay_message message,
                             time_point now)
 {
-    ++*returned_[static_cast<std::size_t>(reason)];
-    note_return(packet, reason, now);
+    ++*returned_[static_cast<std::size_t>(message.reason_)];
+    note_return(packet, message.reason_, now);
     format_.clear_return(bytes);
-    auto message = make_message(relay_kind::returned, now);
-    message.reason_ = reason;
     auto const head_bytes = encode_relay_head(message, balancers_.head());
     balancers_.add(balancer, head_bytes, bytes);
 }
@@ -212,8 +213,9 @@
         observer_.on_returned(*packet, now);
         if (auto const balancer = paths_.find(packet->mark_))
         {
-            give_back(*packet, datagram, *balancer, return_reason::not_held,
-                      now);
+            auto message = make_message(relay_kind::returned, now);
+            message.reason_ = return_reason::not_held;
+            give_back(*packet, datagram, *balancer, message, now);
         }
         else
         {
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -75,7 +75,7 @@
                  endpoint const& balancer, time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
     void give_back(flow_packet const& packet, std::span<std::byte> bytes,
-                   endpoint const& balancer, return_reason reason,
+                   endpoint const& balancer, relay_message message,
                    time_point now);
     void send_reports(time_point now);
     void send_report(endpoint const& balancer, time_point now);
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -127,11 +127,18 @@
 
 void balancer_relay::take(relay_message const& message, time_point now)
 {
-    if (message.kind_ == relay_kind::report ||
-        message.kind_ == relay_kind::returned)
+    bool const is_from_target =
+        message.kind_ == relay_kind::report ||
+        (message.kind_ == relay_kind::returned &&
+         message.reason_ != return_reason::other_target);
+    if (is_from_target)
     {
         directory_.heard(message.target_, message.load_, now);
     }
+    if (message.reason_ == return_reason::other_target)
+    {
+        directory_.displaced(message.target_, now);
+    }
     if (message.kind_ == relay_kind::held)
     {
         core_.on_held(message.flow_, message.target_);
--- a/test/unit/config_test.cpp
+++ b/test/unit/config_test.cpp
@@ -234,3 +234,80 @@
     REQUIRE(short_key.size() == 1);
     CHECK(to_string(short_key[0]).find("5ec2e7") == std::string::npos);
 }
+
+namespace
+{
+
+std::string forward_template(std::string const& routes)
+{
+    return R"({"name": "o", "services": [)"
+           R"({"name": "s", "mode": "forward"},)"
+           R"({"name": "t", "mode": "stream", "vips": ["203.0.113.9:80"]}],)"
+           R"( "routes": [)" +
+           routes + "]}";
+}
+
+} // namespace
+
+TEST_CASE("routes name VIPs and the services that share their flows")
+{
+    auto const parsed = parse_organisation(
+        forward_template(R"({"name": "r", "vip": "203.0.113.1:80",)"
+                         R"( "shares": [{"service": "s", "weight": 90}]})"));
+    CHECK(parsed.errors_.empty());
+    REQUIRE(parsed.value_.routes_.size() == 1);
+    auto const& route = parsed.value_.routes_[0];
+    CHECK(to_string(route.vip_) == "203.0.113.1:80");
+    REQUIRE(route.shares_.size() == 1);
+    CHECK(route.shares_[0].service_ == hash_name("o/s"));
+    CHECK(route.shares_[0].weight_ == 90);
+}
+
+TEST_CASE("faults of routes are told with their place")
+{
+    auto const lines = faults_of(forward_template(
+        R"({"name": "r", "vip": "203.0.113.9:80",)"
+        R"( "shares": [{"service": "t"}, {"service": "u"}]},)"
+        R"( {"name": "q", "vip": "203.0.113.2:80", "shares": []})"));
+    REQUIRE(lines.size() == 4);
+    CHECK(lines[0].find("routes[0]: found VIP 203.0.113.9:80 again") !=
+          std::string::npos);
+    CHECK(lines[1].find("service 't' of another mode") != std::string::npos);
+    CHECK(lines[2].find("found service 'u'") != std::string::npos);
+    CHECK(lines[3].find("routes[1].shares") != std::string::npos);
+}
+
+TEST_CASE("a service needs VIPs unless its mode is 'forward'")
+{
+    CHECK(faults_of(R"({"name": "o", "services": [)"
+                    R"({"name": "s", "mode": "forward"}]})")
+              .empty());
+    CHECK(faults_of(R"({"name": "o", "services": [)"
+                    R"({"name": "s", "mode": "stream"}]})")
+              .size() == 1);
+    CHECK(faults_of(R"({"name": "o", "services": [{"name": "s",)"
+                    R"( "mode": "forward", "vips": ["203.0.113.1:80"]}]})")
+              .size() == 1);
+}
+
+TEST_CASE("settings of the forward mode: defaults, seed port, faults")
+{
+    std::string const common =
+        R"("name": "a1", "failure_domain": "a", "control": "127.0.0.1:1",)"
+        R"( "http": "127.0.0.1:2", "seeds": ["127.0.0.2:9"],)"
+        R"( "seed_port": 77, "keys": [")" +
+        std::string(64, 'a') + R"("])";
+    auto const agent = parse_forward_agent_settings(
+        "{" + common +
+        R"(, "organisation": "o", "service": "s", "tunnel": "127.0.0.1:3",)"
+        R"( "backend": "127.0.0.1:4", "outbound": "127.0.0.1:5"})");
+    CHECK(agent.errors_.empty());
+    CHECK(agent.value_.caller_port_ == 3);
+    CHECK(agent.value_.agent_.common_.seeds_[0].port_ == 77);
+    auto const balancer = parse_forward_balancer_settings(
+        "{" + common + R"(, "data": "127.0.0.1:6", "store_watchers": 0})");
+    REQUIRE(balancer.errors_.size() == 2);
+    CHECK(to_string(balancer.errors_[0]).find("'relay'") != std::string::npos);
+    CHECK(to_string(balancer.errors_[1]).find("store_watchers") !=
+          std::string::npos);
+}
--- /dev/null
+++ b/test/unit/relay_test.cpp
@@ -0,0 +1,332 @@
+// The data path of mode `forward` on loopback sockets: a balancer, two agents
+// and two backend servers that hold only the flows that they opened.
+#include "forward/agent_relay.hpp"
+#include "forward/balancer_relay.hpp"
+#include "support/plain_format.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <memory>
+#include <set>
+
+using namespace daisytrail;
+using namespace daisytrail::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+constexpr endpoint vip{0x0A000001, 443};
+
+endpoint free_endpoint()
+{
+    asio::io_context io;
+    udp::socket const socket(
+        io, udp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return {asio::ip::address_v4::loopback().to_uint(),
+            socket.local_endpoint().port()};
+}
+
+udp::endpoint to_udp(endpoint const& value)
+{
+    return {asio::ip::address_v4(value.address_), value.port_};
+}
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// A socket that keeps what it receives.
+class mailbox
+{
+public:
+    mailbox(asio::io_context& io, endpoint const& local)
+        : socket_(io, to_udp(local))
+    {
+        receive();
+    }
+
+    void send(endpoint const& to, flow_packet const& packet)
+    {
+        socket_.send_to(asio::buffer(plain_format::write(packet)), to_udp(to));
+    }
+
+    std::deque<flow_packet> received_;
+    std::function<void(flow_packet const&)> on_packet_;
+
+private:
+    void receive()
+    {
+        socket_.async_receive_from(
+            asio::buffer(buffer_), from_,
+            [this](boost::system::error_code code, std::size_t bytes)
+            {
+                if (code)
+                {
+                    return;
+                }
+                auto const packet = plain_format().read(
+                    std::span<std::byte const>(buffer_).first(bytes));
+                received_.push_back(*packet);
+                if (on_packet_)
+                {
+                    on_packet_(*packet);
+                }
+                receive();
+            });
+    }
+
+    udp::socket socket_;
+    udp::endpoint from_;
+    std::array<std::byte, 2'048> buffer_{};
+};
+
+// An agent with its backend server.
+struct target
+{
+    target(asio::io_context& io, std::string const& name,
+           std::uint16_t caller_port, packet_format const& format)
+        : life_("orders")
+    {
+        settings_.agent_.common_.name_ = name;
+        settings_.agent_.organisation_ = "org";
+        settings_.agent_.service_ = "orders";
+        settings_.agent_.tunnel_ = free_endpoint();
+        settings_.backend_ = free_endpoint();
+        settings_.outbound_ = free_endpoint();
+        settings_.caller_port_ = caller_port;
+        backend_announcement value;
+        value.id_ = name;
+        value.service_ = "orders";
+        value.sequence_ = 1;
+        life_.on_announcement(value, current_time());
+        backend_ = std::make_unique<mailbox>(io, settings_.backend_);
+        backend_->on_packet_ = [this](flow_packet const& packet)
+        {
+            answer(packet);
+        };
+        relay_ = std::make_unique<agent_relay>(io, settings_, format, life_,
+                                               metrics_);
+        relay_->start();
+    }
+
+    void answer(flow_packet const& packet)
+    {
+        auto const flow = packet.flow_from_caller();
+        if (packet.opens_flow())
+        {
+            flows_.insert(flow);
+        }
+        if (!flows_.contains(flow))
+        {
+            auto returned = packet;
+            returned.returned_ = true;
+            backend_->send(settings_.outbound_, returned);
+            return;
+        }
+        flow_packet reply;
+        reply.source_ = packet.destination_;
+        reply.destination_ = packet.source_;
+        reply.syn_ = packet.syn_;
+        reply.ack_ = true;
+        reply.payload_bytes_ = packet.payload_bytes_;
+        backend_->send(settings_.outbound_, reply);
+    }
+
+    target_record record() const
+    {
+        target_record result;
+        result.name_ = settings_.agent_.common_.name_;
+        result.target_ = hash_name(result.name_);
+        result.service_ = hash_name("org/orders");
+        result.failure_domain_ = "a";
+        result.tunnel_ = settings_.agent_.tunnel_;
+        result.slots_ = 4;
+        result.state_ = member_state::ready;
+        return result;
+    }
+
+    forward_agent_settings settings_;
+    metrics metrics_;
+    backend_life life_;
+    std::unique_ptr<mailbox> backend_;
+    std::set<flow_key> flows_; // that the backend server holds
+    std::unique_ptr<agent_relay> relay_;
+};
+
+struct relay_fixture
+{
+    relay_fixture()
+        : caller_at_(free_endpoint()), caller_(io_, caller_at_),
+          one_(io_, "one", caller_at_.port_, format_),
+          two_(io_, "two", caller_at_.port_, format_)
+    {
+        organisation_template organisation{"org", {}, {}};
+        organisation.routes_.push_back(
+            {"main", vip, {{hash_name("org/orders"), 1}}});
+        directory_.apply(organisation, 1);
+        directory_.apply(one_.record());
+        directory_.apply(two_.record());
+        balancer_ = make_balancer();
+        balancer_->start();
+        balancer_->tick(current_time());
+        run();
+    }
+
+    std::unique_ptr<balancer_relay> make_balancer()
+    {
+        settings_.balancer_.common_.failure_domain_ = "a";
+        settings_.balancer_.data_ = free_endpoint();
+        settings_.relay_ = free_endpoint();
+        settings_.caller_port_ = caller_at_.port_;
+        return std::make_unique<balancer_relay>(io_, settings_, format_,
+                                                directory_, metrics_);
+    }
+
+    void run(std::chrono::milliseconds time = 50ms)
+    {
+        io_.run_for(time);
+        io_.restart();
+    }
+
+    void call(bool syn)
+    {
+        flow_packet packet;
+        packet.source_ = caller_at_; // whose port is only a name here
+        packet.destination_ = vip;
+        packet.syn_ = syn;
+        packet.ack_ = !syn;
+        packet.payload_bytes_ = syn ? 0 : 10;
+        caller_.send(settings_.balancer_.data_, packet);
+        run();
+    }
+
+    std::size_t answers() const
+    {
+        return caller_.received_.size();
+    }
+
+    asio::io_context io_;
+    plain_format format_;
+    endpoint caller_at_;
+    mailbox caller_;
+    target one_;
+    target two_;
+    metrics metrics_;
+    forward_directory directory_;
+    forward_balancer_settings settings_;
+    std::unique_ptr<balancer_relay> balancer_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(relay_fixture, "a flow is opened and answered on loopback")
+{
+    call(true);
+    REQUIRE(answers() == 1);
+    CHECK(caller_.received_[0].syn_);
+    call(false);
+    REQUIRE(answers() == 2);
+    CHECK(caller_.received_[1].payload_bytes_ == 10);
+    CHECK(one_.flows_.size() + two_.flows_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(relay_fixture,
+                  "another balancer finds the flow by what agents return")
+{
+    call(true);
+    balancer_->stop();
+    auto const other = make_balancer();
+    other->start();
+    for (int i = 0; i < 3; ++i)
+    {
+        call(false);
+    }
+    CHECK(answers() == 4);
+    for (auto const& packet : caller_.received_)
+    {
+        CHECK_FALSE(packet.reset_);
+    }
+}
+
+TEST_CASE_FIXTURE(relay_fixture,
+                  "an agent refuses SYNs of balancers that never heard of a "
+                  "drain")
+{
+    one_.relay_->set_stopping();
+    two_.relay_->set_stopping();
+    call(true);
+    CHECK(one_.flows_.empty());
+    CHECK(two_.flows_.empty());
+}
+
+TEST_CASE_FIXTURE(relay_fixture, "a packet for another target is returned")
+{
+    auto record = one_.record();
+    record.tunnel_ = two_.settings_.agent_.tunnel_;
+    record.version_ = {2, 0};
+    directory_.apply(record);
+    auto left = two_.record();
+    left.state_ = member_state::left;
+    left.version_ = {2, 0};
+    directory_.apply(left);
+    call(true);
+    CHECK(one_.flows_.empty());
+    CHECK(two_.flows_.empty());
+}
+
+// The address of a target that had gone belonged to another one. What that one
+// returned counted as its own, and the packet was sent to the first for ever.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "a flow goes on past a target whose address is another's")
+{
+    auto record = one_.record();
+    record.tunnel_ = two_.settings_.agent_.tunnel_;
+    record.version_ = {2, 0};
+    directory_.apply(record);
+    for (int i = 0; i < 4; ++i)
+    {
+        call(true);
+        caller_at_.port_ += 1;
+    }
+    CHECK(one_.flows_.empty());
+    CHECK(two_.flows_.size() == 4);
+}
+
+TEST_CASE_FIXTURE(relay_fixture, "malformed datagrams are counted and dropped")
+{
+    asio::io_context io;
+    udp::socket socket(io, udp::v4());
+    std::array<std::byte, 5> const noise{};
+    socket.send_to(asio::buffer(noise), to_udp(settings_.balancer_.data_));
+    socket.send_to(asio::buffer(noise), to_udp(settings_.relay_));
+    socket.send_to(asio::buffer(noise), to_udp(one_.settings_.agent_.tunnel_));
+    run();
+    CHECK(metrics_.counter("daisytrail_packets_malformed_total") == 2);
+    CHECK(one_.metrics_.counter("daisytrail_packets_malformed_total") == 1);
+}
+
+TEST_CASE("the head between balancer and agent keeps its fields")
+{
+    relay_message message;
+    message.kind_ = relay_kind::held;
+    message.service_ = 1;
+    message.target_ = 2;
+    message.revision_ = 3;
+    message.flow_ = {{4, 5}, {6, 7}};
+    alignas(8) std::array<std::byte, max_relay_head_bytes> buffer{};
+    auto const size = encode_relay_head(message, buffer);
+    auto const reading = decode_relay(std::span(buffer).first(size));
+    REQUIRE(reading);
+    CHECK(reading->message_ == message);
+    for (std::size_t cut = 0; cut < size; ++cut)
+    {
+        CHECK_FALSE(decode_relay(std::span(buffer).first(cut)));
+    }
+}
--- a/test/unit/template_diff_test.cpp
+++ b/test/unit/template_diff_test.cpp
@@ -59,3 +59,27 @@
                        { edited.expected_ = std::chrono::seconds(1); }) ==
           base + "expected");
 }
+
+TEST_CASE("routes show in the difference, with what open flows meet")
+{
+    auto const parse = [](std::string const& routes)
+    {
+        return parse_organisation(
+                   R"({"name": "o", "services": [)"
+                   R"({"name": "a", "mode": "forward"},)"
+                   R"({"name": "b", "mode": "forward"}], "routes": [)" +
+                   routes + "]}")
+            .value_;
+    };
+    std::string const plain = R"({"name": "r", "vip": "203.0.113.1:80",)"
+                              R"( "shares": [{"service": "a", "weight": 1}]})";
+    std::string const moved = R"({"name": "r", "vip": "203.0.113.1:80",)"
+                              R"( "shares": [{"service": "b", "weight": 1}]})";
+    auto const move = diff_templates(parse(plain), parse(moved));
+    REQUIRE(move.size() == 2);
+    CHECK(move[0].path_ == "routes[r].shares[a]");
+    CHECK_FALSE(breaks_flows(move));
+    auto const drop = diff_templates(parse(plain), parse(""));
+    CHECK(breaks_flows(drop));
+    CHECK(diff_templates(parse(plain), parse(plain)).empty());
+}
