Searches go on by themselves; false deaths and half-open flows break no flow

Change: a target that was declared dead stays a candidate while it answers; an agent tells by the SYN+ACK's sequence number that a flow was opened elsewhere; a balancer keeps a searched flow's last packet and takes it on after 150 ms; an agent whose backend server never announced itself returns packets after 2.5 s.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -44,6 +44,10 @@
         slots_ = std::max(1U, slots);
     }
 
+    // True if the caller's packet belongs to a flow that it opened with another
+    // backend server: both answered its SYN, and it acknowledges the other's.
+    bool is_opened_elsewhere(flow_packet const& packet) const;
+
     // A packet was passed to the backend server.
     void on_caller_packet(flow_packet const& packet, time_point now);
 
@@ -86,6 +90,9 @@
         bool has_data_ = false;
         bool awaits_answer_ = false;
         bool caller_finished_ = false; // sent a FIN
+        // Sequence number of the backend server's SYN+ACK, until the caller has
+        // acknowledged it.
+        std::optional<std::uint32_t> unacknowledged_syn_;
         bool backend_finished_ = false;
         bool has_failed_ = false; // counted as failed already
         time_point asked_{};      // meaningful while awaits_answer_
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -110,6 +111,12 @@
     // The target's backend server answers on the flow.
     void on_held(flow_key const& key, target_id by);
 
+    // Flows that are searched and whose last target hasn't answered in time.
+    std::vector<flow_key> overdue_searches(time_point now) const;
+
+    // Takes the last packet of such a flow on to the next target.
+    forward_action on_overdue(flow_packet const& packet, time_point now);
+
     // Forgets idle flows.
     void tick(time_point now);
 
@@ -168,6 +175,7 @@
     std::map<endpoint, route_profile> profiles_; // by VIP
     flow_list flows_;                            // least recently used first
     std::unordered_map<flow_key, flow_list::iterator, flow_hash> index_;
+    std::set<flow_key> searches_; // flows that are being searched
 };
 
 } // namespace daisytrail
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -68,7 +68,9 @@
 
     route_template const* find_route(endpoint const& vip) const;
 
-    // Targets that may own flows, in order of their identifiers.
+    // Targets of the service but those that left, in order of their
+    // identifiers. One that was declared dead is among them, since it may have
+    // been wrongly.
     target_list const& members(service_id service) const;
 
     // Services other than `route`'s own, for flows that were opened before a
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -11,6 +11,9 @@
 {
 
 constexpr std::chrono::seconds sweep_interval{1};
+// A caller that opened the flow here acknowledges at most this much more than
+// the SYN+ACK.
+constexpr std::uint32_t max_unacknowledged_bytes = 76'800;
 constexpr double outcome_smoothing = 0.05; // weight of the newest request
 constexpr double service_smoothing = 0.1;  // weight of the newest answer
 // The same for an answer that waited, since its wait is only estimated.
@@ -36,6 +39,15 @@
 {
 }
 
+bool backend_observer::is_opened_elsewhere(flow_packet const& packet) const
+{
+    auto const found = flows_.find(packet.flow_from_caller());
+    return found != flows_.end() && found->second.unacknowledged_syn_ &&
+           !packet.opens_flow() && !packet.reset_ &&
+           packet.acknowledgement_ - *found->second.unacknowledged_syn_ >
+               max_unacknowledged_bytes;
+}
+
 void backend_observer::on_caller_packet(flow_packet const& packet,
                                         time_point now)
 {
@@ -51,6 +63,10 @@
         return;
     }
     auto& value = found->second;
+    if (!packet.opens_flow())
+    {
+        value.unacknowledged_syn_.reset();
+    }
     value.caller_finished_ = value.caller_finished_ || packet.fin_;
     bool const has_closed =
         packet.reset_ || (packet.payload_bytes_ == 0 &&
@@ -101,6 +117,11 @@
     }
     auto& value = found->second;
     value.seen_ = now;
+    if (packet.syn_)
+    {
+        value.unacknowledged_syn_ = packet.sequence_;
+        return std::nullopt;
+    }
     std::optional<duration> took;
     if (packet.payload_bytes_ > 0 && value.awaits_answer_)
     {
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -43,8 +43,7 @@
 {
     if (flows_.size() >= settings_.max_flows_)
     {
-        index_.erase(flows_.front().key_);
-        flows_.pop_front();
+        erase(flow_key{flows_.front().key_});
     }
     flows_.emplace_back();
     auto& value = flows_.back();
@@ -60,6 +59,7 @@
     auto const found = index_.find(key);
     if (found != index_.end())
     {
+        searches_.erase(key);
         flows_.erase(found->second);
         index_.erase(found);
     }
@@ -69,11 +69,40 @@
 {
     while (!flows_.empty() && now > flows_.front().sent_ + settings_.flow_idle_)
     {
-        index_.erase(flows_.front().key_);
-        flows_.pop_front();
+        erase(flow_key{flows_.front().key_});
     }
 }
 
+std::vector<flow_key> flow_forwarder::overdue_searches(time_point now) const
+{
+    std::vector<flow_key> result;
+    for (auto const& key : searches_)
+    {
+        auto const& value = *index_.at(key);
+        if (value.target_ != 0 &&
+            now > value.began_ + settings_.search_patience_)
+        {
+            result.push_back(key);
+        }
+    }
+    return result;
+}
+
+forward_action flow_forwarder::on_overdue(flow_packet const& packet,
+                                          time_point now)
+{
+    auto* const value = find(packet.flow_from_caller());
+    bool const can_go_on = value != nullptr && value->searching_ &&
+                           value->target_ != 0 &&
+                           directory_.find_route(value->key_.vip_) != nullptr;
+    if (!can_go_on)
+    {
+        return {forward_step::drop, forward_cause::owner_missing, nullptr};
+    }
+    value->unanswered_.push_back(value->target_);
+    return search(*value, packet, forward_cause::search_goes_on, now);
+}
+
 placement_request
 flow_forwarder::request_for(flow const& value,
                             std::vector<target_id> const& excluded,
@@ -184,6 +213,7 @@
     if (std::exchange(value->has_split_, false))
     {
         value->searching_ = true;
+        searches_.insert(key);
         value->unanswered_.clear();
         value->began_ = now;
     }
@@ -248,6 +278,7 @@
     }
     value->target_ = by;
     value->searching_ = false;
+    searches_.erase(key);
     value->denied_.clear();
     value->unanswered_.clear();
     value->rests_until_ = {};
@@ -315,7 +346,9 @@
         for (auto* const target :
              rank_targets(members, request, settings_.placement_))
         {
-            if (value.was_tried(target->record_.target_))
+            bool const is_lost = target->record_.state_ == member_state::dead &&
+                                 target->is_silent(now);
+            if (is_lost || value.was_tried(target->record_.target_))
             {
                 continue;
             }
@@ -339,6 +372,7 @@
         return give_up(value, packet, now);
     }
     value.searching_ = true;
+    searches_.insert(value.key_);
     choose(value, *target, now);
     return send(value, cause, now);
 }
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -53,7 +53,7 @@
     members_.clear();
     for (auto const& [id, target] : targets_)
     {
-        if (may_own_flows(target->record_.state_))
+        if (target->record_.state_ != member_state::left)
         {
             members_[target->record_.service_].push_back(target.get());
         }
@@ -171,8 +171,9 @@
         [now](auto const& entry)
         {
             auto const& target = *entry.second;
-            return may_own_flows(target.record_.state_) &&
-                   (!target.has_report_ || target.is_silent(now));
+            bool const may_own = may_own_flows(target.record_.state_);
+            bool const is_heard = target.has_report_ && !target.is_silent(now);
+            return may_own && !is_heard;
         });
 }
 
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr std::chrono::milliseconds report_interval{100};
+// A backend server that runs has announced itself by then.
+constexpr std::chrono::milliseconds announcement_time{2'500};
 // Flows whose owner is asked for at the same time.
 constexpr std::size_t max_owner_questions = 10'000;
 // A balancer that sent nothing for this long gets no reports unasked.
@@ -33,8 +35,8 @@
       service_(hash_name(settings.agent_.organisation_ + "/" +
                          settings.agent_.service_)),
       target_(hash_name(settings.agent_.common_.name_)),
-      paths_(std::random_device{}()), balancers_(io, settings.agent_.tunnel_),
-      backend_(io, settings.outbound_),
+      paths_(std::random_device{}()), started_(current_time()),
+      balancers_(io, settings.agent_.tunnel_), backend_(io, settings.outbound_),
       passed_(counters.counter("daisytrail_packets_passed_total")),
       answered_(counters.counter("daisytrail_packets_answered_total")),
       malformed_(counters.counter("daisytrail_packets_malformed_total")),
@@ -149,12 +151,18 @@
     {
         return return_reason::other_target;
     }
-    if (life_.phase() == backend_phase::gone)
+    bool const never_came = life_.phase() == backend_phase::unknown &&
+                            now > started_ + announcement_time;
+    if (life_.phase() == backend_phase::gone || never_came)
     {
         return return_reason::not_held;
     }
     if (!packet.opens_flow())
     {
+        if (observer_.is_opened_elsewhere(packet))
+        {
+            return return_reason::not_held;
+        }
         return observer_.is_stopped(now) ? return_reason::no_answer
                                          : return_reason::none;
     }
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -92,6 +92,7 @@
     target_id target_;
     backend_observer observer_;
     return_paths paths_;
+    time_point started_;
     datagram_port balancers_;
     datagram_port backend_;
     decision_log log_;
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -12,6 +12,8 @@
 // A report this old is asked for again, so that placement knows idle targets.
 constexpr std::chrono::milliseconds report_age{1'000};
 constexpr std::chrono::milliseconds question_interval{250};
+// Packets kept for flows that are searched.
+constexpr std::size_t max_probes = 2'000;
 // Questions in one tick.
 constexpr int questions_per_tick = 8;
 
@@ -142,6 +144,7 @@
     if (message.kind_ == relay_kind::held)
     {
         core_.on_held(message.flow_, message.target_);
+        probes_.erase(message.flow_);
     }
 }
 
@@ -154,6 +157,7 @@
     {
         note(action, packet, now);
     }
+    keep_probe(action, packet, bytes);
     switch (action.step_)
     {
     case forward_step::send:
@@ -168,6 +172,42 @@
     }
 }
 
+// Callers send again ever more rarely, so a search that waited for them would
+// take seconds wherever a target doesn't answer.
+void balancer_relay::keep_probe(forward_action const& action,
+                                flow_packet const& packet,
+                                std::span<std::byte const> bytes)
+{
+    auto const key = packet.flow_from_caller();
+    if (action.step_ != forward_step::send)
+    {
+        probes_.erase(key);
+        return;
+    }
+    if (action.asks_owner_ && packet.payload_bytes_ > 0 &&
+        probes_.size() < max_probes)
+    {
+        probes_[key].assign(bytes.begin(), bytes.end());
+    }
+}
+
+void balancer_relay::continue_searches(time_point now)
+{
+    for (auto const& key : core_.overdue_searches(now))
+    {
+        auto const found = probes_.find(key);
+        if (found == probes_.end())
+        {
+            continue;
+        }
+        auto const bytes = found->second;
+        auto const packet = format_.read(bytes);
+        carry_out(core_.on_overdue(*packet, now), *packet, bytes, now);
+        // The copy of the packet ends here.
+        flush();
+    }
+}
+
 void balancer_relay::send(forward_action const& action,
                           std::span<std::byte const> bytes)
 {
@@ -236,12 +276,13 @@
 void balancer_relay::tick(time_point now)
 {
     core_.tick(now);
+    continue_searches(now);
     log_.report_suppressed(now);
     int questions = 0;
     for (auto const& [id, target] : directory_.targets())
     {
         bool const is_due =
-            may_own_flows(target->record_.state_) &&
+            target->record_.state_ != member_state::left &&
             now > target->questioned_ + question_interval &&
             (!target->has_report_ || now > target->reported_ + report_age);
         if (is_due && questions < questions_per_tick)
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -13,6 +13,8 @@
 
 #include <array>
 #include <map>
+#include <unordered_map>
+#include <vector>
 
 namespace daisytrail
 {
@@ -40,6 +42,9 @@
     void send(forward_action const& action, std::span<std::byte const> bytes);
     void reset(flow_packet const& packet);
     void ask(forward_target& target, time_point now);
+    void keep_probe(forward_action const& action, flow_packet const& packet,
+                    std::span<std::byte const> bytes);
+    void continue_searches(time_point now);
     void note(forward_action const& action, flow_packet const& packet,
               time_point now);
     void flush();
@@ -51,6 +56,8 @@
     datagram_port callers_;
     datagram_port agents_;
     decision_log log_;
+    // Last data packet of each flow that is searched.
+    std::unordered_map<flow_key, std::vector<std::byte>, flow_hash> probes_;
     std::array<std::array<std::byte, max_flow_packet_bytes>, batch_size>
         resets_{}; // written resets of a batch
     std::size_t reset_count_ = 0;
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -59,8 +59,8 @@
 
 void histogram::add(double seconds)
 {
-    auto const bucket = std::ranges::lower_bound(bounds_, seconds);
-    ++counts_[static_cast<std::size_t>(bucket - bounds_.begin())];
+    auto const bucket = std::ranges::lower_bound(bounds, seconds);
+    ++counts_[static_cast<std::size_t>(bucket - bounds.begin())];
     sum_ += seconds;
 }
 
@@ -68,10 +68,10 @@
 {
     std::ostringstream out;
     std::uint64_t below = 0;
-    for (std::size_t i = 0; i < bounds_.size(); ++i)
+    for (std::size_t i = 0; i < bounds.size(); ++i)
     {
         below += counts_[i];
-        out << name << "_bucket{le=\"" << bounds_[i] << "\"} " << below << '\n';
+        out << name << "_bucket{le=\"" << bounds[i] << "\"} " << below << '\n';
     }
     auto const total =
         std::accumulate(counts_.begin(), counts_.end(), std::uint64_t{0});
--- a/src/net/metrics.hpp
+++ b/src/net/metrics.hpp
@@ -44,11 +44,11 @@
     std::string text(std::string const& name) const;
 
 private:
-    static constexpr std::array<double, 13> bounds_{
+    static constexpr std::array<double, 13> bounds{
         0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
 
     // By bucket, each without the lower ones; the last has no upper bound.
-    std::array<std::uint64_t, bounds_.size() + 1> counts_{};
+    std::array<std::uint64_t, bounds.size() + 1> counts_{};
     double sum_ = 0;
 };
 
--- a/test/unit/backend_observer_test.cpp
+++ b/test/unit/backend_observer_test.cpp
@@ -229,3 +229,24 @@
     CHECK(report.service_micros_ == 30'000);
     CHECK(report.failure_share_ > 0.2);
 }
+
+// Both targets of a split SYN answered; the second's backend server swallowed
+// the flow's packets.
+TEST_CASE_FIXTURE(observer_fixture,
+                  "a flow whose caller acknowledged another SYN+ACK isn't here")
+{
+    observer_.on_caller_packet(syn(1), now_);
+    auto reply = answer(1, 0);
+    reply.syn_ = true;
+    reply.sequence_ = 5'000;
+    observer_.on_backend_packet(reply, now_);
+    auto packet = request(1, 100);
+    packet.acknowledgement_ = 700'000;
+    CHECK(observer_.is_opened_elsewhere(packet));
+    packet.acknowledgement_ = 5'001;
+    CHECK_FALSE(observer_.is_opened_elsewhere(packet));
+    observer_.on_caller_packet(packet, now_);
+    // Open here: later acknowledgements move on with the answers.
+    packet.acknowledgement_ = 700'000;
+    CHECK_FALSE(observer_.is_opened_elsewhere(packet));
+}
--- a/test/unit/flow_forwarder_test.cpp
+++ b/test/unit/flow_forwarder_test.cpp
@@ -175,12 +175,33 @@
     add_target("two");
     gone.state_ = member_state::dead;
     directory_.apply(gone);
+    directory_.sent(*directory_.find(gone.target_), now_);
+    now_ += 400ms;
     auto const only = send(packet(1));
+    CHECK(only.target_->record_.name_ == "two");
     auto const end = give_back(packet(1), only.target_);
     CHECK(end.step_ == forward_step::reset);
     CHECK(end.cause_ == forward_cause::nobody_holds);
 }
 
+// On small VMs a live target was declared dead; its open flows were reset.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a target that was wrongly declared dead keeps its flows")
+{
+    auto owner = add_target("one");
+    add_target("two");
+    owner.state_ = member_state::dead;
+    directory_.apply(owner);
+    CHECK(send(syn(2)).target_->record_.name_ == "two");
+    auto action = send(packet(1));
+    if (action.target_->record_.name_ == "two")
+    {
+        action = give_back(packet(1), action.target_);
+    }
+    REQUIRE(action.step_ == forward_step::send);
+    CHECK(action.target_->record_.name_ == "one");
+}
+
 // After a power cut each of up to 16 packets in flight asked all 44 targets.
 TEST_CASE_FIXTURE(forwarding_fixture,
                   "one packet of a flow carries a long search on")
@@ -250,6 +271,26 @@
     CHECK_FALSE(third.asks_owner_);
 }
 
+// A search stood still until the caller sent again, up to 1.6 s later, wherever
+// a target didn't answer.
+TEST_CASE_FIXTURE(forwarding_fixture, "a search goes on without the caller")
+{
+    add_target("one");
+    add_target("two");
+    auto const first = send(packet(1));
+    CHECK(forwarder_->overdue_searches(now_).empty());
+    now_ += 200ms;
+    auto const overdue = forwarder_->overdue_searches(now_);
+    REQUIRE(overdue.size() == 1);
+    CHECK(overdue[0] == packet(1).flow_from_caller());
+    auto const second = forwarder_->on_overdue(packet(1), now_);
+    REQUIRE(second.step_ == forward_step::send);
+    CHECK(second.target_ != first.target_);
+    forwarder_->on_held(overdue[0], second.target_->record_.target_);
+    CHECK(forwarder_->overdue_searches(now_ + 1s).empty());
+    CHECK(forwarder_->on_overdue(packet(1), now_).step_ == forward_step::drop);
+}
+
 TEST_CASE_FIXTURE(forwarding_fixture,
                   "an owner that answers late keeps its flow")
 {
