Owners of searched flows are told before their backend server answers

Change: an agent tells that its backend server holds the flow when it hasn't returned the packet within 30 ms; a search waits 250 ms.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -84,7 +84,7 @@
     duration syn_patience_ = std::chrono::milliseconds(150);
     // Data of a searched flow that nobody answered for this long is tried at
     // another target: a backend server with a half-open flow returns nothing.
-    duration search_patience_ = std::chrono::milliseconds(150);
+    duration search_patience_ = std::chrono::milliseconds(250);
     // Pause after a search that found no owner.
     duration search_pause_ = std::chrono::milliseconds(250);
     // After its start a balancer doesn't know every target yet, unless it has
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds report_interval{100};
 // A backend server that runs has announced itself by then.
 constexpr std::chrono::milliseconds announcement_time{2'500};
+// Time within which a backend server has returned what it doesn't hold.
+constexpr std::chrono::milliseconds return_time{30};
 // Flows whose owner is asked for at the same time.
 constexpr std::size_t max_owner_questions = 10'000;
 // A balancer that sent nothing for this long gets no reports unasked.
@@ -129,7 +131,8 @@
         if (message.asks_owner_ &&
             owner_questions_.size() < max_owner_questions)
         {
-            owner_questions_[packet->flow_from_caller()] = from;
+            owner_questions_.try_emplace(packet->flow_from_caller(),
+                                         owner_question{from, now});
         }
         pass_in(*packet, bytes, from, now);
     }
@@ -254,11 +257,36 @@
     {
         return;
     }
+    send_held(found->first, found->second.balancer_, now);
+    owner_questions_.erase(found);
+}
+
+// A backend server returns what it doesn't hold at once, but may take long to
+// answer what it holds.
+void agent_relay::tell_owners(time_point now)
+{
+    bool const can_tell =
+        life_.phase() != backend_phase::unknown && !observer_.is_dark(now);
+    for (auto at = owner_questions_.begin();
+         can_tell && at != owner_questions_.end();)
+    {
+        if (now < at->second.passed_ + return_time)
+        {
+            ++at;
+            continue;
+        }
+        send_held(at->first, at->second.balancer_, now);
+        at = owner_questions_.erase(at);
+    }
+}
+
+void agent_relay::send_held(flow_key const& flow, endpoint const& balancer,
+                            time_point now)
+{
     auto message = make_message(relay_kind::held, now);
-    message.flow_ = found->first;
+    message.flow_ = flow;
     auto const head_bytes = encode_relay_head(message, balancers_.head());
-    balancers_.add(found->second, head_bytes, {});
-    owner_questions_.erase(found);
+    balancers_.add(balancer, head_bytes, {});
 }
 
 relay_message agent_relay::make_message(relay_kind kind, time_point now)
@@ -314,6 +342,7 @@
 {
     observer_.tick(now);
     watch_darkness(now);
+    tell_owners(now);
     if (now >= reported_ + report_interval)
     {
         send_reports(now);
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -65,6 +65,13 @@
         bool wants_report_ = false;
     };
 
+    // A balancer wants to hear whether the backend server holds a flow.
+    struct owner_question
+    {
+        endpoint balancer_;
+        time_point passed_{}; // when its packet went to the backend server
+    };
+
     void on_balancer_datagram(std::span<std::byte> datagram,
                               endpoint const& from);
     void on_backend_datagram(std::span<std::byte> datagram,
@@ -74,6 +81,9 @@
     void pass_in(flow_packet const& packet, std::span<std::byte> bytes,
                  endpoint const& balancer, time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
+    void tell_owners(time_point now);
+    void send_held(flow_key const& flow, endpoint const& balancer,
+                   time_point now);
     void give_back(flow_packet const& packet, std::span<std::byte> bytes,
                    endpoint const& balancer, relay_message message,
                    time_point now);
@@ -97,8 +107,7 @@
     datagram_port backend_;
     decision_log log_;
     std::map<endpoint, correspondent> correspondents_;
-    // Balancers that want to hear whether the backend server holds a flow.
-    std::unordered_map<flow_key, endpoint, flow_hash> owner_questions_;
+    std::unordered_map<flow_key, owner_question, flow_hash> owner_questions_;
     time_point reported_{};
     time_point next_probe_{}; // when a silent backend server gets a SYN again
     duration probe_wait_{};   // until the probe after that
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -299,6 +299,41 @@
     CHECK(two_.flows_.size() == 4);
 }
 
+// Under load answers take longer than a search waits. Balancers moved on from
+// the owner again and again, and 257 open flows lost their packets for 2 s.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "an owner is told before its backend server answers")
+{
+    call(true);
+    auto const before = answers();
+    for (auto* value : {&one_, &two_})
+    {
+        value->backend_->on_packet_ = [value](flow_packet const& packet)
+        {
+            if (!value->flows_.contains(packet.flow_from_caller()))
+            {
+                value->answer(packet);
+            }
+        };
+    }
+    balancer_->stop();
+    auto const other = make_balancer();
+    other->start();
+    call(false);
+    for (int i = 0; i < 8; ++i)
+    {
+        one_.relay_->tick(current_time());
+        two_.relay_->tick(current_time());
+        run();
+        other->tick(current_time());
+    }
+    auto const& owner = one_.flows_.empty() ? two_ : one_;
+    auto const& stranger = one_.flows_.empty() ? one_ : two_;
+    CHECK(answers() == before);
+    CHECK(owner.backend_->received_.size() == 2);
+    CHECK(stranger.backend_->received_.size() <= 1);
+}
+
 TEST_CASE_FIXTURE(relay_fixture, "malformed datagrams are counted and dropped")
 {
     asio::io_context io;
