--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -109,7 +109,7 @@
 backend_observer::on_backend_packet(flow_packet const& packet, time_point now)
 {
     smooth(now);
-    answered();
+    answered(now);
     auto const found = flows_.find(packet.flow_from_backend());
     if (found == flows_.end())
     {
@@ -149,7 +149,7 @@
 void backend_observer::on_returned(flow_packet const& packet, time_point now)
 {
     smooth(now);
-    answered();
+    answered(now);
     auto const found = flows_.find(packet.flow_from_caller());
     if (found != flows_.end())
     {
@@ -185,8 +185,9 @@
     return flows_.erase(at);
 }
 
-void backend_observer::answered()
+void backend_observer::answered(time_point now)
 {
+    heard_ = now;
     syn_unanswered_.reset();
     syns_unanswered_ = 0;
     data_unanswered_.reset();
@@ -283,7 +284,9 @@
     open_flows_ = 0;
     under_way_ = 0;
     failure_share_ = 0;
-    answered();
+    syn_unanswered_.reset();
+    syns_unanswered_ = 0;
+    data_unanswered_.reset();
 }
 
 load_report backend_observer::report(time_point now)
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -270,7 +270,9 @@
     for (auto at = owner_questions_.begin();
          can_tell && at != owner_questions_.end();)
     {
-        if (now < at->second.passed_ + return_time)
+        auto const passed = at->second.passed_;
+        bool const has_stopped = observer_.heard() < passed;
+        if (now < passed + return_time || has_stopped)
         {
             ++at;
             continue;
