--- a/src/cli/template_diff.cpp
+++ b/src/cli/template_diff.cpp
@@ -98,8 +98,10 @@
     out[path + ".vip"] = to_string(value.vip_);
     for (auto const& share : value.shares_)
     {
-        auto const name = service_name(organisation, share.service_);
-        out[path + ".shares[" + name + "]"] = std::to_string(share.weight_);
+        auto share_path = path + ".shares[";
+        share_path += service_name(organisation, share.service_);
+        share_path += ']';
+        out[share_path] = std::to_string(share.weight_);
     }
 }
 
