Two types of one name: the template that a process adopted has its own

Cause: the sanitizer build of the unit tests crashed in platform_test: src/net and src/cli both defined daisytrail::stored_template, so that the linker took one constructor for both. Change: the type in src/net is adopted_template. Measured: unit tests in the plain build; the sanitizer build wasn't run again.

--- a/src/net/stored_template.cpp
+++ b/src/net/stored_template.cpp
@@ -27,7 +27,7 @@
                               : json::serialize(*value);
 }
 
-stored_template read_value(std::string_view value)
+adopted_template read_value(std::string_view value)
 {
     boost::system::error_code code;
     auto const parsed = json::parse(value, code);
@@ -37,7 +37,7 @@
                     "the stored value isn't a JSON object");
     }
     auto const& object = parsed.get_object();
-    stored_template result;
+    adopted_template result;
     result.change_id_ = read_text(object, "change_id");
     result.who_ = read_text(object, "who");
     result.when_ = read_text(object, "when");
@@ -59,7 +59,7 @@
 struct last_reading
 {
     std::string text_;
-    stored_template value_;
+    adopted_template value_;
 };
 
 last_reading& last()
@@ -70,7 +70,7 @@
 
 } // namespace
 
-stored_template parse_stored_template(std::string_view value)
+adopted_template parse_stored_template(std::string_view value)
 {
     auto& held = last();
     if (held.text_ != value || value.empty())
--- a/src/net/stored_template.hpp
+++ b/src/net/stored_template.hpp
@@ -10,7 +10,7 @@
 namespace daisytrail
 {
 
-struct stored_template
+struct adopted_template
 {
     std::string change_id_;
     std::string who_;
@@ -20,7 +20,7 @@
 
 // Reads {"change_id", "who", "when", "template"} and checks the template;
 // throws error(invalid_argument) that names every fault.
-stored_template parse_stored_template(std::string_view value);
+adopted_template parse_stored_template(std::string_view value);
 
 // What is wrong with a value, or nothing.
 std::optional<std::string> check_stored_template(std::string_view value);
