A member that is sampled again and again no longer drops out of the count

Cause: while a suspicion is verified, others are pinged every 250 ms to find out whether this side is isolated. An unanswered ping counts after a grace of 250 ms, so a member asked again each time was always within its grace and left out, while one that answered up to 3 s ago, before the cut, counted as reached. The smaller side of a partition could so take itself for the majority. Change: a question's outcome is kept while the next one waits; only an answer to the last question counts as reached; fleets of 8 balancers or fewer are sampled whole.

--- a/include/daisytrail/failure_detector.hpp
+++ b/include/daisytrail/failure_detector.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -89,6 +90,12 @@
     {
         time_point asked_;
         time_point answered_;
+        std::optional<bool> was_reached_; // by the question before the last
+
+        bool is_reached() const
+        {
+            return answered_ >= asked_;
+        }
     };
 
     void run_round(verification& open, time_point now,
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -305,7 +305,9 @@
     {
         return;
     }
-    for (auto const& other : random_balancers(samples))
+    auto const known = table_.balancers().size();
+    for (auto const& other :
+         random_balancers(known <= small_fleet ? small_fleet : samples))
     {
         if (!detector_.was_sampled(other.id_, now_))
         {
--- a/src/core/failure_detector.cpp
+++ b/src/core/failure_detector.cpp
@@ -119,7 +119,12 @@
 
 void failure_detector::sampled(std::uint64_t id, time_point now)
 {
-    samples_[id].asked_ = now;
+    auto const [at, is_first] = samples_.try_emplace(id);
+    if (!is_first)
+    {
+        at->second.was_reached_ = at->second.is_reached();
+    }
+    at->second.asked_ = now;
 }
 
 bool failure_detector::was_sampled(std::uint64_t id, time_point now) const
@@ -135,14 +140,15 @@
     for (auto const& [id, entry] : samples_)
     {
         bool const recent = now < entry.asked_ + sample_age_limit;
-        bool const reached = entry.answered_ != time_point{} &&
-                             now < entry.answered_ + sample_age_limit;
-        bool const waiting = now < entry.asked_ + sample_grace;
-        if (id == subject || !recent || (!reached && waiting))
+        bool const waiting =
+            !entry.is_reached() && now < entry.asked_ + sample_grace;
+        bool const is_known = !waiting || entry.was_reached_;
+        if (id == subject || !recent || !is_known)
         {
             continue;
         }
         ++result.checked_;
+        bool const reached = waiting ? *entry.was_reached_ : entry.is_reached();
         result.reached_ += reached ? 1 : 0;
     }
     return result;
