Searches aren't sent past the owner by a lost or late answer

The agent answered at its next tick, only after a sign of life, and kept the first balancer's question when another asked. Change: an agent that saw the backend server answer data of the flow tells so at once; the balancer that asked last is told; an agent that was heard since is asked once more before the search goes on; the order of a search is kept in place of ranking every service again at each step; a search in vain is repeated after 250 ms, then 500, then 1,000. flow_held is logged.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -48,6 +48,10 @@
     // backend server: both answered its SYN, and it acknowledges the other's.
     bool is_opened_elsewhere(flow_packet const& packet) const;
 
+    // True if the backend server has answered data of this flow and not ended
+    // it since.
+    bool holds(flow_key const& flow) const;
+
     // A packet was passed to the backend server.
     void on_caller_packet(flow_packet const& packet, time_point now);
 
@@ -94,6 +98,7 @@
     {
         std::uint32_t next_sequence_ = 0; // after the caller's last data
         bool has_data_ = false;
+        bool is_answered_ = false; // by more than a SYN+ACK
         bool awaits_answer_ = false;
         bool caller_finished_ = false; // sent a FIN
         // Sequence number of the backend server's SYN+ACK, until the caller has
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -82,11 +82,13 @@
     duration flow_idle_ = std::chrono::seconds(60); // then forgotten
     // A SYN without an answer for this long goes to another target.
     duration syn_patience_ = std::chrono::milliseconds(150);
-    // Data of a searched flow that nobody answered for this long is tried at
-    // another target: a backend server with a half-open flow returns nothing.
+    // A target that hasn't answered a searched flow's data for this long is
+    // asked once more, if its agent was heard since; then another one is: a
+    // backend server with a half-open flow returns nothing.
     duration search_patience_ = std::chrono::milliseconds(250);
-    // Pause after a search that found no owner.
+    // Pause after a search that found no owner; doubles with each in vain.
     duration search_pause_ = std::chrono::milliseconds(250);
+    duration most_search_pause_ = std::chrono::milliseconds(1'000);
     // After its start a balancer doesn't know every target yet, unless it has
     // met all of those that the store lists.
     duration learning_time_ = std::chrono::milliseconds(1'500);
@@ -136,12 +138,16 @@
         bool is_profiled_ = false; // counts in its route's profile
         time_point began_{};       // when target_ was chosen
         bool searching_ = false;   // target_ may not be the owner
-        bool has_split_ = false;   // SYNs went to several targets
+        bool asked_again_ = false; // target_ got the searched data twice
+        // Targets in the order in which they are asked; empty before a search.
+        std::vector<target_id> order_;
+        bool has_split_ = false; // SYNs went to several targets
         // Targets that don't hold the flow or don't take it.
         std::vector<target_id> denied_;
         // Targets that gave no answer, or may take the flow later.
         std::vector<target_id> unanswered_;
         time_point rests_until_{}; // no search before, after one in vain
+        duration pause_{};         // after the latest search in vain
 
         bool was_tried(target_id target) const;
     };
@@ -155,6 +161,8 @@
     void choose(flow& value, forward_target const& target, time_point now);
 
     forward_action open(flow& value, forward_cause cause, time_point now);
+    forward_action search_on(flow& value, flow_packet const& packet,
+                             time_point now);
     forward_action search(flow& value, flow_packet const& packet,
                           forward_cause cause, time_point now);
     forward_action give_up(flow& value, flow_packet const& packet,
@@ -162,8 +170,10 @@
     forward_action refuse(flow& value, service_id service, time_point now);
     bool is_learning(time_point now) const;
     bool may_take_soon(service_id service, time_point now) const;
-    forward_target* next_candidate(flow const& value,
-                                   route_template const& route, time_point now);
+    std::vector<target_id> search_order(flow const& value,
+                                        time_point now) const;
+    forward_target* first_untried(flow const& value, time_point now) const;
+    forward_target* next_candidate(flow& value, time_point now) const;
     forward_action send(flow& value, forward_cause cause, time_point now);
     placement_request request_for(flow const& value,
                                   std::vector<target_id> const& excluded,
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -48,6 +48,12 @@
                max_unacknowledged_bytes;
 }
 
+bool backend_observer::holds(flow_key const& flow) const
+{
+    auto const found = flows_.find(flow);
+    return found != flows_.end() && found->second.is_answered_;
+}
+
 void backend_observer::on_caller_packet(flow_packet const& packet,
                                         time_point now)
 {
@@ -122,6 +128,7 @@
         value.unacknowledged_syn_ = packet.sequence_;
         return std::nullopt;
     }
+    value.is_answered_ = true;
     std::optional<duration> took;
     if (packet.payload_bytes_ > 0 && value.awaits_answer_)
     {
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -99,8 +99,7 @@
     {
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
-    value->unanswered_.push_back(value->target_);
-    return search(*value, packet, forward_cause::search_goes_on, now);
+    return search_on(*value, packet, now);
 }
 
 placement_request
@@ -152,6 +151,7 @@
 {
     value.target_ = target.record_.target_;
     value.began_ = now;
+    value.asked_again_ = false;
 }
 
 forward_action flow_forwarder::send(flow& value, forward_cause cause,
@@ -221,15 +221,26 @@
                                now > value->began_ + settings_.search_patience_;
     bool const is_lost =
         is_unanswered || directory_.find(value->target_) == nullptr;
-    if (is_lost)
+    return is_lost ? search_on(*value, packet, now)
+                   : send(*value, forward_cause::known, now);
+}
+
+// If the agent was heard since, its answer was lost more likely than not.
+forward_action flow_forwarder::search_on(flow& value, flow_packet const& packet,
+                                         time_point now)
+{
+    auto const* const asked = directory_.find(value.target_);
+    bool const is_heard = asked != nullptr && asked->heard_ > value.began_;
+    if (is_heard && !std::exchange(value.asked_again_, true))
     {
-        if (value->target_ != 0)
-        {
-            value->unanswered_.push_back(value->target_);
-        }
-        return search(*value, packet, forward_cause::search_goes_on, now);
+        value.began_ = now;
+        return send(value, forward_cause::search_goes_on, now);
+    }
+    if (value.target_ != 0)
+    {
+        value.unanswered_.push_back(value.target_);
     }
-    return send(*value, forward_cause::known, now);
+    return search(value, packet, forward_cause::search_goes_on, now);
 }
 
 forward_action flow_forwarder::on_returned(flow_packet const& packet,
@@ -281,7 +292,9 @@
     searches_.erase(key);
     value->denied_.clear();
     value->unanswered_.clear();
+    value->order_ = {};
     value->rests_until_ = {};
+    value->pause_ = {};
 }
 
 forward_action flow_forwarder::open(flow& value, forward_cause cause,
@@ -331,42 +344,70 @@
                                { return !target->has_report_; });
 }
 
-forward_target* flow_forwarder::next_candidate(flow const& value,
-                                               route_template const& route,
-                                               time_point now)
+// The route's own services come first.
+std::vector<target_id> flow_forwarder::search_order(flow const& value,
+                                                    time_point now) const
 {
+    auto const& route = *directory_.find_route(value.key_.vip_);
     auto const request = request_for(value, value.denied_, now);
     auto services = forward_directory::services_of(route);
     auto const others = directory_.other_services(route);
     services.insert(services.end(), others.begin(), others.end());
-    forward_target* silent = nullptr;
+    std::vector<target_id> result;
     for (auto const service : services)
     {
         auto const& members = directory_.members(service);
-        for (auto* const target :
+        for (auto const* const target :
              rank_targets(members, request, settings_.placement_))
         {
-            bool const is_lost = target->record_.state_ == member_state::dead &&
-                                 target->is_silent(now);
-            if (is_lost || value.was_tried(target->record_.target_))
-            {
-                continue;
-            }
-            if (!target->is_silent(now))
-            {
-                return target;
-            }
-            silent = silent == nullptr ? target : silent;
+            result.push_back(target->record_.target_);
+        }
+    }
+    return result;
+}
+
+// A target whose agent is silent comes after all others.
+forward_target* flow_forwarder::first_untried(flow const& value,
+                                              time_point now) const
+{
+    forward_target* silent = nullptr;
+    for (auto const id : value.order_)
+    {
+        auto* const target = directory_.find(id);
+        if (target == nullptr || value.was_tried(id))
+        {
+            continue;
+        }
+        if (!target->is_silent(now))
+        {
+            return target;
+        }
+        bool const is_lost = target->record_.state_ == member_state::dead;
+        if (!is_lost && silent == nullptr)
+        {
+            silent = target;
         }
     }
     return silent;
 }
 
+// Targets that joined during the search are asked at its end.
+forward_target* flow_forwarder::next_candidate(flow& value,
+                                               time_point now) const
+{
+    auto* const next = first_untried(value, now);
+    if (next != nullptr)
+    {
+        return next;
+    }
+    value.order_ = search_order(value, now);
+    return first_untried(value, now);
+}
+
 forward_action flow_forwarder::search(flow& value, flow_packet const& packet,
                                       forward_cause cause, time_point now)
 {
-    auto const& route = *directory_.find_route(value.key_.vip_);
-    auto* const target = next_candidate(value, route, now);
+    auto* const target = next_candidate(value, now);
     if (target == nullptr)
     {
         return give_up(value, packet, now);
@@ -389,7 +430,11 @@
         value.target_ = 0;
         value.denied_.clear();
         value.unanswered_.clear();
-        value.rests_until_ = now + settings_.search_pause_;
+        value.order_ = {};
+        value.pause_ =
+            std::clamp<duration>(2 * value.pause_, settings_.search_pause_,
+                                 settings_.most_search_pause_);
+        value.rests_until_ = now + value.pause_;
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
     erase(flow_key{value.key_});
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -128,11 +128,9 @@
     auto const reason = refusal(message, *packet, now);
     if (reason == return_reason::none)
     {
-        if (message.asks_owner_ &&
-            owner_questions_.size() < max_owner_questions)
+        if (message.asks_owner_)
         {
-            owner_questions_.try_emplace(packet->flow_from_caller(),
-                                         owner_question{from, now});
+            answer_owner_question(packet->flow_from_caller(), from, now);
         }
         pass_in(*packet, bytes, from, now);
     }
@@ -245,6 +243,22 @@
                  datagram);
 }
 
+// The balancer that asked last is told: the caller's packets come through it.
+void agent_relay::answer_owner_question(flow_key const& flow,
+                                        endpoint const& balancer,
+                                        time_point now)
+{
+    if (observer_.holds(flow))
+    {
+        send_held(flow, balancer, now);
+        return;
+    }
+    if (owner_questions_.size() < max_owner_questions)
+    {
+        owner_questions_[flow] = {balancer, now};
+    }
+}
+
 // A SYN+ACK may belong to a flow that another backend server has opened.
 void agent_relay::tell_owner(flow_packet const& packet, time_point now)
 {
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -80,6 +80,8 @@
                           flow_packet const& packet, time_point now);
     void pass_in(flow_packet const& packet, std::span<std::byte> bytes,
                  endpoint const& balancer, time_point now);
+    void answer_owner_question(flow_key const& flow, endpoint const& balancer,
+                               time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
     void tell_owners(time_point now);
     void send_held(flow_key const& flow, endpoint const& balancer,
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -145,6 +145,7 @@
     {
         core_.on_held(message.flow_, message.target_);
         probes_.erase(message.flow_);
+        note_held(message, now);
     }
 }
 
@@ -260,6 +261,18 @@
     log_event(log_level::info, "flow", line);
 }
 
+void balancer_relay::note_held(relay_message const& message, time_point now)
+{
+    if (!log_.admit(now))
+    {
+        return;
+    }
+    auto const* const target = directory_.find(message.target_);
+    log_event(log_level::info, "flow_held",
+              {{"flow", flow_name(message.flow_)},
+               {"target", target == nullptr ? "" : target->record_.name_}});
+}
+
 void balancer_relay::ask(forward_target& target, time_point now)
 {
     target.questioned_ = now;
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -41,6 +41,7 @@
                    std::span<std::byte const> bytes, time_point now);
     void send(forward_action const& action, std::span<std::byte const> bytes);
     void reset(flow_packet const& packet);
+    void note_held(relay_message const& message, time_point now);
     void ask(forward_target& target, time_point now);
     void keep_probe(forward_action const& action, flow_packet const& packet,
                     std::span<std::byte const> bytes);
--- a/test/unit/flow_forwarder_test.cpp
+++ b/test/unit/flow_forwarder_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace daisytrail;
 using namespace std::chrono_literals;
 
@@ -260,6 +262,12 @@
     now_ += 300ms;
     report("one", {});
     report("two", {});
+    auto const again = send(packet(1));
+    CHECK(again.target_ == first.target_);
+    CHECK(again.asks_owner_);
+    now_ += 300ms;
+    report("one", {});
+    report("two", {});
     auto const second = send(packet(1));
     REQUIRE(second.step_ == forward_step::send);
     CHECK(second.target_ != first.target_);
@@ -271,6 +279,47 @@
     CHECK_FALSE(third.asks_owner_);
 }
 
+// Lost answers sent searches past the owner and through all other targets,
+// which kept slow balancers so busy that more answers were lost.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "an agent that was heard since is asked once more")
+{
+    add_target("one");
+    add_target("two");
+    auto const first = send(packet(1));
+    now_ += 300ms;
+    report("one", {});
+    report("two", {});
+    CHECK(forwarder_->on_overdue(packet(1), now_).target_ == first.target_);
+    CHECK(forwarder_->overdue_searches(now_).empty());
+    now_ += 300ms;
+    CHECK(forwarder_->overdue_searches(now_).size() == 1);
+    CHECK(forwarder_->on_overdue(packet(1), now_).target_ != first.target_);
+}
+
+// A search that finds no owner is repeated ever more rarely.
+TEST_CASE_FIXTURE(forwarding_fixture, "searches in vain are spaced out")
+{
+    add_target("one", member_state::ready, false);
+    std::vector<duration> pauses;
+    duration pause{};
+    for (int i = 0; i < 600; ++i, now_ += 10ms)
+    {
+        if (send(packet(1)).step_ == forward_step::drop)
+        {
+            pause += 10ms;
+        }
+        else if (pause > 0ms)
+        {
+            pauses.push_back(std::exchange(pause, 0ms));
+        }
+    }
+    REQUIRE(pauses.size() >= 3);
+    CHECK(pauses[0] <= 260ms);
+    CHECK(pauses[1] >= 490ms);
+    CHECK(pauses[2] >= 990ms);
+}
+
 // A search stood still until the caller sent again, up to 1.6 s later, wherever
 // a target didn't answer.
 TEST_CASE_FIXTURE(forwarding_fixture, "a search goes on without the caller")
