--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -18,7 +18,7 @@
 struct backend_observer_settings
 {
     std::size_t max_flows_ = 20'000; // more are passed but not observed
-    duration flow_idle_ = std::chrono::seconds(20);
+    duration flow_idle_ = std::chrono::seconds(70); // longer than a flow lives
     duration request_timeout_ = std::chrono::seconds(10); // no longer counted
     duration smoothing_ = std::chrono::seconds(1); // of requests under way
     // A request without an answer for this long counts as failed.
@@ -48,9 +48,8 @@
     // backend server: both answered its SYN, and it acknowledges the other's.
     bool is_opened_elsewhere(flow_packet const& packet) const;
 
-    // True if the backend server has answered data of this flow and not ended
-    // it since.
-    bool holds(flow_key const& flow) const;
+    // Whether the backend server holds the flow, as far as packets have shown.
+    flow_holding holding(flow_key const& key) const;
 
     // A packet was passed to the backend server.
     void on_caller_packet(flow_packet const& packet, time_point now);
@@ -77,8 +76,9 @@
     // True if it has not answered SYNs for so long that it must have stopped.
     bool is_stopped(time_point now) const;
 
-    // Another run of the backend server has begun; it holds no flows.
-    void on_new_run();
+    // Another run of the backend server has begun; it holds no flows of before.
+    // With `is_complete`, all that it holds has come by here.
+    void on_new_run(bool is_complete);
 
     std::uint32_t under_way() const
     {
@@ -124,6 +124,7 @@
 
     backend_observer_settings settings_;
     flow_map flows_;
+    bool is_complete_ = false; // flows_ has all that the backend server may hold
     std::uint32_t open_flows_ = 0; // flows with data
     std::uint32_t slots_ = 1;
     std::uint32_t under_way_ = 0; // flows that await an answer
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <daisytrail/forward_directory.hpp>
+#include <daisytrail/owner_search.hpp>
 #include <daisytrail/packet_format.hpp>
 #include <daisytrail/placement.hpp>
 #include <daisytrail/route_profile.hpp>
@@ -16,7 +17,9 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +33,7 @@
     send,  // to target_
     reset, // answer the caller with a reset
     drop,
+    hold, // keep the packet until the flow's owner is known
     count
 };
 
@@ -40,13 +44,14 @@
     placed,          // a new flow
     moved,           // the SYN's first target didn't take it
     searched,        // an open flow that this balancer doesn't know
-    search_goes_on,  // the packet came back from a target
+    search_goes_on,  // targets have answered that they don't hold the flow
+    found,           // the flow's owner has answered
     no_template,     // no template is in force yet
     no_route,        // no route has this VIP
     no_target,       // no target takes new flows
     nobody_holds,    // every target returned the packet
     owner_missing,   // a target that may hold the flow can't be asked
-    other_searches,  // another packet of the flow carries the search on
+    other_searches,  // the flow is being searched already
     not_yet,         // a target may take the flow soon; a copy will come
     not_from_caller, // a packet that only a backend server sends
     count
@@ -55,10 +60,10 @@
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(forward_cause::count)>
     forward_cause_names{"known",          "placed",         "moved",
-                        "searched",       "search_goes_on", "no_template",
-                        "no_route",       "no_target",      "nobody_holds",
-                        "owner_missing",  "other_searches", "not_yet",
-                        "not_from_caller"};
+                        "searched",       "search_goes_on", "found",
+                        "no_template",    "no_route",       "no_target",
+                        "nobody_holds",   "owner_missing",  "other_searches",
+                        "not_yet",        "not_from_caller"};
 
 constexpr std::string_view to_string(forward_cause cause)
 {
@@ -72,6 +77,8 @@
     forward_target* target_ = nullptr; // set for `send`
     // The agent is to tell whether its backend server holds the flow.
     bool asks_owner_ = false;
+    // Targets whose agents are to be asked whether they hold the flow.
+    std::vector<forward_target*> questions_ = {};
 };
 
 struct flow_forwarder_settings
@@ -82,19 +89,15 @@
     duration flow_idle_ = std::chrono::seconds(60); // then forgotten
     // A SYN without an answer for this long goes to another target.
     duration syn_patience_ = std::chrono::milliseconds(150);
-    // A target that hasn't answered a searched flow's data for this long is
-    // asked once more, if its agent was heard since; then another one is: a
-    // backend server with a half-open flow returns nothing.
-    duration search_patience_ = std::chrono::milliseconds(250);
+    // Targets that haven't answered for this long are asked once more, and then
+    // given up.
+    duration search_patience_ = std::chrono::milliseconds(150);
     // Pause after a search that found no owner; doubles with each in vain.
     duration search_pause_ = std::chrono::milliseconds(250);
     duration most_search_pause_ = std::chrono::milliseconds(1'000);
     // After its start a balancer doesn't know every target yet, unless it has
     // met all of those that the store lists.
     duration learning_time_ = std::chrono::milliseconds(1'500);
-    // Targets that every packet of a flow may be offered to; further ones are
-    // asked by one packet alone.
-    std::size_t shared_search_ = 3;
 };
 
 class flow_forwarder
@@ -110,14 +113,21 @@
     forward_action on_returned(flow_packet const& packet, target_id from,
                                return_reason reason, time_point now);
 
-    // The target's backend server answers on the flow.
-    void on_held(flow_key const& key, target_id by);
+    // An agent tells whether its backend server holds the flow. The action is
+    // for the packets that are kept.
+    forward_action on_owner_answer(flow_key const& key, target_id by,
+                                   flow_holding answer, time_point now);
 
-    // Flows that are searched and whose last target hasn't answered in time.
+    // Flows that are searched and whose targets haven't answered in time.
     std::vector<flow_key> overdue_searches(time_point now) const;
 
-    // Takes the last packet of such a flow on to the next target.
-    forward_action on_overdue(flow_packet const& packet, time_point now);
+    // Takes such a search on; the action is for the packets that are kept.
+    forward_action on_overdue(flow_key const& key, time_point now);
+
+    bool is_searching(flow_key const& key) const
+    {
+        return searches_.contains(key);
+    }
 
     // Forgets idle flows.
     void tick(time_point now);
@@ -137,19 +147,14 @@
         std::uint64_t bytes_ = 0;  // that the caller sent
         bool is_profiled_ = false; // counts in its route's profile
         time_point began_{};       // when target_ was chosen
-        bool searching_ = false;   // target_ may not be the owner
-        bool asked_again_ = false; // target_ got the searched data twice
-        // Targets in the order in which they are asked; empty before a search.
-        std::vector<target_id> order_;
-        bool has_split_ = false; // SYNs went to several targets
-        // Targets that don't hold the flow or don't take it.
-        std::vector<target_id> denied_;
-        // Targets that gave no answer, or may take the flow later.
-        std::vector<target_id> unanswered_;
+        bool was_reset_ = false;   // by the caller, as it seems
+        bool has_split_ = false;   // SYNs went to several targets
+        // Targets that the flow's SYN came back from, or that gave no answer.
+        std::vector<target_id> refused_;
+        bool may_be_taken_ = false; // by one of refused_, a moment later
+        std::unique_ptr<owner_search> search_; // while the owner isn't known
         time_point rests_until_{}; // no search before, after one in vain
         duration pause_{};         // after the latest search in vain
-
-        bool was_tried(target_id target) const;
     };
 
     using flow_list = std::list<flow>;
@@ -160,23 +165,24 @@
     void profile(flow& value, flow_packet const& packet, time_point now);
     void choose(flow& value, forward_target const& target, time_point now);
 
+    forward_action on_syn(flow& value, time_point now);
     forward_action open(flow& value, forward_cause cause, time_point now);
-    forward_action search_on(flow& value, flow_packet const& packet,
-                             time_point now);
-    forward_action search(flow& value, flow_packet const& packet,
-                          forward_cause cause, time_point now);
-    forward_action give_up(flow& value, flow_packet const& packet,
-                           time_point now);
     forward_action refuse(flow& value, service_id service, time_point now);
-    bool is_learning(time_point now) const;
-    bool may_take_soon(service_id service, time_point now) const;
+    forward_action begin_search(flow& value, forward_cause cause,
+                                time_point now);
+    forward_action search(flow& value, forward_cause cause, time_point now);
+    forward_action ask(flow& value, std::vector<target_id> const& targets,
+                       forward_cause cause, time_point now);
+    forward_action give_up(flow& value, time_point now);
+    void settle(flow& value, target_id owner);
+    std::vector<target_id> next_questions(owner_search& search, time_point now);
     std::vector<target_id> search_order(flow const& value,
                                         time_point now) const;
-    forward_target* first_untried(flow const& value, time_point now) const;
-    forward_target* next_candidate(flow& value, time_point now) const;
+    bool is_learning(time_point now) const;
+    bool may_take_soon(service_id service, time_point now) const;
     forward_action send(flow& value, forward_cause cause, time_point now);
     placement_request request_for(flow const& value,
-                                  std::vector<target_id> const& excluded,
+                                  std::span<target_id const> excluded,
                                   time_point now) const;
 
     forward_directory& directory_;
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -20,10 +20,29 @@
     returned, // agent to balancer: the packet isn't for this backend server
     question, // balancer to agent: asks for a report
     report,   // agent to balancer: load and state alone
-    held,     // agent to balancer: the backend server answers on this flow
+    owner_question, // balancer to agent: does the backend server hold the flow?
+    owner_answer,   // agent to balancer
     count
 };
 
+// Whether a backend server holds a flow, as its agent knows.
+enum class flow_holding : std::uint8_t
+{
+    unsure, // only the flow's packets can tell
+    held,
+    not_held,
+    count
+};
+
+inline constexpr std::array<std::string_view,
+                            static_cast<std::size_t>(flow_holding::count)>
+    flow_holding_names{"unsure", "held", "not_held"};
+
+constexpr std::string_view to_string(flow_holding holding)
+{
+    return flow_holding_names[static_cast<std::size_t>(holding)];
+}
+
 enum class return_reason : std::uint8_t
 {
     none,
@@ -80,7 +99,9 @@
     // With `packet`: the balancer doesn't know whether this target holds the
     // flow and wants to hear if it does.
     bool asks_owner_ = false;
-    flow_key flow_; // with `held` only
+    // With `owner_question` and `owner_answer` only.
+    flow_key flow_;
+    flow_holding holding_ = flow_holding::unsure; // with `owner_answer` only
 
     bool operator==(relay_message const&) const = default;
 };
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -48,10 +48,16 @@
                max_unacknowledged_bytes;
 }
 
-bool backend_observer::holds(flow_key const& flow) const
+// A flow without an answer may have been opened with another backend server.
+flow_holding backend_observer::holding(flow_key const& key) const
 {
-    auto const found = flows_.find(flow);
-    return found != flows_.end() && found->second.is_answered_;
+    auto const found = flows_.find(key);
+    if (found == flows_.end())
+    {
+        return is_complete_ ? flow_holding::not_held : flow_holding::unsure;
+    }
+    return found->second.is_answered_ ? flow_holding::held
+                                      : flow_holding::unsure;
 }
 
 void backend_observer::on_caller_packet(flow_packet const& packet,
@@ -172,9 +178,13 @@
     auto found = flows_.find(key);
     bool const is_worth_adding =
         (packet.payload_bytes_ > 0 || packet.opens_flow()) && !packet.reset_;
-    if (found == flows_.end() && is_worth_adding &&
-        flows_.size() < settings_.max_flows_)
+    if (found == flows_.end() && is_worth_adding)
     {
+        if (flows_.size() >= settings_.max_flows_)
+        {
+            is_complete_ = false;
+            return found;
+        }
         found = flows_.emplace(key, flow{}).first;
     }
     if (found != flows_.end())
@@ -285,8 +295,9 @@
            now > *syn_unanswered_ + settings_.stopped_silence_;
 }
 
-void backend_observer::on_new_run()
+void backend_observer::on_new_run(bool is_complete)
 {
+    is_complete_ = is_complete;
     flows_.clear();
     open_flows_ = 0;
     under_way_ = 0;
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -7,21 +7,6 @@
 namespace daisytrail
 {
 
-namespace
-{
-
-bool contains(std::vector<target_id> const& ids, target_id id)
-{
-    return std::ranges::find(ids, id) != ids.end();
-}
-
-} // namespace
-
-bool flow_forwarder::flow::was_tried(target_id target) const
-{
-    return contains(denied_, target) || contains(unanswered_, target);
-}
-
 flow_forwarder::flow_forwarder(forward_directory& directory,
                                flow_forwarder_settings settings, time_point now)
     : directory_(directory), settings_(std::move(settings)), started_(now)
@@ -78,9 +63,8 @@
     std::vector<flow_key> result;
     for (auto const& key : searches_)
     {
-        auto const& value = *index_.at(key);
-        if (value.target_ != 0 &&
-            now > value.began_ + settings_.search_patience_)
+        auto const& search = *index_.at(key)->search_;
+        if (search.is_overdue(now, settings_.search_patience_))
         {
             result.push_back(key);
         }
@@ -88,23 +72,28 @@
     return result;
 }
 
-forward_action flow_forwarder::on_overdue(flow_packet const& packet,
-                                          time_point now)
+forward_action flow_forwarder::on_overdue(flow_key const& key, time_point now)
 {
-    auto* const value = find(packet.flow_from_caller());
-    bool const can_go_on = value != nullptr && value->searching_ &&
-                           value->target_ != 0 &&
-                           directory_.find_route(value->key_.vip_) != nullptr;
+    auto* const value = find(key);
+    bool const can_go_on = value != nullptr && value->search_ != nullptr &&
+                           directory_.find_route(key.vip_) != nullptr;
     if (!can_go_on)
     {
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
-    return search_on(*value, packet, now);
+    auto const again = value->search_->repeat(now);
+    if (again.empty())
+    {
+        return search(*value, forward_cause::search_goes_on, now);
+    }
+    return value->search_->offered() == 0
+               ? ask(*value, again, forward_cause::search_goes_on, now)
+               : send(*value, forward_cause::search_goes_on, now);
 }
 
 placement_request
 flow_forwarder::request_for(flow const& value,
-                            std::vector<target_id> const& excluded,
+                            std::span<target_id const> excluded,
                             time_point now) const
 {
     placement_request request;
@@ -151,7 +140,6 @@
 {
     value.target_ = target.record_.target_;
     value.began_ = now;
-    value.asked_again_ = false;
 }
 
 forward_action flow_forwarder::send(flow& value, forward_cause cause,
@@ -164,7 +152,7 @@
     }
     value.sent_ = now;
     directory_.sent(*target, now);
-    return {forward_step::send, cause, target, value.searching_};
+    return {forward_step::send, cause, target, value.search_ != nullptr};
 }
 
 forward_action flow_forwarder::on_packet(flow_packet const& packet,
@@ -191,56 +179,46 @@
         value = &add(key, now);
         return packet.opens_flow()
                    ? open(*value, forward_cause::placed, now)
-                   : search(*value, packet, forward_cause::searched, now);
+                   : begin_search(*value, forward_cause::searched, now);
     }
     profile(*value, packet, now);
     if (packet.opens_flow())
     {
-        bool const is_waiting = value->target_ != 0 &&
-                                now < value->began_ + settings_.syn_patience_;
-        if (is_waiting)
-        {
-            return send(*value, forward_cause::known, now);
-        }
-        value->unanswered_.push_back(value->target_);
-        value->has_split_ = true;
-        return open(*value, forward_cause::moved, now);
+        return on_syn(*value, now);
     }
+    value->was_reset_ = packet.reset_;
     if (now < value->rests_until_)
     {
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
-    if (std::exchange(value->has_split_, false))
+    if (value->search_)
     {
-        value->searching_ = true;
-        searches_.insert(key);
-        value->unanswered_.clear();
-        value->began_ = now;
+        return {forward_step::hold, forward_cause::other_searches, nullptr};
     }
-    bool const is_unanswered = value->searching_ && packet.payload_bytes_ > 0 &&
-                               now > value->began_ + settings_.search_patience_;
-    bool const is_lost =
-        is_unanswered || directory_.find(value->target_) == nullptr;
-    return is_lost ? search_on(*value, packet, now)
-                   : send(*value, forward_cause::known, now);
+    bool const may_be_elsewhere = std::exchange(value->has_split_, false) ||
+                                  directory_.find(value->target_) == nullptr;
+    return may_be_elsewhere
+               ? begin_search(*value, forward_cause::searched, now)
+               : send(*value, forward_cause::known, now);
 }
 
-// If the agent was heard since, its answer was lost more likely than not.
-forward_action flow_forwarder::search_on(flow& value, flow_packet const& packet,
-                                         time_point now)
+// A copy of the SYN tries another target if the first one was silent.
+forward_action flow_forwarder::on_syn(flow& value, time_point now)
 {
-    auto const* const asked = directory_.find(value.target_);
-    bool const is_heard = asked != nullptr && asked->heard_ > value.began_;
-    if (is_heard && !std::exchange(value.asked_again_, true))
+    bool const is_waiting =
+        value.target_ != 0 && now < value.began_ + settings_.syn_patience_;
+    if (is_waiting && !value.search_)
     {
-        value.began_ = now;
-        return send(value, forward_cause::search_goes_on, now);
+        return send(value, forward_cause::known, now);
     }
-    if (value.target_ != 0)
+    if (value.search_)
     {
-        value.unanswered_.push_back(value.target_);
+        settle(value, 0);
     }
-    return search(value, packet, forward_cause::search_goes_on, now);
+    value.refused_.push_back(value.target_);
+    value.may_be_taken_ = true;
+    value.has_split_ = true;
+    return open(value, forward_cause::moved, now);
 }
 
 forward_action flow_forwarder::on_returned(flow_packet const& packet,
@@ -258,43 +236,75 @@
     {
         value = &add(key, now);
     }
-    auto& tried = packet.opens_flow() && is_passing(reason) ? value->unanswered_
-                                                            : value->denied_;
-    if (!contains(tried, from))
+    bool const is_settled_elsewhere =
+        !value->search_ && value->target_ != from && value->target_ != 0;
+    if (packet.opens_flow())
     {
-        tried.push_back(from);
+        bool const is_refused =
+            std::ranges::find(value->refused_, value->target_) !=
+            value->refused_.end();
+        value->refused_.push_back(from);
+        value->may_be_taken_ = value->may_be_taken_ || is_passing(reason);
+        return is_settled_elsewhere && !is_refused
+                   ? send(*value, forward_cause::moved, now)
+                   : open(*value, forward_cause::moved, now);
     }
-    bool const has_moved_on = value->target_ != from && value->target_ != 0 &&
-                              !value->was_tried(value->target_);
-    if (has_moved_on)
+    if (now < value->rests_until_)
+    {
+        return {forward_step::drop, forward_cause::owner_missing, nullptr};
+    }
+    if (is_settled_elsewhere)
     {
-        bool const is_long = value->denied_.size() > settings_.shared_search_;
-        if (is_long && !packet.opens_flow())
-        {
-            return {forward_step::drop, forward_cause::other_searches, nullptr};
-        }
         return send(*value, forward_cause::search_goes_on, now);
     }
-    return packet.opens_flow()
-               ? open(*value, forward_cause::moved, now)
-               : search(*value, packet, forward_cause::search_goes_on, now);
+    if (value->search_)
+    {
+        value->search_->on_returned(from);
+        return search(*value, forward_cause::search_goes_on, now);
+    }
+    value->search_ = std::make_unique<owner_search>();
+    value->search_->on_returned(from);
+    return begin_search(*value, forward_cause::search_goes_on, now);
 }
 
-void flow_forwarder::on_held(flow_key const& key, target_id by)
+forward_action flow_forwarder::on_owner_answer(flow_key const& key,
+                                               target_id by,
+                                               flow_holding answer,
+                                               time_point now)
 {
+    forward_action const nothing{forward_step::drop, forward_cause::found,
+                                 nullptr};
     auto* const value = find(key);
     if (value == nullptr)
     {
-        return;
+        return nothing;
     }
-    value->target_ = by;
-    value->searching_ = false;
-    searches_.erase(key);
-    value->denied_.clear();
-    value->unanswered_.clear();
-    value->order_ = {};
-    value->rests_until_ = {};
-    value->pause_ = {};
+    if (answer == flow_holding::held)
+    {
+        bool const has_packets =
+            !value->search_ || value->search_->offered() == by;
+        settle(*value, by);
+        return has_packets ? nothing : send(*value, forward_cause::found, now);
+    }
+    bool const can_go_on =
+        value->search_ && directory_.find_route(key.vip_) != nullptr;
+    if (!can_go_on)
+    {
+        return nothing;
+    }
+    value->search_->on_answer(by, answer);
+    return search(*value, forward_cause::search_goes_on, now);
+}
+
+void flow_forwarder::settle(flow& value, target_id owner)
+{
+    value.target_ = owner;
+    value.search_.reset();
+    searches_.erase(value.key_);
+    value.refused_ = {};
+    value.may_be_taken_ = false;
+    value.rests_until_ = {};
+    value.pause_ = {};
 }
 
 forward_action flow_forwarder::open(flow& value, forward_cause cause,
@@ -302,12 +312,9 @@
 {
     auto const& route = *directory_.find_route(value.key_.vip_);
     auto const service = choose_service(route, hash_flow(value.key_));
-    auto excluded = value.denied_;
-    excluded.insert(excluded.end(), value.unanswered_.begin(),
-                    value.unanswered_.end());
-    auto* const target =
-        place_flow(directory_.members(service),
-                   request_for(value, excluded, now), settings_.placement_);
+    auto* const target = place_flow(
+        directory_.members(service), request_for(value, value.refused_, now),
+        settings_.placement_);
     if (target == nullptr)
     {
         return refuse(value, service, now);
@@ -322,7 +329,7 @@
 forward_action flow_forwarder::refuse(flow& value, service_id service,
                                       time_point now)
 {
-    bool const wait = !value.unanswered_.empty() || may_take_soon(service, now);
+    bool const wait = value.may_be_taken_ || may_take_soon(service, now);
     erase(flow_key{value.key_});
     return wait ? forward_action{forward_step::drop, forward_cause::not_yet,
                                  nullptr}
@@ -349,7 +356,7 @@
                                                     time_point now) const
 {
     auto const& route = *directory_.find_route(value.key_.vip_);
-    auto const request = request_for(value, value.denied_, now);
+    auto const request = request_for(value, {}, now);
     auto services = forward_directory::services_of(route);
     auto const others = directory_.other_services(route);
     services.insert(services.end(), others.begin(), others.end());
@@ -366,79 +373,93 @@
     return result;
 }
 
-// A target whose agent is silent comes after all others.
-forward_target* flow_forwarder::first_untried(flow const& value,
-                                              time_point now) const
+forward_action flow_forwarder::begin_search(flow& value, forward_cause cause,
+                                            time_point now)
 {
-    forward_target* silent = nullptr;
-    for (auto const id : value.order_)
+    if (!value.search_)
     {
-        auto* const target = directory_.find(id);
-        if (target == nullptr || value.was_tried(id))
-        {
-            continue;
-        }
-        if (!target->is_silent(now))
-        {
-            return target;
-        }
-        bool const is_lost = target->record_.state_ == member_state::dead;
-        if (!is_lost && silent == nullptr)
-        {
-            silent = target;
-        }
+        value.search_ = std::make_unique<owner_search>();
     }
-    return silent;
+    value.search_->extend(search_order(value, now));
+    searches_.insert(value.key_);
+    return search(value, cause, now);
 }
 
-// Targets that joined during the search are asked at its end.
-forward_target* flow_forwarder::next_candidate(flow& value,
-                                               time_point now) const
+forward_action flow_forwarder::search(flow& value, forward_cause cause,
+                                      time_point now)
 {
-    auto* const next = first_untried(value, now);
-    if (next != nullptr)
+    if (value.search_->is_waiting())
+    {
+        return {forward_step::hold, cause, nullptr};
+    }
+    if (auto const offered = value.search_->next_offer(now); offered != 0)
     {
-        return next;
+        value.target_ = offered;
+        return send(value, cause, now);
     }
-    value.order_ = search_order(value, now);
-    return first_untried(value, now);
+    auto questions = next_questions(*value.search_, now);
+    if (questions.empty())
+    {
+        // Some targets may have joined since the search began.
+        value.search_->extend(search_order(value, now));
+        questions = next_questions(*value.search_, now);
+    }
+    return questions.empty() ? give_up(value, now)
+                             : ask(value, questions, cause, now);
 }
 
-forward_action flow_forwarder::search(flow& value, flow_packet const& packet,
-                                      forward_cause cause, time_point now)
+// A target whose agent is silent is asked after all others, and not at all if
+// it was declared dead.
+std::vector<target_id> flow_forwarder::next_questions(owner_search& search,
+                                                      time_point now)
 {
-    auto* const target = next_candidate(value, now);
-    if (target == nullptr)
+    auto questions = search.next_questions(
+        now, [&](target_id id) { return !directory_.find(id)->is_silent(now); });
+    if (questions.empty())
     {
-        return give_up(value, packet, now);
+        questions = search.next_questions(
+            now,
+            [&](target_id id) {
+                return directory_.find(id)->record_.state_ !=
+                       member_state::dead;
+            });
     }
-    value.searching_ = true;
-    searches_.insert(value.key_);
-    choose(value, *target, now);
-    return send(value, cause, now);
+    return questions;
+}
+
+forward_action flow_forwarder::ask(flow& value,
+                                   std::vector<target_id> const& targets,
+                                   forward_cause cause, time_point now)
+{
+    value.sent_ = now;
+    forward_action result{forward_step::hold, cause, nullptr};
+    for (auto const id : targets)
+    {
+        auto* const target = directory_.find(id);
+        directory_.sent(*target, now);
+        result.questions_.push_back(target);
+    }
+    return result;
 }
 
 // A reset tells the caller to open a new flow at once, but it must never hit a
 // flow that some backend server still holds.
-forward_action flow_forwarder::give_up(flow& value, flow_packet const& packet,
-                                       time_point now)
+forward_action flow_forwarder::give_up(flow& value, time_point now)
 {
-    bool const is_sure = value.unanswered_.empty() && !is_learning(now) &&
-                         !directory_.may_miss_owner(now);
+    bool const is_sure = !value.search_->has_unanswered() &&
+                         !is_learning(now) && !directory_.may_miss_owner(now);
     if (!is_sure)
     {
-        value.target_ = 0;
-        value.denied_.clear();
-        value.unanswered_.clear();
-        value.order_ = {};
-        value.pause_ =
-            std::clamp<duration>(2 * value.pause_, settings_.search_pause_,
-                                 settings_.most_search_pause_);
+        auto const pause = std::clamp<duration>(2 * value.pause_,
+                                                settings_.search_pause_,
+                                                settings_.most_search_pause_);
+        settle(value, 0);
+        value.pause_ = pause;
         value.rests_until_ = now + value.pause_;
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
+    bool const wants_reset = !value.was_reset_;
     erase(flow_key{value.key_});
-    bool const wants_reset = !packet.reset_;
     return {wants_reset ? forward_step::reset : forward_step::drop,
             forward_cause::nobody_holds, nullptr};
 }
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -90,9 +90,9 @@
            (!observer_.is_dark(now) || now >= next_probe_);
 }
 
-void agent_relay::on_new_run()
+void agent_relay::on_new_run(bool is_complete)
 {
-    observer_.on_new_run();
+    observer_.on_new_run(is_complete);
     probe_wait_ = first_probe_wait;
 }
 
@@ -109,12 +109,10 @@
     auto const& message = reading->message_;
     auto& sender = correspondents_[from];
     sender.heard_ = now;
-    if (message.kind_ == relay_kind::question)
+    if (message.kind_ == relay_kind::question ||
+        message.kind_ == relay_kind::owner_question)
     {
-        if (message.target_ == target_ && message.service_ == service_)
-        {
-            send_report(from, now);
-        }
+        answer(message, from, now);
         return;
     }
     auto const bytes = datagram.last(reading->packet_.size());
@@ -143,6 +141,30 @@
     }
 }
 
+void agent_relay::answer(relay_message const& message,
+                         endpoint const& balancer, time_point now)
+{
+    bool const is_mine =
+        message.target_ == target_ && message.service_ == service_;
+    if (message.kind_ == relay_kind::owner_question)
+    {
+        send_owner_answer(message.flow_, message.target_,
+                          is_mine ? holding(message.flow_)
+                                  : flow_holding::not_held,
+                          balancer, now);
+    }
+    else if (is_mine)
+    {
+        send_report(balancer, now);
+    }
+}
+
+flow_holding agent_relay::holding(flow_key const& flow) const
+{
+    return life_.phase() == backend_phase::gone ? flow_holding::not_held
+                                                : observer_.holding(flow);
+}
+
 return_reason agent_relay::refusal(relay_message const& message,
                                    flow_packet const& packet, time_point now)
 {
@@ -248,9 +270,9 @@
                                         endpoint const& balancer,
                                         time_point now)
 {
-    if (observer_.holds(flow))
+    if (observer_.holding(flow) == flow_holding::held)
     {
-        send_held(flow, balancer, now);
+        send_owner_answer(flow, target_, flow_holding::held, balancer, now);
         return;
     }
     if (owner_questions_.size() < max_owner_questions)
@@ -271,7 +293,8 @@
     {
         return;
     }
-    send_held(found->first, found->second.balancer_, now);
+    send_owner_answer(found->first, target_, flow_holding::held,
+                      found->second.balancer_, now);
     owner_questions_.erase(found);
 }
 
@@ -291,16 +314,20 @@
             ++at;
             continue;
         }
-        send_held(at->first, at->second.balancer_, now);
+        send_owner_answer(at->first, target_, flow_holding::held,
+                          at->second.balancer_, now);
         at = owner_questions_.erase(at);
     }
 }
 
-void agent_relay::send_held(flow_key const& flow, endpoint const& balancer,
-                            time_point now)
+void agent_relay::send_owner_answer(flow_key const& flow, target_id target,
+                                    flow_holding holding,
+                                    endpoint const& balancer, time_point now)
 {
-    auto message = make_message(relay_kind::held, now);
+    auto message = make_message(relay_kind::owner_answer, now);
+    message.target_ = target;
     message.flow_ = flow;
+    message.holding_ = holding;
     auto const head_bytes = encode_relay_head(message, balancers_.head());
     balancers_.add(balancer, head_bytes, {});
 }
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -35,8 +35,9 @@
     // Takes no new flows from now on.
     void set_stopping();
 
-    // The backend server has started again.
-    void on_new_run();
+    // The backend server has started again. With `is_complete`, this process
+    // has passed on all packets of the run.
+    void on_new_run(bool is_complete);
 
     void tick(time_point now);
 
@@ -84,8 +85,13 @@
                                time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
     void tell_owners(time_point now);
-    void send_held(flow_key const& flow, endpoint const& balancer,
-                   time_point now);
+    // `target` is the one that was asked, whose address may be another's now.
+    void send_owner_answer(flow_key const& flow, target_id target,
+                           flow_holding holding, endpoint const& balancer,
+                           time_point now);
+    void answer(relay_message const& message, endpoint const& balancer,
+                time_point now);
+    flow_holding holding(flow_key const& flow) const;
     void give_back(flow_packet const& packet, std::span<std::byte> bytes,
                    endpoint const& balancer, relay_message message,
                    time_point now);
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -12,14 +12,15 @@
 // A report this old is asked for again, so that placement knows idle targets.
 constexpr std::chrono::milliseconds report_age{1'000};
 constexpr std::chrono::milliseconds question_interval{250};
-// Packets kept for flows that are searched.
-constexpr std::size_t max_probes = 2'000;
+// Packets kept for flows that are searched: of all flows, and of one.
+constexpr std::size_t max_kept_packets = 2'000;
+constexpr std::size_t max_kept_of_flow = 16;
 // Questions in one tick.
 constexpr int questions_per_tick = 8;
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(forward_step::count)>
-    step_names{"send", "reset", "drop"};
+    step_names{"send", "reset", "drop", "hold"};
 
 time_point current_time()
 {
@@ -123,8 +124,15 @@
         ++malformed_;
         return;
     }
-    carry_out(core_.on_returned(*packet, message.target_, message.reason_, now),
-              *packet, reading->packet_, now);
+    auto const action =
+        core_.on_returned(*packet, message.target_, message.reason_, now);
+    if (kept_.contains(packet->flow_from_caller()))
+    {
+        // The packet is one of those that were kept.
+        carry_on(packet->flow_from_caller(), action, now);
+        return;
+    }
+    carry_out(action, *packet, reading->packet_, now);
 }
 
 void balancer_relay::take(relay_message const& message, time_point now)
@@ -141,11 +149,13 @@
     {
         directory_.displaced(message.target_, now);
     }
-    if (message.kind_ == relay_kind::held)
+    if (message.kind_ == relay_kind::owner_answer)
     {
-        core_.on_held(message.flow_, message.target_);
-        probes_.erase(message.flow_);
-        note_held(message, now);
+        note_owner_answer(message, now);
+        carry_on(message.flow_,
+                 core_.on_owner_answer(message.flow_, message.target_,
+                                       message.holding_, now),
+                 now);
     }
 }
 
@@ -158,7 +168,6 @@
     {
         note(action, packet, now);
     }
-    keep_probe(action, packet, bytes);
     switch (action.step_)
     {
     case forward_step::send:
@@ -167,46 +176,108 @@
     case forward_step::reset:
         reset(packet);
         break;
+    case forward_step::hold:
+        keep(packet, bytes);
+        ask_owners(packet.flow_from_caller(), action);
+        break;
     case forward_step::drop:
     case forward_step::count:
         break;
     }
 }
 
-// Callers send again ever more rarely, so a search that waited for them would
-// take seconds wherever a target doesn't answer.
-void balancer_relay::keep_probe(forward_action const& action,
-                                flow_packet const& packet,
-                                std::span<std::byte const> bytes)
+void balancer_relay::keep(flow_packet const& packet,
+                          std::span<std::byte const> bytes)
 {
-    auto const key = packet.flow_from_caller();
-    if (action.step_ != forward_step::send)
+    auto& packets = kept_[packet.flow_from_caller()];
+    bool const is_full = kept_count_ >= max_kept_packets ||
+                         packets.size() >= max_kept_of_flow;
+    if (!is_full)
     {
-        probes_.erase(key);
-        return;
+        packets.emplace_back(bytes.begin(), bytes.end());
+        ++kept_count_;
     }
-    if (action.asks_owner_ && packet.payload_bytes_ > 0 &&
-        probes_.size() < max_probes)
+}
+
+void balancer_relay::forget(flow_key const& flow)
+{
+    auto const found = kept_.find(flow);
+    if (found != kept_.end())
     {
-        probes_[key].assign(bytes.begin(), bytes.end());
+        kept_count_ -= found->second.size();
+        kept_.erase(found);
     }
 }
 
-void balancer_relay::continue_searches(time_point now)
+// Carries out a decision about the packets that are kept for a flow.
+void balancer_relay::carry_on(flow_key const& flow,
+                              forward_action const& action, time_point now)
 {
-    for (auto const& key : core_.overdue_searches(now))
+    ++*actions_[{action.step_, action.cause_}];
+    auto const found = kept_.find(flow);
+    if (action.step_ == forward_step::hold)
+    {
+        ask_owners(flow, action);
+        return;
+    }
+    if (found == kept_.end() || found->second.empty())
+    {
+        forget(flow);
+        return;
+    }
+    auto const& packets = found->second;
+    note(action, *format_.read(packets.back()), now);
+    if (action.step_ == forward_step::send)
     {
-        auto const found = probes_.find(key);
-        if (found == probes_.end())
+        for (auto const& bytes : packets)
         {
-            continue;
+            send(action, bytes);
         }
-        auto const bytes = found->second;
-        auto const packet = format_.read(bytes);
-        carry_out(core_.on_overdue(*packet, now), *packet, bytes, now);
-        // The copy of the packet ends here.
+    }
+    else if (action.step_ == forward_step::reset)
+    {
+        reset(*format_.read(packets.back()));
+    }
+    if (action.step_ == forward_step::send)
+    {
+        // The batch points to the packets.
         flush();
     }
+    if (!action.asks_owner_)
+    {
+        forget(flow);
+    }
+}
+
+void balancer_relay::continue_searches(time_point now)
+{
+    for (auto const& flow : core_.overdue_searches(now))
+    {
+        carry_on(flow, core_.on_overdue(flow, now), now);
+    }
+    std::erase_if(kept_,
+                  [this](auto const& entry)
+                  {
+                      bool const is_searched = core_.is_searching(entry.first);
+                      kept_count_ -= is_searched ? 0 : entry.second.size();
+                      return !is_searched;
+                  });
+}
+
+void balancer_relay::ask_owners(flow_key const& flow,
+                                forward_action const& action)
+{
+    for (auto const* const target : action.questions_)
+    {
+        relay_message message;
+        message.kind_ = relay_kind::owner_question;
+        message.service_ = target->record_.service_;
+        message.target_ = target->record_.target_;
+        message.revision_ = directory_.newest_revision();
+        message.flow_ = flow;
+        auto const head_bytes = encode_relay_head(message, agents_.head());
+        agents_.add(target->record_.tunnel_, head_bytes, {});
+    }
 }
 
 void balancer_relay::send(forward_action const& action,
@@ -261,16 +332,18 @@
     log_event(log_level::info, "flow", line);
 }
 
-void balancer_relay::note_held(relay_message const& message, time_point now)
+void balancer_relay::note_owner_answer(relay_message const& message,
+                                       time_point now)
 {
     if (!log_.admit(now))
     {
         return;
     }
     auto const* const target = directory_.find(message.target_);
-    log_event(log_level::info, "flow_held",
+    log_event(log_level::info, "owner_answer",
               {{"flow", flow_name(message.flow_)},
-               {"target", target == nullptr ? "" : target->record_.name_}});
+               {"target", target == nullptr ? "" : target->record_.name_},
+               {"holding", to_string(message.holding_)}});
 }
 
 void balancer_relay::ask(forward_target& target, time_point now)
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -41,10 +41,13 @@
                    std::span<std::byte const> bytes, time_point now);
     void send(forward_action const& action, std::span<std::byte const> bytes);
     void reset(flow_packet const& packet);
-    void note_held(relay_message const& message, time_point now);
+    void note_owner_answer(relay_message const& message, time_point now);
     void ask(forward_target& target, time_point now);
-    void keep_probe(forward_action const& action, flow_packet const& packet,
-                    std::span<std::byte const> bytes);
+    void ask_owners(flow_key const& flow, forward_action const& action);
+    void keep(flow_packet const& packet, std::span<std::byte const> bytes);
+    void forget(flow_key const& flow);
+    void carry_on(flow_key const& flow, forward_action const& action,
+                  time_point now);
     void continue_searches(time_point now);
     void note(forward_action const& action, flow_packet const& packet,
               time_point now);
@@ -57,8 +60,10 @@
     datagram_port callers_;
     datagram_port agents_;
     decision_log log_;
-    // Last data packet of each flow that is searched.
-    std::unordered_map<flow_key, std::vector<std::byte>, flow_hash> probes_;
+    // Packets of flows that are searched.
+    std::unordered_map<flow_key, std::vector<std::vector<std::byte>>, flow_hash>
+        kept_;
+    std::size_t kept_count_ = 0; // packets in kept_
     std::array<std::array<std::byte, max_flow_packet_bytes>, batch_size>
         resets_{}; // written resets of a batch
     std::size_t reset_count_ = 0;
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -18,6 +18,7 @@
 namespace json = boost::json;
 
 constexpr std::chrono::milliseconds tick_interval{50};
+constexpr std::uint64_t first_announcement = 1; // sequence in each run
 // Until balancers have heard that no new flows are taken.
 constexpr std::chrono::milliseconds least_stop_time{400};
 // Requests under way may end until then.
@@ -93,7 +94,9 @@
                          before != life_.phase() || previous_run != value.id_;
     if (previous_run != value.id_ && outcome == announcement_outcome::accepted)
     {
-        relay_.on_new_run();
+        // Until its first announcement a run gets no new flows from here.
+        relay_.on_new_run(before == backend_phase::unknown &&
+                          value.sequence_ == first_announcement);
     }
     relay_.set_slots(life_.last().slots_);
     if (is_news)
--- a/src/rpc/forward.capnp
+++ b/src/rpc/forward.capnp
@@ -15,6 +15,7 @@
   load @6 :LoadReport;
   asksOwner @7 :Bool;
   flow @8 :FlowName;
+  holding @9 :UInt8;
 }
 
 struct FlowName {
--- a/src/rpc/relay_message.cpp
+++ b/src/rpc/relay_message.cpp
@@ -28,6 +28,12 @@
     return kind == relay_kind::returned || kind == relay_kind::report;
 }
 
+bool has_flow(relay_kind kind)
+{
+    return kind == relay_kind::owner_question ||
+           kind == relay_kind::owner_answer;
+}
+
 void write_flow(wire::FlowName::Builder to, flow_key const& from)
 {
     to.setCallerAddress(from.caller_.address_);
@@ -63,7 +69,8 @@
     result.kind_ = static_cast<relay_kind>(root.getKind());
     result.reason_ = static_cast<return_reason>(root.getReason());
     result.asks_owner_ = root.getAsksOwner();
-    if (result.kind_ == relay_kind::held)
+    result.holding_ = static_cast<flow_holding>(root.getHolding());
+    if (has_flow(result.kind_))
     {
         result.flow_ = read_flow(root.getFlow());
     }
@@ -95,7 +102,8 @@
     root.setReason(static_cast<std::uint8_t>(message.reason_));
     root.setAccepts(message.load_.accepts_);
     root.setAsksOwner(message.asks_owner_);
-    if (message.kind_ == relay_kind::held)
+    root.setHolding(static_cast<std::uint8_t>(message.holding_));
+    if (has_flow(message.kind_))
     {
         write_flow(root.initFlow(), message.flow_);
     }
@@ -137,7 +145,8 @@
             kj::arrayPtr(segments, 1), {traversal_limit_words, nesting_limit});
         auto const message = read_head(reader.getRoot<wire::RelayHead>());
         if (message.kind_ >= relay_kind::count ||
-            message.reason_ >= return_reason::count)
+            message.reason_ >= return_reason::count ||
+            message.holding_ >= flow_holding::count)
         {
             return std::nullopt;
         }
--- a/test/unit/backend_observer_test.cpp
+++ b/test/unit/backend_observer_test.cpp
@@ -126,11 +126,31 @@
 {
     observer_.on_caller_packet(request(1, 100), now_);
     observer_.on_caller_packet(syn(2), now_);
-    observer_.on_new_run();
+    observer_.on_new_run(true);
     CHECK(observer_.under_way() == 0);
     CHECK_FALSE(observer_.is_dark(now_ + 1h));
 }
 
+TEST_CASE_FIXTURE(observer_fixture,
+                  "what the backend server holds is known from its start on")
+{
+    auto const flow = syn(1).flow_from_caller();
+    auto const other = syn(2).flow_from_caller();
+    CHECK(observer_.holding(flow) == flow_holding::unsure);
+    observer_.on_new_run(true);
+    CHECK(observer_.holding(flow) == flow_holding::not_held);
+    observer_.on_caller_packet(syn(1), now_);
+    CHECK(observer_.holding(flow) == flow_holding::unsure);
+    observer_.on_caller_packet(request(1, 100), now_);
+    observer_.on_backend_packet(answer(1, 100), now_);
+    CHECK(observer_.holding(flow) == flow_holding::held);
+    CHECK(observer_.holding(other) == flow_holding::not_held);
+    observer_.on_returned(request(1, 200), now_);
+    CHECK(observer_.holding(flow) == flow_holding::not_held);
+    observer_.on_new_run(false);
+    CHECK(observer_.holding(flow) == flow_holding::unsure);
+}
+
 TEST_CASE("announcements of a former run or out of order change nothing")
 {
     backend_life life("orders");
--- a/test/unit/flow_forwarder_test.cpp
+++ b/test/unit/flow_forwarder_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <utility>
 
 using namespace daisytrail;
@@ -87,6 +88,19 @@
                                        now_);
     }
 
+    forward_action answer(flow_packet const& value, std::string const& name,
+                          flow_holding holding)
+    {
+        report(name, {});
+        return forwarder_->on_owner_answer(value.flow_from_caller(),
+                                           hash_name(name), holding, now_);
+    }
+
+    forward_action overdue(flow_packet const& value)
+    {
+        return forwarder_->on_overdue(value.flow_from_caller(), now_);
+    }
+
     time_point now_{1h};
     std::uint64_t sequence_ = 0;
     forward_directory directory_;
@@ -108,50 +122,113 @@
 }
 
 TEST_CASE_FIXTURE(forwarding_fixture,
-                  "an unknown flow is searched until a target keeps it")
+                  "an unknown flow waits until its owner has answered")
 {
     add_target("one");
     add_target("two");
     add_target("three");
     auto const first = send(packet(1));
-    REQUIRE(first.step_ == forward_step::send);
-    auto const second = give_back(packet(1), first.target_);
-    REQUIRE(second.step_ == forward_step::send);
-    CHECK(second.target_ != first.target_);
-    CHECK(send(packet(1)).target_ == second.target_);
+    REQUIRE(first.step_ == forward_step::hold);
+    CHECK(first.cause_ == forward_cause::searched);
+    CHECK(first.questions_.size() == 3);
+    auto const more = send(packet(1));
+    CHECK(more.step_ == forward_step::hold);
+    CHECK(more.questions_.empty());
+    CHECK(answer(packet(1), "one", flow_holding::not_held).step_ ==
+          forward_step::hold);
+    auto const found = answer(packet(1), "two", flow_holding::held);
+    REQUIRE(found.step_ == forward_step::send);
+    CHECK(found.cause_ == forward_cause::found);
+    CHECK(found.target_->record_.name_ == "two");
+    CHECK_FALSE(found.asks_owner_);
+    auto const next = send(packet(1));
+    CHECK(next.cause_ == forward_cause::known);
+    CHECK(next.target_ == found.target_);
 }
 
-TEST_CASE_FIXTURE(forwarding_fixture,
-                  "a flow that every target returned is reset")
+TEST_CASE_FIXTURE(forwarding_fixture, "a flow that no target holds is reset")
 {
     add_target("one");
     add_target("two");
-    auto const first = send(packet(1));
-    auto const second = give_back(packet(1), first.target_);
-    auto const end = give_back(packet(1), second.target_);
+    send(packet(1));
+    answer(packet(1), "one", flow_holding::not_held);
+    auto const end = answer(packet(1), "two", flow_holding::not_held);
     CHECK(end.step_ == forward_step::reset);
     CHECK(end.cause_ == forward_cause::nobody_holds);
 }
 
+// An agent that started after its backend server can't tell.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a target that can't tell is offered the packet")
+{
+    add_target("one");
+    add_target("two");
+    send(packet(1));
+    answer(packet(1), "one", flow_holding::unsure);
+    auto const offer = answer(packet(1), "two", flow_holding::not_held);
+    REQUIRE(offer.step_ == forward_step::send);
+    CHECK(offer.target_->record_.name_ == "one");
+    CHECK(offer.asks_owner_);
+    CHECK(send(packet(1)).step_ == forward_step::hold);
+    SUBCASE("which returns it")
+    {
+        auto const end = give_back(packet(1), offer.target_);
+        CHECK(end.step_ == forward_step::reset);
+    }
+    SUBCASE("which holds the flow and has the packet already")
+    {
+        auto const held = answer(packet(1), "one", flow_holding::held);
+        CHECK(held.step_ == forward_step::drop);
+        CHECK(send(packet(1)).target_ == offer.target_);
+    }
+    SUBCASE("which gets it again if nothing comes back")
+    {
+        now_ += 200ms;
+        CHECK(overdue(packet(1)).target_ == offer.target_);
+        now_ += 200ms;
+        CHECK(overdue(packet(1)).cause_ == forward_cause::owner_missing);
+    }
+}
+
 // A balancer that was busy for 300 ms had not read the owner's reports, took
 // it for silent, asked all others and reset an open flow.
 TEST_CASE_FIXTURE(forwarding_fixture,
-                  "a target that only seemed silent may own the flow")
+                  "no reset while a target hasn't answered")
 {
     add_target("one");
     add_target("two");
-    now_ += 10ms;
-    auto const owner = send(packet(1));
-    now_ += 320ms;
-    auto const other = send(packet(1));
-    REQUIRE(other.target_ != owner.target_);
-    auto const end = give_back(packet(1), other.target_);
+    CHECK(send(packet(1)).questions_.size() == 2);
+    answer(packet(1), "one", flow_holding::not_held);
+    CHECK(forwarder_->overdue_searches(now_).empty());
+    now_ += 200ms;
+    CHECK(forwarder_->overdue_searches(now_).size() == 1);
+    auto const again = overdue(packet(1));
+    CHECK(again.step_ == forward_step::hold);
+    REQUIRE(again.questions_.size() == 1);
+    CHECK(again.questions_[0]->record_.name_ == "two");
+    CHECK(forwarder_->overdue_searches(now_).empty());
+    now_ += 200ms;
+    auto const end = overdue(packet(1));
     CHECK(end.step_ == forward_step::drop);
     CHECK(end.cause_ == forward_cause::owner_missing);
     // A later packet begins a new search.
     CHECK(send(packet(1)).step_ == forward_step::drop);
     now_ += 300ms;
-    CHECK(send(packet(1)).step_ == forward_step::send);
+    CHECK(send(packet(1)).step_ == forward_step::hold);
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "an owner that answers late is found")
+{
+    add_target("one");
+    add_target("two");
+    send(packet(1));
+    answer(packet(1), "one", flow_holding::not_held);
+    now_ += 200ms;
+    overdue(packet(1));
+    now_ += 200ms;
+    CHECK(overdue(packet(1)).step_ == forward_step::drop);
+    answer(packet(1), "two", flow_holding::held);
+    CHECK(send(packet(1)).target_->record_.name_ == "two");
 }
 
 TEST_CASE_FIXTURE(forwarding_fixture,
@@ -159,15 +236,12 @@
 {
     add_target("one");
     add_target("two", member_state::draining, false);
-    auto const first = send(packet(1));
-    auto const second = give_back(packet(1), first.target_);
-    REQUIRE(second.step_ == forward_step::send);
-    now_ += 300ms;
-    auto const end = second.target_->record_.name_ == "two"
-                         ? send(packet(1))
-                         : give_back(packet(1), second.target_);
-    CHECK(end.step_ == forward_step::drop);
-    CHECK(end.cause_ == forward_cause::owner_missing);
+    send(packet(1));
+    answer(packet(1), "one", flow_holding::not_held);
+    now_ += 200ms;
+    overdue(packet(1));
+    now_ += 200ms;
+    CHECK(overdue(packet(1)).cause_ == forward_cause::owner_missing);
 }
 
 TEST_CASE_FIXTURE(forwarding_fixture,
@@ -180,8 +254,9 @@
     directory_.sent(*directory_.find(gone.target_), now_);
     now_ += 400ms;
     auto const only = send(packet(1));
-    CHECK(only.target_->record_.name_ == "two");
-    auto const end = give_back(packet(1), only.target_);
+    REQUIRE(only.questions_.size() == 1);
+    CHECK(only.questions_[0]->record_.name_ == "two");
+    auto const end = answer(packet(1), "two", flow_holding::not_held);
     CHECK(end.step_ == forward_step::reset);
     CHECK(end.cause_ == forward_cause::nobody_holds);
 }
@@ -195,106 +270,75 @@
     owner.state_ = member_state::dead;
     directory_.apply(owner);
     CHECK(send(syn(2)).target_->record_.name_ == "two");
-    auto action = send(packet(1));
-    if (action.target_->record_.name_ == "two")
-    {
-        action = give_back(packet(1), action.target_);
-    }
-    REQUIRE(action.step_ == forward_step::send);
-    CHECK(action.target_->record_.name_ == "one");
+    CHECK(send(packet(1)).questions_.size() == 2);
+    auto const found = answer(packet(1), "one", flow_holding::held);
+    CHECK(found.target_->record_.name_ == "one");
 }
 
-// After a power cut each of up to 16 packets in flight asked all 44 targets.
+// After a power cut each of up to 16 packets in flight asked all 44 targets,
+// and the packets that were sent around filled the links of small VMs.
 TEST_CASE_FIXTURE(forwarding_fixture,
-                  "one packet of a flow carries a long search on")
+                  "a search asks the best ranked first, then the rest")
 {
     for (char name = 'a'; name < 'k'; ++name)
     {
         add_target(std::string(1, name));
     }
-    auto action = send(packet(1));
-    auto* slow = action.target_;
-    for (int i = 0; i < 5; ++i)
+    auto const first = send(packet(1));
+    REQUIRE(first.questions_.size() == 6);
+    forward_action action;
+    for (auto const* const target : first.questions_)
     {
-        action = give_back(packet(1), action.target_);
+        action =
+            answer(packet(1), target->record_.name_, flow_holding::not_held);
     }
-    CHECK(give_back(packet(1), slow).step_ == forward_step::drop);
-    CHECK(give_back(packet(1), action.target_).step_ == forward_step::send);
-}
-
-TEST_CASE_FIXTURE(forwarding_fixture, "a SYN that is returned goes on")
-{
-    add_target("one");
-    add_target("two");
-    auto const first = send(syn(1));
-    auto const second = give_back(syn(1), first.target_);
-    REQUIRE(second.step_ == forward_step::send);
-    CHECK(second.cause_ == forward_cause::moved);
-    auto const end = give_back(syn(1), second.target_);
-    CHECK(end.step_ == forward_step::reset);
-    CHECK(end.cause_ == forward_cause::no_target);
+    CHECK(action.step_ == forward_step::hold);
+    CHECK(action.questions_.size() == 4);
 }
 
-// After a power cut agents are back before their backend servers announce
-// themselves. Resets made callers use up their tries within milliseconds.
 TEST_CASE_FIXTURE(forwarding_fixture,
-                  "no reset while a target may take the flow soon")
+                  "a target that joins during a search is asked too")
 {
     add_target("one");
-    auto const first = send(syn(1));
-    auto const end =
-        give_back(syn(1), first.target_, return_reason::not_announced);
-    CHECK(end.step_ == forward_step::drop);
-    CHECK(end.cause_ == forward_cause::not_yet);
-    now_ += 200ms;
-    CHECK(send(syn(1, 1)).step_ == forward_step::send);
+    send(packet(1));
+    add_target("late");
+    auto const next = answer(packet(1), "one", flow_holding::not_held);
+    REQUIRE(next.questions_.size() == 1);
+    CHECK(next.questions_[0]->record_.name_ == "late");
 }
 
-// A copy of the SYN had gone to a second backend server, which swallowed the
-// flow's packets for 4 s in place of returning them.
 TEST_CASE_FIXTURE(forwarding_fixture,
-                  "data that nobody answers is tried at another target")
+                  "a known flow that comes back is searched at the others")
 {
     add_target("one");
     add_target("two");
-    auto const first = send(packet(1));
-    CHECK(first.asks_owner_);
-    now_ += 300ms;
-    report("one", {});
-    report("two", {});
-    auto const again = send(packet(1));
-    CHECK(again.target_ == first.target_);
-    CHECK(again.asks_owner_);
-    now_ += 300ms;
-    report("one", {});
-    report("two", {});
-    auto const second = send(packet(1));
-    REQUIRE(second.step_ == forward_step::send);
-    CHECK(second.target_ != first.target_);
-    forwarder_->on_held(packet(1).flow_from_caller(),
-                        second.target_->record_.target_);
-    now_ += 500ms;
-    auto const third = send(packet(1));
-    CHECK(third.target_ == second.target_);
-    CHECK_FALSE(third.asks_owner_);
+    auto const opened = send(syn(1));
+    auto const returned = give_back(packet(1), opened.target_);
+    CHECK(returned.step_ == forward_step::hold);
+    REQUIRE(returned.questions_.size() == 1);
+    CHECK(returned.questions_[0] != opened.target_);
 }
 
-// Lost answers sent searches past the owner and through all other targets,
-// which kept slow balancers so busy that more answers were lost.
+// A copy of the SYN had gone to a second backend server, which swallowed the
+// flow's packets for 4 s in place of returning them.
 TEST_CASE_FIXTURE(forwarding_fixture,
-                  "an agent that was heard since is asked once more")
+                  "after SYNs to two targets the flow's owner is searched")
 {
     add_target("one");
     add_target("two");
-    auto const first = send(packet(1));
-    now_ += 300ms;
-    report("one", {});
-    report("two", {});
-    CHECK(forwarder_->on_overdue(packet(1), now_).target_ == first.target_);
-    CHECK(forwarder_->overdue_searches(now_).empty());
+    auto const first = send(syn(1));
     now_ += 300ms;
-    CHECK(forwarder_->overdue_searches(now_).size() == 1);
-    CHECK(forwarder_->on_overdue(packet(1), now_).target_ != first.target_);
+    auto const second = send(syn(1, 1));
+    REQUIRE(second.target_ != first.target_);
+    CHECK(send(packet(1)).questions_.size() == 2);
+    answer(packet(1), "one", flow_holding::unsure);
+    auto const offer = answer(packet(1), "two", flow_holding::unsure);
+    REQUIRE(offer.step_ == forward_step::send);
+    CHECK(offer.asks_owner_);
+    auto const next = give_back(packet(1), offer.target_);
+    REQUIRE(next.step_ == forward_step::send);
+    CHECK(next.target_ != offer.target_);
+    CHECK(next.asks_owner_);
 }
 
 // A search that finds no owner is repeated ever more rarely.
@@ -305,6 +349,10 @@
     duration pause{};
     for (int i = 0; i < 600; ++i, now_ += 10ms)
     {
+        if (!forwarder_->overdue_searches(now_).empty())
+        {
+            overdue(packet(1));
+        }
         if (send(packet(1)).step_ == forward_step::drop)
         {
             pause += 10ms;
@@ -320,52 +368,52 @@
     CHECK(pauses[2] >= 990ms);
 }
 
-// A search stood still until the caller sent again, up to 1.6 s later, wherever
-// a target didn't answer.
-TEST_CASE_FIXTURE(forwarding_fixture, "a search goes on without the caller")
+// After a power cut callers of lost flows waited until the balancers had been
+// up for a while.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a balancer that has met all listed targets may reset")
 {
+    forwarder_ = std::make_unique<flow_forwarder>(
+        directory_, flow_forwarder_settings{}, now_);
     add_target("one");
+    directory_.expect({hash_name("one"), hash_name("two")});
+    send(packet(1));
+    CHECK(answer(packet(1), "one", flow_holding::not_held).step_ ==
+          forward_step::drop);
     add_target("two");
-    auto const first = send(packet(1));
-    CHECK(forwarder_->overdue_searches(now_).empty());
     now_ += 300ms;
-    auto const overdue = forwarder_->overdue_searches(now_);
-    REQUIRE(overdue.size() == 1);
-    CHECK(overdue[0] == packet(1).flow_from_caller());
-    auto const second = forwarder_->on_overdue(packet(1), now_);
-    REQUIRE(second.step_ == forward_step::send);
-    CHECK(second.target_ != first.target_);
-    forwarder_->on_held(overdue[0], second.target_->record_.target_);
-    CHECK(forwarder_->overdue_searches(now_ + 1s).empty());
-    CHECK(forwarder_->on_overdue(packet(1), now_).step_ == forward_step::drop);
+    send(packet(1));
+    answer(packet(1), "one", flow_holding::not_held);
+    CHECK(answer(packet(1), "two", flow_holding::not_held).step_ ==
+          forward_step::reset);
 }
 
-TEST_CASE_FIXTURE(forwarding_fixture,
-                  "an owner that answers late keeps its flow")
+TEST_CASE_FIXTURE(forwarding_fixture, "a SYN that is returned goes on")
 {
     add_target("one");
     add_target("two");
-    auto const owner = send(packet(1));
-    now_ += 300ms;
-    auto const other = send(packet(1));
-    give_back(packet(1), other.target_);
-    forwarder_->on_held(packet(1).flow_from_caller(),
-                        owner.target_->record_.target_);
-    CHECK(send(packet(1)).target_ == owner.target_);
+    auto const first = send(syn(1));
+    auto const second = give_back(syn(1), first.target_);
+    REQUIRE(second.step_ == forward_step::send);
+    CHECK(second.cause_ == forward_cause::moved);
+    auto const end = give_back(syn(1), second.target_);
+    CHECK(end.step_ == forward_step::reset);
+    CHECK(end.cause_ == forward_cause::no_target);
 }
 
+// After a power cut agents are back before their backend servers announce
+// themselves. Resets made callers use up their tries within milliseconds.
 TEST_CASE_FIXTURE(forwarding_fixture,
-                  "after SYNs to two targets the flow's owner is searched")
+                  "no reset while a target may take the flow soon")
 {
     add_target("one");
-    add_target("two");
     auto const first = send(syn(1));
-    now_ += 300ms;
-    auto const second = send(syn(1, 1));
-    REQUIRE(second.target_ != first.target_);
-    CHECK(send(packet(1)).asks_owner_);
-    now_ += 300ms;
-    CHECK(send(packet(1)).target_ == first.target_);
+    auto const end =
+        give_back(syn(1), first.target_, return_reason::not_announced);
+    CHECK(end.step_ == forward_step::drop);
+    CHECK(end.cause_ == forward_cause::not_yet);
+    now_ += 200ms;
+    CHECK(send(syn(1, 1)).step_ == forward_step::send);
 }
 
 // After a power cut balancers were back before the agents and reset every SYN.
@@ -380,25 +428,6 @@
     CHECK(send(syn(1, 1)).step_ == forward_step::send);
 }
 
-// After a power cut callers of lost flows waited until the balancers had been
-// up for a while.
-TEST_CASE_FIXTURE(forwarding_fixture,
-                  "a balancer that has met all listed targets may reset")
-{
-    forwarder_ = std::make_unique<flow_forwarder>(
-        directory_, flow_forwarder_settings{}, now_);
-    add_target("one");
-    directory_.expect({hash_name("one"), hash_name("two")});
-    auto const first = send(packet(1));
-    CHECK(give_back(packet(1), first.target_).step_ == forward_step::drop);
-    add_target("two");
-    now_ += 300ms;
-    auto const second = send(packet(1));
-    auto const third = give_back(packet(1), second.target_);
-    REQUIRE(third.step_ == forward_step::send);
-    CHECK(give_back(packet(1), third.target_).step_ == forward_step::reset);
-}
-
 TEST_CASE_FIXTURE(forwarding_fixture,
                   "a late copy of a SYN tries another target")
 {
@@ -453,7 +482,9 @@
     CHECK(send(packet(1)).target_ == opened.target_);
     // Another balancer has never seen the flow.
     flow_forwarder elsewhere(directory_, {}, now_ - 1min);
-    CHECK(elsewhere.on_packet(packet(1), now_).target_ == opened.target_);
+    auto const searched = elsewhere.on_packet(packet(1), now_);
+    CHECK(std::ranges::find(searched.questions_, opened.target_) !=
+          searched.questions_.end());
 }
 
 TEST_CASE_FIXTURE(forwarding_fixture, "a draining target takes no new flow")
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -377,11 +377,12 @@
 TEST_CASE("the head between balancer and agent keeps its fields")
 {
     relay_message message;
-    message.kind_ = relay_kind::held;
+    message.kind_ = relay_kind::owner_answer;
     message.service_ = 1;
     message.target_ = 2;
     message.revision_ = 3;
     message.flow_ = {{4, 5}, {6, 7}};
+    message.holding_ = flow_holding::not_held;
     alignas(8) std::array<std::byte, max_relay_head_bytes> buffer{};
     auto const size = encode_relay_head(message, buffer);
     auto const reading = decode_relay(std::span(buffer).first(size));
