A search goes on until every agent has answered, and ends by a reset at once

Cause: after a total loss of power questions reached agents that weren't up yet. Change: questions that have no answer are repeated by the balancer itself after 150, 300, 600 ms; no search rests, none is given up but for a caller that is silent for 4 s; a target declared dead and silent is no longer asked. may_miss_owner goes: every target is asked by name.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -59,11 +59,11 @@
 
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(forward_cause::count)>
-    forward_cause_names{"known",          "placed",         "moved",
-                        "searched",       "search_goes_on", "found",
-                        "no_template",    "no_route",       "no_target",
-                        "nobody_holds",   "owner_missing",  "other_searches",
-                        "not_yet",        "not_from_caller"};
+    forward_cause_names{"known",        "placed",         "moved",
+                        "searched",     "search_goes_on", "found",
+                        "no_template",  "no_route",       "no_target",
+                        "nobody_holds", "owner_missing",  "other_searches",
+                        "not_yet",      "not_from_caller"};
 
 constexpr std::string_view to_string(forward_cause cause)
 {
@@ -89,12 +89,8 @@
     duration flow_idle_ = std::chrono::seconds(60); // then forgotten
     // A SYN without an answer for this long goes to another target.
     duration syn_patience_ = std::chrono::milliseconds(150);
-    // Targets that haven't answered for this long are asked once more, and then
-    // given up.
-    duration search_patience_ = std::chrono::milliseconds(150);
-    // Pause after a search that found no owner; doubles with each in vain.
-    duration search_pause_ = std::chrono::milliseconds(250);
-    duration most_search_pause_ = std::chrono::milliseconds(1'000);
+    // A search ends when its caller has been silent for so long.
+    duration search_idle_ = std::chrono::seconds(4);
     // After its start a balancer doesn't know every target yet, unless it has
     // met all of those that the store lists.
     duration learning_time_ = std::chrono::milliseconds(1'500);
@@ -153,8 +149,6 @@
         std::vector<target_id> refused_;
         bool may_be_taken_ = false; // by one of refused_, a moment later
         std::unique_ptr<owner_search> search_; // while the owner isn't known
-        time_point rests_until_{}; // no search before, after one in vain
-        duration pause_{};         // after the latest search in vain
     };
 
     using flow_list = std::list<flow>;
@@ -171,7 +165,7 @@
     forward_action begin_search(flow& value, forward_cause cause,
                                 time_point now);
     forward_action search(flow& value, forward_cause cause, time_point now);
-    forward_action ask(flow& value, std::vector<target_id> const& targets,
+    forward_action ask(std::vector<target_id> const& targets,
                        forward_cause cause, time_point now);
     forward_action give_up(flow& value, time_point now);
     void settle(flow& value, target_id owner);
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -80,11 +80,6 @@
     // Services in the order of a route's shares.
     static std::vector<service_id> services_of(route_template const& route);
 
-    // True if a target can't be asked now, as while its agent restarts: it may
-    // hold a flow that no other target holds. One that was declared dead
-    // doesn't count, since its callers wait in vain.
-    bool may_miss_owner(time_point now) const;
-
     std::unordered_map<target_id, std::unique_ptr<forward_target>> const&
     targets() const
     {
--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -31,11 +31,15 @@
     // True while a question or an offered packet has no answer.
     bool is_waiting() const;
 
-    // True if nothing has come in since `patience` before `now`.
-    bool is_overdue(time_point now, duration patience) const;
+    // True if a question or an offer has waited for too long.
+    bool is_overdue(time_point now) const
+    {
+        return now > repeat_at_;
+    }
 
-    // Targets that have not answered and are asked once more; after that they
-    // count as unanswered.
+    // Asks again, ever more rarely: returns the targets whose questions are
+    // repeated. A target that let an offered packet pass in silence comes last
+    // among those that can't tell.
     std::vector<target_id> repeat(time_point now);
 
     // The next targets to ask; empty if all were. `may_ask` leaves some out.
@@ -50,9 +54,6 @@
     // The target that has the packet at present; 0 if none.
     target_id offered() const;
 
-    // True if some target gave no answer.
-    bool has_unanswered() const;
-
 private:
     enum class state : std::uint8_t
     {
@@ -60,26 +61,28 @@
         asked,
         unsure,  // may hold the flow: the packet itself has to tell
         offered, // has the packet
-        denied,  // doesn't hold the flow
-        unanswered
+        denied   // doesn't hold the flow
     };
 
     struct candidate
     {
         target_id target_ = 0;
         state state_ = state::unasked;
-        bool was_repeated_ = false;
     };
 
+    void wait(time_point now);
     candidate* find(target_id target);
     bool has(state wanted) const;
 
     std::vector<candidate> candidates_;
     std::size_t batch_ = first_batch; // questions sent together next time
-    time_point began_{};              // of the latest question or offer
+    duration patience_ = first_patience;
+    time_point repeat_at_{};
 
     static constexpr std::size_t first_batch = 6;
     static constexpr std::size_t batch_growth = 4;
+    static constexpr std::chrono::milliseconds first_patience{150};
+    static constexpr std::chrono::milliseconds most_patience{600};
 };
 
 } // namespace daisytrail
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -64,7 +64,7 @@
     for (auto const& key : searches_)
     {
         auto const& search = *index_.at(key)->search_;
-        if (search.is_overdue(now, settings_.search_patience_))
+        if (search.is_overdue(now))
         {
             result.push_back(key);
         }
@@ -81,14 +81,28 @@
     {
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
-    auto const again = value->search_->repeat(now);
-    if (again.empty())
+    if (now > value->sent_ + settings_.search_idle_)
     {
-        return search(*value, forward_cause::search_goes_on, now);
+        erase(flow_key{key});
+        return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
-    return value->search_->offered() == 0
-               ? ask(*value, again, forward_cause::search_goes_on, now)
-               : send(*value, forward_cause::search_goes_on, now);
+    std::vector<target_id> again;
+    for (auto const id : value->search_->repeat(now))
+    {
+        auto const& target = *directory_.find(id);
+        bool const is_lost =
+            !may_own_flows(target.record_.state_) && target.is_silent(now);
+        if (is_lost)
+        {
+            value->search_->on_returned(id);
+        }
+        else
+        {
+            again.push_back(id);
+        }
+    }
+    return again.empty() ? search(*value, forward_cause::search_goes_on, now)
+                         : ask(again, forward_cause::search_goes_on, now);
 }
 
 placement_request
@@ -187,19 +201,15 @@
         return on_syn(*value, now);
     }
     value->was_reset_ = packet.reset_;
-    if (now < value->rests_until_)
-    {
-        return {forward_step::drop, forward_cause::owner_missing, nullptr};
-    }
     if (value->search_)
     {
+        value->sent_ = now;
         return {forward_step::hold, forward_cause::other_searches, nullptr};
     }
     bool const may_be_elsewhere = std::exchange(value->has_split_, false) ||
                                   directory_.find(value->target_) == nullptr;
-    return may_be_elsewhere
-               ? begin_search(*value, forward_cause::searched, now)
-               : send(*value, forward_cause::known, now);
+    return may_be_elsewhere ? begin_search(*value, forward_cause::searched, now)
+                            : send(*value, forward_cause::known, now);
 }
 
 // A copy of the SYN tries another target if the first one was silent.
@@ -249,10 +259,6 @@
                    ? send(*value, forward_cause::moved, now)
                    : open(*value, forward_cause::moved, now);
     }
-    if (now < value->rests_until_)
-    {
-        return {forward_step::drop, forward_cause::owner_missing, nullptr};
-    }
     if (is_settled_elsewhere)
     {
         return send(*value, forward_cause::search_goes_on, now);
@@ -303,8 +309,6 @@
     searches_.erase(value.key_);
     value.refused_ = {};
     value.may_be_taken_ = false;
-    value.rests_until_ = {};
-    value.pause_ = {};
 }
 
 forward_action flow_forwarder::open(flow& value, forward_cause cause,
@@ -312,9 +316,9 @@
 {
     auto const& route = *directory_.find_route(value.key_.vip_);
     auto const service = choose_service(route, hash_flow(value.key_));
-    auto* const target = place_flow(
-        directory_.members(service), request_for(value, value.refused_, now),
-        settings_.placement_);
+    auto* const target = place_flow(directory_.members(service),
+                                    request_for(value, value.refused_, now),
+                                    settings_.placement_);
     if (target == nullptr)
     {
         return refuse(value, service, now);
@@ -404,8 +408,7 @@
         value.search_->extend(search_order(value, now));
         questions = next_questions(*value.search_, now);
     }
-    return questions.empty() ? give_up(value, now)
-                             : ask(value, questions, cause, now);
+    return questions.empty() ? give_up(value, now) : ask(questions, cause, now);
 }
 
 // A target whose agent is silent is asked after all others, and not at all if
@@ -413,8 +416,9 @@
 std::vector<target_id> flow_forwarder::next_questions(owner_search& search,
                                                       time_point now)
 {
-    auto questions = search.next_questions(
-        now, [&](target_id id) { return !directory_.find(id)->is_silent(now); });
+    auto questions =
+        search.next_questions(now, [&](target_id id)
+                              { return !directory_.find(id)->is_silent(now); });
     if (questions.empty())
     {
         questions = search.next_questions(
@@ -427,11 +431,9 @@
     return questions;
 }
 
-forward_action flow_forwarder::ask(flow& value,
-                                   std::vector<target_id> const& targets,
+forward_action flow_forwarder::ask(std::vector<target_id> const& targets,
                                    forward_cause cause, time_point now)
 {
-    value.sent_ = now;
     forward_action result{forward_step::hold, cause, nullptr};
     for (auto const id : targets)
     {
@@ -442,21 +444,14 @@
     return result;
 }
 
-// A reset tells the caller to open a new flow at once, but it must never hit a
-// flow that some backend server still holds.
+// Every target that may be asked doesn't hold the flow. A reset tells the
+// caller to open a new one at once, but it must never hit a flow that a target
+// holds which isn't known yet.
 forward_action flow_forwarder::give_up(flow& value, time_point now)
 {
-    bool const is_sure = !value.search_->has_unanswered() &&
-                         !is_learning(now) && !directory_.may_miss_owner(now);
-    if (!is_sure)
+    if (is_learning(now))
     {
-        auto const pause = std::clamp<duration>(2 * value.pause_,
-                                                settings_.search_pause_,
-                                                settings_.most_search_pause_);
-        settle(value, 0);
-        value.pause_ = pause;
-        value.rests_until_ = now + value.pause_;
-        return {forward_step::drop, forward_cause::owner_missing, nullptr};
+        return {forward_step::hold, forward_cause::owner_missing, nullptr};
     }
     bool const wants_reset = !value.was_reset_;
     erase(flow_key{value.key_});
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -164,17 +164,4 @@
     return result;
 }
 
-bool forward_directory::may_miss_owner(time_point now) const
-{
-    return std::ranges::any_of(
-        targets_,
-        [now](auto const& entry)
-        {
-            auto const& target = *entry.second;
-            bool const may_own = may_own_flows(target.record_.state_);
-            bool const is_heard = target.has_report_ && !target.is_silent(now);
-            return may_own && !is_heard;
-        });
-}
-
 } // namespace daisytrail
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -37,13 +37,11 @@
     {
         return;
     }
-    bool const is_open =
-        held->state_ == state::asked || held->state_ == state::unanswered;
     if (answer == flow_holding::not_held)
     {
         held->state_ = state::denied;
     }
-    else if (is_open)
+    else if (held->state_ == state::asked)
     {
         held->state_ = state::unsure;
     }
@@ -65,30 +63,29 @@
     return has(state::asked) || has(state::offered);
 }
 
-bool owner_search::is_overdue(time_point now, duration patience) const
+void owner_search::wait(time_point now)
 {
-    return is_waiting() && now > began_ + patience;
+    repeat_at_ = now + patience_;
 }
 
 std::vector<target_id> owner_search::repeat(time_point now)
 {
-    began_ = now;
+    patience_ = std::min<duration>(2 * patience_, most_patience);
+    wait(now);
     std::vector<target_id> result;
-    for (auto& each : candidates_)
+    for (auto const& each : candidates_)
     {
-        bool const is_open =
-            each.state_ == state::asked || each.state_ == state::offered;
-        if (!is_open)
-        {
-            continue;
-        }
-        if (each.was_repeated_)
+        if (each.state_ == state::asked)
         {
-            each.state_ = state::unanswered;
-            continue;
+            result.push_back(each.target_);
         }
-        each.was_repeated_ = true;
-        result.push_back(each.target_);
+    }
+    auto const silent =
+        std::ranges::find(candidates_, state::offered, &candidate::state_);
+    if (silent != candidates_.end())
+    {
+        silent->state_ = state::unsure;
+        std::rotate(silent, std::next(silent), candidates_.end());
     }
     return result;
 }
@@ -112,7 +109,7 @@
     }
     if (!result.empty())
     {
-        began_ = now;
+        wait(now);
         batch_ *= batch_growth;
     }
     return result;
@@ -127,8 +124,7 @@
         return 0;
     }
     found->state_ = state::offered;
-    found->was_repeated_ = false;
-    began_ = now;
+    wait(now);
     return found->target_;
 }
 
@@ -139,9 +135,4 @@
     return found == candidates_.end() ? 0 : found->target_;
 }
 
-bool owner_search::has_unanswered() const
-{
-    return has(state::unanswered);
-}
-
 } // namespace daisytrail
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -141,8 +141,8 @@
     }
 }
 
-void agent_relay::answer(relay_message const& message,
-                         endpoint const& balancer, time_point now)
+void agent_relay::answer(relay_message const& message, endpoint const& balancer,
+                         time_point now)
 {
     bool const is_mine =
         message.target_ == target_ && message.service_ == service_;
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -190,8 +190,8 @@
                           std::span<std::byte const> bytes)
 {
     auto& packets = kept_[packet.flow_from_caller()];
-    bool const is_full = kept_count_ >= max_kept_packets ||
-                         packets.size() >= max_kept_of_flow;
+    bool const is_full =
+        kept_count_ >= max_kept_packets || packets.size() >= max_kept_of_flow;
     if (!is_full)
     {
         packets.emplace_back(bytes.begin(), bytes.end());
