Packets are offered before the slowest agent has answered

Cause: after a kill of all processes agents can't tell what their backend servers hold, and the balancer offered its packets only when all six of a batch had answered; one that started late held up every flow. Change: the first target that can't tell gets the packets at once, beside the questions that are open.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -167,8 +167,8 @@
     forward_action begin_search(flow& value, forward_cause cause,
                                 time_point now);
     forward_action search(flow& value, forward_cause cause, time_point now);
-    forward_action ask(std::vector<target_id> const& targets,
-                       forward_cause cause, time_point now);
+    void add_questions(forward_action& action,
+                       std::vector<target_id> const& targets, time_point now);
     forward_action give_up(flow& value, time_point now);
     void settle(flow& value, target_id owner);
     std::vector<target_id> next_questions(owner_search& search, time_point now);
--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -28,8 +28,8 @@
     // The target returned the flow's packet.
     void on_returned(target_id target);
 
-    // True while a question or an offered packet has no answer.
-    bool is_waiting() const;
+    // True while a question has no answer.
+    bool is_asking() const;
 
     // True if a question or an offer has waited for too long.
     bool is_overdue(time_point now) const
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -101,8 +101,9 @@
             again.push_back(id);
         }
     }
-    return again.empty() ? search(*value, forward_cause::search_goes_on, now)
-                         : ask(again, forward_cause::search_goes_on, now);
+    auto action = search(*value, forward_cause::search_goes_on, now);
+    add_questions(action, again, now);
+    return action;
 }
 
 placement_request
@@ -391,15 +392,21 @@
 forward_action flow_forwarder::search(flow& value, forward_cause cause,
                                       time_point now)
 {
-    if (value.search_->is_waiting())
+    if (value.search_->offered() != 0)
     {
         return {forward_step::hold, cause, nullptr};
     }
+    // The owner may be found before the slowest agent has answered.
     if (auto const offered = value.search_->next_offer(now); offered != 0)
     {
         value.target_ = offered;
         return send(value, cause, now);
     }
+    forward_action action{forward_step::hold, cause, nullptr};
+    if (value.search_->is_asking())
+    {
+        return action;
+    }
     auto questions = next_questions(*value.search_, now);
     if (questions.empty())
     {
@@ -407,7 +414,12 @@
         value.search_->extend(search_order(value, now));
         questions = next_questions(*value.search_, now);
     }
-    return questions.empty() ? give_up(value, now) : ask(questions, cause, now);
+    if (questions.empty())
+    {
+        return give_up(value, now);
+    }
+    add_questions(action, questions, now);
+    return action;
 }
 
 // A target whose agent is silent is asked after all others, and not at all if
@@ -430,17 +442,16 @@
     return questions;
 }
 
-forward_action flow_forwarder::ask(std::vector<target_id> const& targets,
-                                   forward_cause cause, time_point now)
+void flow_forwarder::add_questions(forward_action& action,
+                                   std::vector<target_id> const& targets,
+                                   time_point now)
 {
-    forward_action result{forward_step::hold, cause, nullptr};
     for (auto const id : targets)
     {
         auto* const target = directory_.find(id);
         directory_.sent(*target, now);
-        result.questions_.push_back(target);
+        action.questions_.push_back(target);
     }
-    return result;
 }
 
 // Every target that may be asked doesn't hold the flow. A reset tells the
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -58,9 +58,9 @@
     held->state_ = state::denied;
 }
 
-bool owner_search::is_waiting() const
+bool owner_search::is_asking() const
 {
-    return has(state::asked) || has(state::offered);
+    return has(state::asked);
 }
 
 void owner_search::wait(time_point now)
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -168,6 +168,7 @@
     {
         note(action, packet, now);
     }
+    ask_owners(packet.flow_from_caller(), action);
     switch (action.step_)
     {
     case forward_step::send:
@@ -178,7 +179,6 @@
         break;
     case forward_step::hold:
         keep(packet, bytes);
-        ask_owners(packet.flow_from_caller(), action);
         break;
     case forward_step::drop:
     case forward_step::count:
@@ -214,10 +214,10 @@
                               forward_action const& action, time_point now)
 {
     ++*actions_[{action.step_, action.cause_}];
+    ask_owners(flow, action);
     auto const found = kept_.find(flow);
     if (action.step_ == forward_step::hold)
     {
-        ask_owners(flow, action);
         return;
     }
     if (found == kept_.end() || found->second.empty())
