--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -279,8 +279,7 @@
                                                flow_holding answer,
                                                time_point now)
 {
-    forward_action const nothing{forward_step::drop, forward_cause::found,
-                                 nullptr};
+    forward_action nothing{forward_step::drop, forward_cause::found, nullptr};
     auto* const value = find(key);
     if (value == nullptr)
     {
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -233,16 +233,13 @@
         {
             send(action, bytes);
         }
+        // The batch points to the packets.
+        flush();
     }
     else if (action.step_ == forward_step::reset)
     {
         reset(*format_.read(packets.back()));
     }
-    if (action.step_ == forward_step::send)
-    {
-        // The batch points to the packets.
-        flush();
-    }
     if (!action.asks_owner_)
     {
         forget(flow);
@@ -342,7 +339,8 @@
     auto const* const target = directory_.find(message.target_);
     log_event(log_level::info, "owner_answer",
               {{"flow", flow_name(message.flow_)},
-               {"target", target == nullptr ? "" : target->record_.name_},
+               {"target", target == nullptr ? "not known any more"
+                                            : target->record_.name_},
                {"holding", to_string(message.holding_)}});
 }
 
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -374,6 +374,25 @@
     CHECK(stranger.backend_->received_.size() <= 1);
 }
 
+// Packets that were sent around in search of their owner filled small links.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "an unknown flow's packets go to its owner alone")
+{
+    one_.relay_->on_new_run(true);
+    two_.relay_->on_new_run(true);
+    call(true);
+    call(false);
+    auto const& owner = one_.flows_.empty() ? two_ : one_;
+    auto const& stranger = one_.flows_.empty() ? one_ : two_;
+    balancer_->stop();
+    auto const other = make_balancer();
+    other->start();
+    call(false);
+    CHECK(answers() == 3);
+    CHECK(owner.backend_->received_.size() == 3);
+    CHECK(stranger.backend_->received_.empty());
+}
+
 TEST_CASE("the head between balancer and agent keeps its fields")
 {
     relay_message message;
