News spreads freshest first; packets that come during an offer reach the owner

Cause 1: a balancer that starts with all others met their targets 1.5 to 2 s late. The 4 s that a fresh balancer resets nothing were laid over this. Cause 2: packets that came while a searched flow's packets were offered to a target that can't tell were kept, and dropped when it answered: of an upload in flight all but the first. Cause 3: a SYN that came back while packets of the port's former flow were kept sent those on in its place. Change 2, 3: kept_packets, a class with its bounds and tests, knows which target has which packet; a returned SYN goes by itself. Removed: forward_target::heard_ and choose(), which nothing needed any more; names and comments of the search. Conclusion: the wait was in the gossip, not in the store's list.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -124,8 +124,8 @@
 
     backend_observer_settings settings_;
     flow_map flows_;
-    bool is_complete_ =
-        false; // flows_ has all that the backend server may hold
+    // flows_ has all that the backend server may hold.
+    bool is_complete_ = false;
     std::uint32_t open_flows_ = 0; // flows with data
     std::uint32_t slots_ = 1;
     std::uint32_t under_way_ = 0; // flows that await an answer
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -49,8 +49,8 @@
     no_template,     // no template is in force yet
     no_route,        // no route has this VIP
     no_target,       // no target takes new flows
-    nobody_holds,    // every target returned the packet
-    owner_missing,   // a target that may hold the flow can't be asked
+    nobody_holds,    // no target holds the flow
+    owner_missing,   // not every target is known yet, or the caller has left
     other_searches,  // the flow is being searched already
     not_yet,         // a target may take the flow soon; a copy will come
     not_from_caller, // a packet that only a backend server sends
@@ -91,10 +91,12 @@
     duration syn_patience_ = std::chrono::milliseconds(150);
     // A search ends when its caller has been silent for so long.
     duration search_idle_ = std::chrono::seconds(4);
-    // After its start a balancer doesn't know every target yet, unless it has
-    // met all of those that the store lists: for so long it doesn't refuse new
-    // flows, and resets none that it doesn't know.
+    // After its start a balancer doesn't know every target yet. Until it has
+    // met all of those that the store lists, but no longer than this, it
+    // refuses no new flow.
     duration learning_time_ = std::chrono::milliseconds(1'500);
+    // The same for resets of flows that it doesn't know: to refuse a flow costs
+    // its caller a try, to reset an open one a request.
     duration reset_learning_time_ = std::chrono::milliseconds(4'000);
 };
 
@@ -112,7 +114,7 @@
                                return_reason reason, time_point now);
 
     // An agent tells whether its backend server holds the flow. The action is
-    // for the packets that are kept.
+    // for the packets that are kept; `hold` if nothing changes for them.
     forward_action on_owner_answer(flow_key const& key, target_id by,
                                    flow_holding answer, time_point now);
 
@@ -159,7 +161,6 @@
     flow& add(flow_key const& key, time_point now);
     void erase(flow_key const& key);
     void profile(flow& value, flow_packet const& packet, time_point now);
-    void choose(flow& value, forward_target const& target, time_point now);
 
     forward_action on_syn(flow& value, time_point now);
     forward_action open(flow& value, forward_cause cause, time_point now);
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -24,7 +24,6 @@
     backend_load load_;
     bool has_report_ = false;
     time_point reported_{}; // when load_ came
-    time_point heard_{};    // last datagram of any kind from the agent
     // First datagram sent since the agent was last heard; empty if none.
     std::optional<time_point> unanswered_since_;
     time_point questioned_{};        // last question sent
--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -109,6 +109,8 @@
         int attempts_ = 0;
     };
 
+    using hot_map = std::map<std::uint64_t, std::pair<item, int>>;
+
     void on(ping_message const& message, endpoint const& from);
     void on(pong_message const& message, endpoint const& from);
     void on(probe_request const& message, endpoint const& from);
@@ -146,6 +148,7 @@
     void run_detector();
     void declare_dead(item const& subject);
     void gossip();
+    std::vector<hot_map::iterator> freshest_changes(std::size_t count);
     void compare_views();
     void meet_lost();
     void repeat_pulls();
@@ -171,7 +174,7 @@
     std::vector<endpoint> seeds_;
     std::unordered_map<target_id, observation> observed_;
     // Changes still to be spread, with the digests that they may go into.
-    std::map<std::uint64_t, std::pair<item, int>> hot_;
+    hot_map hot_;
     std::unordered_map<std::uint64_t, pull> pulls_;
     std::vector<std::uint64_t> probe_order_; // shuffled; emptied from the back
     std::vector<probe> probes_;
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -76,8 +76,8 @@
 {
     std::uint32_t under_way_ = 0; // requests without an answer yet
     double mean_under_way_ = 0;   // smoothed over about a second
-    std::uint32_t service_micros_ =
-        0; // smoothed time to answer, without queueing
+    // Smoothed time to answer, without queueing.
+    std::uint32_t service_micros_ = 0;
     std::uint32_t open_flows_ = 0;
     std::uint16_t share_ = 100; // percent of a warm backend server's speed
     double failure_share_ = 0;  // of requests lately: broken off or unanswered
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -17,9 +17,12 @@
 constexpr milliseconds fresh_contact{1'000}; // heard since: no probe is needed
 constexpr milliseconds sample_interval{250};
 constexpr milliseconds forget_interval{10'000};
-constexpr milliseconds lonely_interval{500};
+constexpr milliseconds lonely_interval{200};
 constexpr milliseconds meet_interval{5'000};
 constexpr milliseconds start_time{30'000}; // as often as a lonely one
+// A process that has just started has most to learn from comparisons.
+constexpr milliseconds young_time{5'000};
+constexpr milliseconds young_compare_interval{250};
 constexpr milliseconds pull_interval{200};
 constexpr int max_pulls = 3; // then the next comparison of views has to do
 constexpr milliseconds report_interval{10'000};
@@ -442,6 +445,28 @@
     hot_[value.id_] = {value, rounds};
 }
 
+// Load pattern: after a loss of power every member is news at once. What has
+// been spread the least goes first, so that none waits until others are done.
+std::vector<balancer_membership::hot_map::iterator>
+balancer_membership::freshest_changes(std::size_t count)
+{
+    std::vector<hot_map::iterator> result;
+    result.reserve(hot_.size());
+    for (auto at = hot_.begin(); at != hot_.end(); ++at)
+    {
+        result.push_back(at);
+    }
+    if (result.size() > count)
+    {
+        std::ranges::nth_element(
+            result, result.begin() + static_cast<std::ptrdiff_t>(count),
+            std::ranges::greater{},
+            [](hot_map::iterator at) { return at->second.second; });
+        result.resize(count);
+    }
+    return result;
+}
+
 void balancer_membership::gossip()
 {
     if (hot_.empty() || !due(gossiped_, timing_.gossip_))
@@ -449,11 +474,13 @@
         return;
     }
     digest_message digest;
-    for (auto at = hot_.begin();
-         at != hot_.end() && digest.items_.size() < items_in_digest;)
+    for (auto const at : freshest_changes(items_in_digest))
     {
         digest.items_.push_back(at->second.first);
-        at = --at->second.second <= 0 ? hot_.erase(at) : std::next(at);
+        if (--at->second.second <= 0)
+        {
+            hot_.erase(at);
+        }
     }
     for (auto const& peer : random_balancers(gossip_fanout))
     {
@@ -463,7 +490,8 @@
 
 void balancer_membership::compare_views()
 {
-    if (!due(compared_, timing_.compare_))
+    bool const is_young = now_ < start_ + young_time;
+    if (!due(compared_, is_young ? young_compare_interval : timing_.compare_))
     {
         return;
     }
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -150,13 +150,6 @@
     }
 }
 
-void flow_forwarder::choose(flow& value, forward_target const& target,
-                            time_point now)
-{
-    value.target_ = target.record_.target_;
-    value.began_ = now;
-}
-
 forward_action flow_forwarder::send(flow& value, forward_cause cause,
                                     time_point now)
 {
@@ -279,24 +272,17 @@
                                                flow_holding answer,
                                                time_point now)
 {
-    forward_action nothing{forward_step::drop, forward_cause::found, nullptr};
     auto* const value = find(key);
-    if (value == nullptr)
+    bool const is_searched = value != nullptr && value->search_ != nullptr &&
+                             directory_.find_route(key.vip_) != nullptr;
+    if (!is_searched)
     {
-        return nothing;
+        return {forward_step::hold, forward_cause::found, nullptr};
     }
     if (answer == flow_holding::held)
     {
-        bool const has_packets =
-            !value->search_ || value->search_->offered() == by;
         settle(*value, by);
-        return has_packets ? nothing : send(*value, forward_cause::found, now);
-    }
-    bool const can_go_on =
-        value->search_ && directory_.find_route(key.vip_) != nullptr;
-    if (!can_go_on)
-    {
-        return nothing;
+        return send(*value, forward_cause::found, now);
     }
     value->search_->on_answer(by, answer);
     return search(*value, forward_cause::search_goes_on, now);
@@ -324,7 +310,8 @@
         return refuse(value, service, now);
     }
     ++target->placed_since_;
-    choose(value, *target, now);
+    value.target_ = target->record_.target_;
+    value.began_ = now;
     return send(value, cause, now);
 }
 
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -95,7 +95,6 @@
     {
         return;
     }
-    held->heard_ = now;
     held->unanswered_since_.reset();
     held->load_ = load;
     held->has_report_ = true;
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -112,7 +112,7 @@
     if (message.kind_ == relay_kind::question ||
         message.kind_ == relay_kind::owner_question)
     {
-        answer(message, from, now);
+        answer_question(message, from, now);
         return;
     }
     auto const bytes = datagram.last(reading->packet_.size());
@@ -128,7 +128,7 @@
     {
         if (message.asks_owner_)
         {
-            answer_owner_question(packet->flow_from_caller(), from, now);
+            note_owner_question(packet->flow_from_caller(), from, now);
         }
         pass_in(*packet, bytes, from, now);
     }
@@ -141,8 +141,8 @@
     }
 }
 
-void agent_relay::answer(relay_message const& message, endpoint const& balancer,
-                         time_point now)
+void agent_relay::answer_question(relay_message const& message,
+                                  endpoint const& balancer, time_point now)
 {
     bool const is_mine =
         message.target_ == target_ && message.service_ == service_;
@@ -266,9 +266,8 @@
 }
 
 // The balancer that asked last is told: the caller's packets come through it.
-void agent_relay::answer_owner_question(flow_key const& flow,
-                                        endpoint const& balancer,
-                                        time_point now)
+void agent_relay::note_owner_question(flow_key const& flow,
+                                      endpoint const& balancer, time_point now)
 {
     if (observer_.holding(flow) == flow_holding::held)
     {
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -81,16 +81,16 @@
                           flow_packet const& packet, time_point now);
     void pass_in(flow_packet const& packet, std::span<std::byte> bytes,
                  endpoint const& balancer, time_point now);
-    void answer_owner_question(flow_key const& flow, endpoint const& balancer,
-                               time_point now);
+    void note_owner_question(flow_key const& flow, endpoint const& balancer,
+                             time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
     void tell_owners(time_point now);
     // `target` is the one that was asked, whose address may be another's now.
     void send_owner_answer(flow_key const& flow, target_id target,
                            flow_holding holding, endpoint const& balancer,
                            time_point now);
-    void answer(relay_message const& message, endpoint const& balancer,
-                time_point now);
+    void answer_question(relay_message const& message, endpoint const& balancer,
+                         time_point now);
     flow_holding holding(flow_key const& flow) const;
     void give_back(flow_packet const& packet, std::span<std::byte> bytes,
                    endpoint const& balancer, relay_message message,
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -12,9 +12,6 @@
 // A report this old is asked for again, so that placement knows idle targets.
 constexpr std::chrono::milliseconds report_age{1'000};
 constexpr std::chrono::milliseconds question_interval{250};
-// Packets kept for flows that are searched: of all flows, and of one.
-constexpr std::size_t max_kept_packets = 2'000;
-constexpr std::size_t max_kept_of_flow = 16;
 // Questions in one tick.
 constexpr int questions_per_tick = 8;
 
@@ -49,7 +46,8 @@
       received_(counters.counter("daisytrail_packets_received_total")),
       malformed_(counters.counter("daisytrail_packets_malformed_total")),
       returned_(counters.counter("daisytrail_packets_returned_total")),
-      refused_(counters.counter("daisytrail_packets_refused_total"))
+      refused_(counters.counter("daisytrail_packets_refused_total")),
+      not_kept_(counters.counter("daisytrail_packets_not_kept_total"))
 {
     counters.gauge("daisytrail_flows_known",
                    [this] { return static_cast<double>(core_.flow_count()); });
@@ -126,10 +124,11 @@
     }
     auto const action =
         core_.on_returned(*packet, message.target_, message.reason_, now);
-    if (kept_.contains(packet->flow_from_caller()))
+    auto const flow = packet->flow_from_caller();
+    if (!packet->opens_flow() && !kept_.find(flow).empty())
     {
-        // The packet is one of those that were kept.
-        carry_on(packet->flow_from_caller(), action, now);
+        // The packet is one of those that are kept.
+        carry_on(flow, action, now);
         return;
     }
     carry_out(action, *packet, reading->packet_, now);
@@ -178,7 +177,7 @@
         reset(packet);
         break;
     case forward_step::hold:
-        keep(packet, bytes);
+        not_kept_ += kept_.add(packet.flow_from_caller(), bytes) ? 0 : 1;
         break;
     case forward_step::drop:
     case forward_step::count:
@@ -186,79 +185,60 @@
     }
 }
 
-void balancer_relay::keep(flow_packet const& packet,
-                          std::span<std::byte const> bytes)
-{
-    auto& packets = kept_[packet.flow_from_caller()];
-    bool const is_full =
-        kept_count_ >= max_kept_packets || packets.size() >= max_kept_of_flow;
-    if (!is_full)
-    {
-        packets.emplace_back(bytes.begin(), bytes.end());
-        ++kept_count_;
-    }
-}
-
-void balancer_relay::forget(flow_key const& flow)
-{
-    auto const found = kept_.find(flow);
-    if (found != kept_.end())
-    {
-        kept_count_ -= found->second.size();
-        kept_.erase(found);
-    }
-}
-
 // Carries out a decision about the packets that are kept for a flow.
 void balancer_relay::carry_on(flow_key const& flow,
                               forward_action const& action, time_point now)
 {
-    ++*actions_[{action.step_, action.cause_}];
     ask_owners(flow, action);
-    auto const found = kept_.find(flow);
-    if (action.step_ == forward_step::hold)
+    auto const packets = kept_.find(flow);
+    if (action.step_ == forward_step::hold || packets.empty())
     {
         return;
     }
-    if (found == kept_.end() || found->second.empty())
-    {
-        forget(flow);
-        return;
-    }
-    auto const& packets = found->second;
-    note(action, *format_.read(packets.back()), now);
+    ++*actions_[{action.step_, action.cause_}];
+    auto const latest = *format_.read(packets.back().bytes_);
+    note(action, latest, now);
     if (action.step_ == forward_step::send)
     {
-        for (auto const& bytes : packets)
-        {
-            send(action, bytes);
-        }
-        // The batch points to the packets.
-        flush();
+        send_kept(action, packets);
     }
     else if (action.step_ == forward_step::reset)
     {
-        reset(*format_.read(packets.back()));
+        reset(latest);
     }
     if (!action.asks_owner_)
     {
-        forget(flow);
+        kept_.forget(flow);
     }
 }
 
+// A target that is asked whether it holds the flow gets all packets, also
+// again; the flow's owner only those that it doesn't have yet.
+void balancer_relay::send_kept(forward_action const& action,
+                               std::span<kept_packets::packet> packets)
+{
+    auto const target = action.target_->record_.target_;
+    for (auto& packet : packets)
+    {
+        bool const has_it = packet.sent_to_ == target;
+        packet.sent_to_ = target;
+        if (action.asks_owner_ || !has_it)
+        {
+            send(action, packet.bytes_);
+        }
+    }
+    // The batch points to the packets.
+    flush();
+}
+
 void balancer_relay::continue_searches(time_point now)
 {
     for (auto const& flow : core_.overdue_searches(now))
     {
         carry_on(flow, core_.on_overdue(flow, now), now);
     }
-    std::erase_if(kept_,
-                  [this](auto const& entry)
-                  {
-                      bool const is_searched = core_.is_searching(entry.first);
-                      kept_count_ -= is_searched ? 0 : entry.second.size();
-                      return !is_searched;
-                  });
+    kept_.forget_unless([this](flow_key const& flow)
+                        { return core_.is_searching(flow); });
 }
 
 void balancer_relay::ask_owners(flow_key const& flow,
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -4,6 +4,7 @@
 
 #include "forward/datagram_port.hpp"
 #include "forward/decision_log.hpp"
+#include "forward/kept_packets.hpp"
 #include "net/metrics.hpp"
 
 #include <daisytrail/flow_forwarder.hpp>
@@ -13,7 +14,6 @@
 
 #include <array>
 #include <map>
-#include <unordered_map>
 #include <vector>
 
 namespace daisytrail
@@ -44,10 +44,10 @@
     void note_owner_answer(relay_message const& message, time_point now);
     void ask(forward_target& target, time_point now);
     void ask_owners(flow_key const& flow, forward_action const& action);
-    void keep(flow_packet const& packet, std::span<std::byte const> bytes);
-    void forget(flow_key const& flow);
     void carry_on(flow_key const& flow, forward_action const& action,
                   time_point now);
+    void send_kept(forward_action const& action,
+                   std::span<kept_packets::packet> packets);
     void continue_searches(time_point now);
     void note(forward_action const& action, flow_packet const& packet,
               time_point now);
@@ -60,10 +60,7 @@
     datagram_port callers_;
     datagram_port agents_;
     decision_log log_;
-    // Packets of flows that are searched.
-    std::unordered_map<flow_key, std::vector<std::vector<std::byte>>, flow_hash>
-        kept_;
-    std::size_t kept_count_ = 0; // packets in kept_
+    kept_packets kept_; // of flows that are searched
     std::array<std::array<std::byte, max_flow_packet_bytes>, batch_size>
         resets_{}; // written resets of a batch
     std::size_t reset_count_ = 0;
@@ -71,6 +68,7 @@
     std::uint64_t& malformed_;
     std::uint64_t& returned_;
     std::uint64_t& refused_;
+    std::uint64_t& not_kept_;
     std::map<std::pair<forward_step, forward_cause>, std::uint64_t*> actions_;
 };
 
--- /dev/null
+++ b/src/forward/kept_packets.cpp
@@ -0,0 +1,47 @@
+// Bounded store of packets by flow.
+#include "forward/kept_packets.hpp"
+
+namespace daisytrail
+{
+
+bool kept_packets::add(flow_key const& flow, std::span<std::byte const> bytes)
+{
+    bool const is_full =
+        size_ >= max_packets || find(flow).size() >= max_of_flow;
+    if (is_full)
+    {
+        return false;
+    }
+    flows_[flow].push_back({{bytes.begin(), bytes.end()}});
+    ++size_;
+    return true;
+}
+
+std::span<kept_packets::packet> kept_packets::find(flow_key const& flow)
+{
+    auto const found = flows_.find(flow);
+    return found == flows_.end() ? std::span<packet>{} : found->second;
+}
+
+void kept_packets::forget(flow_key const& flow)
+{
+    size_ -= find(flow).size();
+    flows_.erase(flow);
+}
+
+void kept_packets::forget_unless(
+    std::function<bool(flow_key const&)> const& is_wanted)
+{
+    for (auto at = flows_.begin(); at != flows_.end();)
+    {
+        if (is_wanted(at->first))
+        {
+            ++at;
+            continue;
+        }
+        size_ -= at->second.size();
+        at = flows_.erase(at);
+    }
+}
+
+} // namespace daisytrail
--- a/src/rpc/control_messages.cpp
+++ b/src/rpc/control_messages.cpp
@@ -323,8 +323,7 @@
 {
     bool const bulk = std::holds_alternative<template_chunk>(message) ||
                       std::holds_alternative<template_request>(message) ||
-                      std::holds_alternative<tree_message>(message) ||
-                      std::holds_alternative<branch_message>(message);
+                      std::holds_alternative<tree_message>(message);
     return bulk ? send_class::bulk : send_class::urgent;
 }
 
--- a/test/unit/membership_test.cpp
+++ b/test/unit/membership_test.cpp
@@ -362,6 +362,35 @@
     CHECK(fleet.over_budget() == at_start);
 }
 
+// Load pattern: all processes come back from a loss of power at once.
+TEST_CASE(
+    "after a loss of power 21 balancers meet 56 targets in their learning "
+    "time")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        CAPTURE(seed);
+        control_fleet fleet(seed, 0.01);
+        fleet.limit_bytes(9'000);
+        for (int i = 0; i < 21; ++i)
+        {
+            fleet.add_balancer(name('b', i));
+        }
+        for (int i = 0; i < 56; ++i)
+        {
+            fleet.add_agent(name('t', i), 7, "");
+        }
+        auto const has_all = [](process& each)
+        {
+            return !each.balancer_ ||
+                   each.balancer_->members().all().size() == 21 + 56;
+        };
+        auto const took =
+            fleet.run_until([&] { return fleet.all_of(has_all); }, seconds(10));
+        CHECK(took <= flow_forwarder_settings{}.learning_time_);
+    }
+}
+
 // A balancer refuses no flow before it has met all targets or its learning time
 // has passed.
 TEST_CASE("a balancer that starts meets 56 targets in its learning time")
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -393,6 +393,49 @@
     CHECK(stranger.backend_->received_.empty());
 }
 
+// An agent that started after its backend server can't tell what that holds. Of
+// an upload in flight all packets but the first were dropped.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "packets that come during an offer reach the owner too")
+{
+    call(true);
+    auto& owner = one_.flows_.empty() ? two_ : one_;
+    auto& stranger = one_.flows_.empty() ? one_ : two_;
+    owner.backend_->on_packet_ = nullptr;
+    balancer_->stop();
+    auto const other = make_balancer();
+    other->start();
+    call(false);
+    call(false);
+    flow_packet answer;
+    answer.source_ = vip;
+    answer.destination_ = caller_at_;
+    answer.ack_ = true;
+    owner.backend_->send(owner.settings_.outbound_, answer);
+    run();
+    // The SYN and both packets, each once.
+    CHECK(owner.backend_->received_.size() == 3);
+    CHECK(stranger.backend_->received_.size() <= 1);
+}
+
+// A caller's port was used again while packets of its former flow were kept.
+TEST_CASE_FIXTURE(relay_fixture, "a SYN that is returned goes on by itself")
+{
+    call(false);
+    one_.relay_->set_stopping();
+    two_.relay_->set_stopping();
+    flow_packet syn;
+    syn.source_ = caller_at_;
+    syn.destination_ = vip;
+    syn.syn_ = true;
+    auto const before =
+        one_.backend_->received_.size() + two_.backend_->received_.size();
+    caller_.send(settings_.balancer_.data_, syn);
+    run();
+    CHECK(one_.backend_->received_.size() + two_.backend_->received_.size() ==
+          before);
+}
+
 TEST_CASE("the head between balancer and agent keeps its fields")
 {
     relay_message message;
