Test files with several jobs are taken apart

The backend stand-in (784) has its ledger, request, faults, options and announcer in headers of their own; 592 lines are left, the server and its connections. measure/control (624) keeps the real processes; cores on virtual time, bytes by scheme and the large table are measure/membership; reading /proc is process_usage. support/request_model (609) is one class, the model's event loop, and stays. Left as they are, of the repeated runs: generated code; the main functions and signal handlers of six programs; pairs of parse tables. Conclusion: no test changed what it checks.

--- a/test/stand_ins/backend.cpp
+++ b/test/stand_ins/backend.cpp
@@ -1,7 +1,12 @@
 // Stand-in for a backend server: orders with a ledger, waybill uploads, cutting
 // sheets and a standing feed over HTTP/1.1. It announces itself to its agent,
 // sheds, drains on SIGTERM and takes faults by POST /fault.
+#include "backend_announcer.hpp"
+#include "backend_faults.hpp"
+#include "backend_options.hpp"
+#include "backend_request.hpp"
 #include "net/http_call.hpp"
+#include "order_ledger.hpp"
 
 #include <daisytrail/types.hpp>
 
@@ -27,14 +32,11 @@
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
-#include <fcntl.h>
 #include <iostream>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
-#include <unistd.h>
 
 namespace
 {
@@ -47,44 +49,12 @@
 
 constexpr std::size_t read_buffer_bytes = 65'536;
 constexpr std::size_t kept_body_bytes = 65'536;
-constexpr std::chrono::seconds announce_interval{1};
-constexpr std::chrono::milliseconds announce_timeout{800};
 constexpr std::chrono::milliseconds drain_poll{50};
 
 // A connection may already be on its way when the drain begins, so the server
 // stays this long, refusing what it gets.
 constexpr std::chrono::seconds shortest_drain{3};
 
-struct backend_options
-{
-    std::string listen_;
-    std::string agent_;
-    std::string name_ = "backend";
-    std::string service_ = "service";
-    std::string ledger_file_; // survives a killed process
-    std::uint32_t slots_ = 4;
-    std::uint32_t connections_ = 2'000;
-    std::uint32_t queue_ = 64;
-    double speed_ = 1.0; // 2 runs twice as fast
-    double work_ms_ = 5.0;
-    std::uint64_t seed_ = 1;
-};
-
-struct faults
-{
-    double slow_ = 1.0;
-    bool fail_ = false;
-    bool shed_ = false;
-    bool announce_ = true;
-};
-
-struct order_entry
-{
-    std::uint32_t started_ = 0;
-    std::uint32_t finished_ = 0;
-    std::uint32_t cancelled_ = 0;
-};
-
 std::string hex(std::uint64_t value)
 {
     std::array<char, 17> text{};
@@ -93,105 +63,8 @@
     return text.data();
 }
 
-// Counts each order that was started, finished and cancelled.
-class order_ledger
-{
-public:
-    explicit order_ledger(std::string const& file)
-    {
-        if (!file.empty())
-        {
-            file_ = ::open(file.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
-        }
-    }
-
-    void started(std::string const& id)
-    {
-        ++orders_[id].started_;
-        append('S', id);
-    }
-
-    void finished(std::string const& id)
-    {
-        ++orders_[id].finished_;
-        append('F', id);
-    }
-
-    void cancelled(std::string const& id)
-    {
-        ++orders_[id].cancelled_;
-        append('C', id);
-    }
-
-    json::object text() const
-    {
-        json::object out;
-        for (auto const& [id, entry] : orders_)
-        {
-            out[id] = json::object{{"started", entry.started_},
-                                   {"finished", entry.finished_},
-                                   {"cancelled", entry.cancelled_}};
-        }
-        return out;
-    }
-
-private:
-    void append(char event, std::string const& id) const
-    {
-        if (file_ < 0)
-        {
-            return;
-        }
-        auto const line = std::string(1, event) + ' ' + id + '\n';
-        if (::write(file_, line.data(), line.size()) < 0)
-        {
-            std::perror("ledger");
-        }
-    }
-
-    std::map<std::string, order_entry> orders_;
-    int file_ = -1;
-};
-
 class server;
 
-struct request_data
-{
-    http::request_header<> head_;
-    std::string body_; // its first kept_body_bytes
-    std::uint64_t size_ = 0;
-    std::uint64_t hash_ = 0;
-
-    std::string path() const
-    {
-        std::string const target(head_.target());
-        return target.substr(0, target.find('?'));
-    }
-
-    std::optional<std::string> query(std::string const& name) const
-    {
-        std::string const target(head_.target());
-        auto at = target.find('?');
-        while (at != std::string::npos)
-        {
-            auto const end = target.find('&', at + 1);
-            auto const item = target.substr(at + 1, end - at - 1);
-            if (item.rfind(name + '=', 0) == 0)
-            {
-                return item.substr(name.size() + 1);
-            }
-            at = end;
-        }
-        return std::nullopt;
-    }
-
-    double number(std::string const& name, double otherwise) const
-    {
-        auto const value = query(name);
-        return value ? std::strtod(value->c_str(), nullptr) : otherwise;
-    }
-};
-
 using string_response = http::response<http::string_body>;
 
 // One connection; lives as long as an operation on it is pending.
@@ -229,7 +102,7 @@
     std::optional<http::request_parser<http::buffer_body>> parser_;
     std::array<char, read_buffer_bytes> chunk_{};
     std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> hash_;
-    request_data request_;
+    backend_request request_;
     string_response response_;
     asio::steady_timer timer_;
     std::string feed_line_;
@@ -245,8 +118,9 @@
 public:
     server(asio::io_context& io, backend_options options)
         : options_(std::move(options)), ledger_(options_.ledger_file_), io_(io),
-          acceptor_(io), announce_timer_(io), drain_timer_(io),
-          signals_(io, SIGTERM, SIGINT), random_(options_.seed_)
+          acceptor_(io), announcer_(io, options_, faults_, draining_),
+          drain_timer_(io), signals_(io, SIGTERM, SIGINT),
+          random_(options_.seed_)
     {
         auto const address = parse_endpoint(options_.listen_);
         asio::ip::tcp::endpoint const local(
@@ -256,7 +130,7 @@
         acceptor_.bind(local);
         acceptor_.listen();
         accept();
-        announce();
+        announcer_.start();
         signals_.async_wait(
             [this](boost::system::error_code code, int)
             {
@@ -265,7 +139,7 @@
                     draining_ = true;
                     drain_earliest_ =
                         std::chrono::steady_clock::now() + shortest_drain;
-                    send_announcement();
+                    announcer_.send();
                     drain();
                 }
             });
@@ -313,7 +187,7 @@
     }
 
     backend_options options_;
-    faults faults_;
+    backend_faults faults_;
     order_ledger ledger_;
     std::uint64_t requests_ = 0;
     std::uint64_t wrong_service_ = 0;
@@ -356,44 +230,6 @@
             });
     }
 
-    void announce()
-    {
-        if (faults_.announce_)
-        {
-            send_announcement();
-        }
-        announce_timer_.expires_after(announce_interval);
-        announce_timer_.async_wait(
-            [this](boost::system::error_code code)
-            {
-                if (!code)
-                {
-                    announce();
-                }
-            });
-    }
-
-    void send_announcement()
-    {
-        if (options_.agent_.empty())
-        {
-            return;
-        }
-        json::object const body{{"address", options_.listen_},
-                                {"slots", options_.slots_},
-                                {"connections", options_.connections_},
-                                {"state", draining_ ? "draining" : "ready"}};
-        http_request request;
-        request.method(http::verb::post);
-        request.target("/v1/announce");
-        request.set(http::field::content_type, "application/json");
-        request.body() = json::serialize(body);
-        request.prepare_payload();
-        async_http_call(io_, parse_endpoint(options_.agent_),
-                        std::move(request), announce_timeout,
-                        [](http_outcome const&) {});
-    }
-
     // Ends once every connection that its agent holds is closed.
     void drain()
     {
@@ -407,7 +243,7 @@
 
     asio::io_context& io_;
     asio::ip::tcp::acceptor acceptor_;
-    asio::steady_timer announce_timer_;
+    backend_announcer announcer_;
     asio::steady_timer drain_timer_;
     std::chrono::steady_clock::time_point drain_earliest_;
     asio::signal_set signals_;
@@ -656,25 +492,7 @@
     {
         return make_response(400, R"({"error":"no JSON object"})");
     }
-    auto const& fault = value.as_object();
-    if (fault.contains("crash"))
-    {
-        std::_Exit(1);
-    }
-    if (auto const* slow = fault.if_contains("slow"))
-    {
-        owner_.faults_.slow_ = slow->to_number<double>();
-    }
-    auto const set = [&fault](char const* name, bool& flag)
-    {
-        if (auto const* given = fault.if_contains(name))
-        {
-            flag = given->as_bool();
-        }
-    };
-    set("fail", owner_.faults_.fail_);
-    set("shed", owner_.faults_.shed_);
-    set("announce", owner_.faults_.announce_);
+    owner_.faults_.apply(value.as_object());
     return make_response(200, "{}");
 }
 
@@ -750,17 +568,7 @@
 {
     backend_options options;
     CLI::App app("Stand-in for a backend server");
-    app.add_option("--listen", options.listen_, "address and port")->required();
-    app.add_option("--agent", options.agent_, "HTTP endpoint of its agent");
-    app.add_option("--name", options.name_);
-    app.add_option("--service", options.service_);
-    app.add_option("--ledger", options.ledger_file_, "append orders here");
-    app.add_option("--slots", options.slots_);
-    app.add_option("--connections", options.connections_);
-    app.add_option("--queue", options.queue_, "shed above this many waiting");
-    app.add_option("--speed", options.speed_, "2 is twice as fast");
-    app.add_option("--work-ms", options.work_ms_, "default service time");
-    app.add_option("--seed", options.seed_);
+    options.add_to(app);
     CLI11_PARSE(app, argc, argv);
     asio::io_context io(1);
     server const running(io, options);
--- /dev/null
+++ b/test/stand_ins/order_ledger.hpp
@@ -0,0 +1,84 @@
+// The orders that a backend server's stand-in has worked on, so that tests can
+// tell whether one ran twice.
+#pragma once
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <cstdio>
+#include <fcntl.h>
+#include <map>
+#include <string>
+#include <unistd.h>
+
+namespace daisytrail
+{
+
+struct order_entry
+{
+    std::uint32_t started_ = 0;
+    std::uint32_t finished_ = 0;
+    std::uint32_t cancelled_ = 0;
+};
+
+// Counts each order that was started, finished and cancelled.
+class order_ledger
+{
+public:
+    explicit order_ledger(std::string const& file)
+    {
+        if (!file.empty())
+        {
+            file_ = ::open(file.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
+        }
+    }
+
+    void started(std::string const& id)
+    {
+        ++orders_[id].started_;
+        append('S', id);
+    }
+
+    void finished(std::string const& id)
+    {
+        ++orders_[id].finished_;
+        append('F', id);
+    }
+
+    void cancelled(std::string const& id)
+    {
+        ++orders_[id].cancelled_;
+        append('C', id);
+    }
+
+    boost::json::object text() const
+    {
+        boost::json::object out;
+        for (auto const& [id, entry] : orders_)
+        {
+            out[id] = boost::json::object{{"started", entry.started_},
+                                          {"finished", entry.finished_},
+                                          {"cancelled", entry.cancelled_}};
+        }
+        return out;
+    }
+
+private:
+    void append(char event, std::string const& id) const
+    {
+        if (file_ < 0)
+        {
+            return;
+        }
+        auto const line = std::string(1, event) + ' ' + id + '\n';
+        if (::write(file_, line.data(), line.size()) < 0)
+        {
+            std::perror("ledger");
+        }
+    }
+
+    std::map<std::string, order_entry> orders_;
+    int file_ = -1;
+};
+
+} // namespace daisytrail
--- a/test/unit/flow_fleet.hpp
+++ b/test/unit/flow_fleet.hpp
@@ -247,4 +247,66 @@
     std::map<target_id, std::unique_ptr<flow_table>> agents_;
 };
 
+// Until agents have told each other their flows.
+inline constexpr std::chrono::milliseconds settle_time{600};
+
+inline std::uint16_t port_of(int number)
+{
+    return static_cast<std::uint16_t>(10'000 + number);
+}
+
+inline void set_state(records& view, target_id target, member_state state)
+{
+    for (auto& record : view)
+    {
+        if (record.target_ == target)
+        {
+            record.state_ = state;
+            ++record.version_.sequence_;
+        }
+    }
+}
+
+// Opens flows through the view; returns the owner of each.
+inline std::map<std::uint16_t, target_id>
+open_flows(fleet& agents, records const& view, int count)
+{
+    std::map<std::uint16_t, target_id> owners;
+    for (int i = 0; i < count; ++i)
+    {
+        owners[port_of(i)] = agents.open(view, port_of(i));
+    }
+    return owners;
+}
+
+inline int count_broken(fleet& agents, records const& view,
+                        std::map<std::uint16_t, target_id> const& owners)
+{
+    int broken = 0;
+    for (auto const& [port, owner] : owners)
+    {
+        auto const result = agents.send(view, make_ack(port));
+        broken +=
+            result.verdict_ != flow_verdict::deliver || result.at_ != owner ? 1
+                                                                            : 0;
+    }
+    return broken;
+}
+
+// Agents that know one another, with flows that all of them have heard of.
+struct settled_fleet
+{
+    settled_fleet(int agents, int flows) : view_(make_records(agents))
+    {
+        agents_.start_all(view_);
+        agents_.run(settle_time);
+        owners_ = open_flows(agents_, view_, flows);
+        agents_.run(settle_time);
+    }
+
+    fleet agents_;
+    records view_;
+    std::map<std::uint16_t, target_id> owners_;
+};
+
 } // namespace daisytrail::test
