--- /dev/null
+++ b/test/integration/platform_config.sh
@@ -0,0 +1,89 @@
+#!/usr/bin/env bash
+# A change that the platform's store has acknowledged is in force within the
+# bound, with real processes and real connections that fail in between.
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+PORT_BASE=${PORT_BASE:-24000}
+# shellcheck source=../support/topology.sh
+source test/support/topology.sh
+# shellcheck source=../support/platform_fleet.sh
+source test/support/platform_fleet.sh
+trap 'stop_all; [[ -n ${KEEP:-} ]] && cp -r "$WORK" "$KEEP"; rm -rf "$WORK"' EXIT
+failed=0
+
+# Bounds of the platform's settings: a change is in force this long after its
+# acknowledgement, and this long after the end of a fault.
+apply_ms=3000
+calm_ms=4000
+
+expect() {
+    local name=$1
+    shift
+    if "$@"; then
+        echo "ok: $name"
+    else
+        echo "not ok: $name"
+        failed=$((failed + 1))
+    fi
+}
+
+now_ms() { date +%s%3N; }
+
+balancers=(balancer-1 balancer-2 balancer-3)
+start_platform_store 3
+for i in 1 2 3; do start_platform_balancer "$i"; done
+
+put_config 11
+expect "the first configuration is in force" \
+    in_force_after 11 "$(acknowledged_at 11)" "$apply_ms" "${balancers[@]}"
+sleep 1
+put_config 14
+expect "a change on a calm day is in force" \
+    in_force_after 14 "$(acknowledged_at 14)" "$apply_ms" "${balancers[@]}"
+
+# Regression: CONFIG, silent connections to the store (issue 16). Watches that
+# wait are never answered; new connections are.
+sleep 1
+store_fault '{"silence_connections": true}'
+sleep 1
+put_config 20
+expect "a change is in force while open connections to the store are silent" \
+    in_force_after 20 "$(acknowledged_at 20)" "$apply_ms" "${balancers[@]}"
+sleep 5
+store_fault '{"silence_connections": true}'
+put_config 21
+expect "a change is in force when connections fall silent again" \
+    in_force_after 21 "$(acknowledged_at 21)" "$apply_ms" "${balancers[@]}"
+
+# Each way in which the store can fail for all machines while the operator's
+# change is acknowledged.
+version=30
+for mode in silent busy many reset; do
+    sleep 2
+    store_fault "{\"mode\": \"$mode\"}"
+    sleep 3
+    put_config "$version"
+    sleep 1
+    store_fault '{"mode": "serve"}'
+    expect "a change is in force after the store was $mode" \
+        in_force_after "$version" "$(now_ms)" "$calm_ms" "${balancers[@]}"
+    version=$((version + 7))
+done
+
+# The store refuses one machine, which hears of the change from the others.
+sleep 4
+store_fault "{\"ports\": [$(store_way 2)], \"mode\": \"silent\"}"
+sleep 1
+put_config "$version"
+expect "a machine that the store doesn't answer hears of a change from others" \
+    in_force_after "$version" "$(acknowledged_at "$version")" "$apply_ms" \
+    "${balancers[@]}"
+store_fault '{"mode": "serve"}'
+
+for name in "${balancers[@]}"; do
+    expect "$name never took an older version" \
+        test "$(metric "$name" \
+            'daisytrail_control_reports_total{kind="refused_older"}')" = 0
+done
+echo "$failed failures"
+((failed == 0))
--- /dev/null
+++ b/test/stand_ins/platform_store.cpp
@@ -0,0 +1,733 @@
+// Stand-in for the platform's metadata store: items with revisions, watches,
+// transactions and leases over HTTP/1.1, as real connections on loopback.
+//
+// Each --listen address stands for the way of one machine to the store, so that
+// a fault can hit some machines only. Commands go to the --control address:
+//   POST /operator  writes the body as the operator's configuration
+//   POST /fault     {"ports":[...],"mode":"serve|silent|busy|many|reset",
+//                    "slow_ms":0,"lose_share":0.0,"silence_connections":true,
+//                    "drop_history":true}; without ports it hits every machine
+//   GET /stats      calls by path and the store's revision
+#include "net/http_page.hpp"
+#include "store/etcd_codec.hpp"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json.hpp>
+
+#include <array>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace json = boost::json;
+using daisytrail::http_request;
+using daisytrail::http_response;
+using daisytrail::make_response;
+using daisytrail::detail::decode_base64;
+using daisytrail::detail::encode_base64;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::string_view config_key = "op/config";
+constexpr milliseconds poll_interval{5}; // of a waiting watch
+
+// One item, or its removal.
+struct item
+{
+    std::string key_;
+    std::string value_;
+    std::int64_t revision_ = 0;
+    std::int64_t created_ = 0;
+    std::int64_t lease_ = 0;
+    bool removed_ = false;
+};
+
+struct lease
+{
+    milliseconds time_to_live_;
+    steady_clock::time_point ends_;
+};
+
+json::object to_json(item const& from)
+{
+    if (from.removed_)
+    {
+        return {{"key", from.key_},
+                {"revision", from.revision_},
+                {"tombstone", true}};
+    }
+    return {{"key", from.key_},
+            {"value", encode_base64(from.value_)},
+            {"revision", from.revision_},
+            {"createRevision", from.created_},
+            {"lease", from.lease_}};
+}
+
+// The words of a query string, percent-decoded.
+std::map<std::string, std::string> read_query(std::string_view target)
+{
+    std::map<std::string, std::string> result;
+    auto const mark = target.find('?');
+    std::string text(mark == std::string_view::npos ? ""
+                                                    : target.substr(mark + 1));
+    std::istringstream parts(text);
+    for (std::string part; std::getline(parts, part, '&');)
+    {
+        auto const equals = part.find('=');
+        if (equals == std::string::npos)
+        {
+            continue;
+        }
+        std::string value;
+        for (auto at = equals + 1; at < part.size(); ++at)
+        {
+            if (part[at] == '%' && at + 2 < part.size())
+            {
+                constexpr int hexadecimal = 16;
+                value += static_cast<char>(std::stoi(part.substr(at + 1, 2),
+                                                     nullptr, hexadecimal));
+                at += 2;
+                continue;
+            }
+            value += part[at];
+        }
+        result[part.substr(0, equals)] = value;
+    }
+    return result;
+}
+
+std::int64_t number_of(std::map<std::string, std::string> const& query,
+                       std::string const& name)
+{
+    auto const found = query.find(name);
+    return found == query.end() ? 0 : std::stoll(found->second);
+}
+
+// Items, leases and the history that watches read.
+class database
+{
+public:
+    void put(std::string const& key, std::string value, std::int64_t lease)
+    {
+        auto const held = items_.find(key);
+        auto const next = revision_ + 1;
+        auto const created =
+            held == items_.end() ? next : held->second.created_;
+        record({key, std::move(value), next, created, lease, false});
+    }
+
+    http_response read_key(std::string const& key) const
+    {
+        auto const found = items_.find(key);
+        if (found == items_.end())
+        {
+            return make_response(404, "{}");
+        }
+        auto body = to_json(found->second);
+        body["storeRevision"] = revision_;
+        return make_response(200, json::serialize(body));
+    }
+
+    http_response read_range(std::string const& prefix) const
+    {
+        json::array list;
+        for (auto at = items_.lower_bound(prefix);
+             at != items_.end() && at->first.starts_with(prefix); ++at)
+        {
+            list.push_back(to_json(at->second));
+        }
+        return make_response(
+            200, json::serialize(json::object{{"items", list},
+                                              {"truncated", false},
+                                              {"storeRevision", revision_}}));
+    }
+
+    http_response transact(json::object const& body)
+    {
+        json::array current;
+        bool holds = true;
+        for (auto const& row : body.at("expectRev").as_array())
+        {
+            auto const& expected = row.as_object();
+            std::string const key(expected.at("key").as_string());
+            auto const found = items_.find(key);
+            auto const held =
+                found == items_.end() ? 0 : found->second.revision_;
+            holds = holds &&
+                    held == expected.at("revision").to_number<std::int64_t>();
+            if (found != items_.end())
+            {
+                current.push_back(to_json(found->second));
+            }
+        }
+        if (!holds)
+        {
+            return make_response(
+                412, json::serialize(json::object{{"items", current}}));
+        }
+        for (auto const& write : body.at("writes").as_array())
+        {
+            auto const lease =
+                write.as_object().at("lease").to_number<std::int64_t>();
+            if (lease != 0 && !leases_.contains(lease))
+            {
+                return make_response(404, "{}");
+            }
+        }
+        apply(body);
+        return make_response(
+            200, json::serialize(json::object{{"revision", revision_}}));
+    }
+
+    http_response grant(json::object const& body)
+    {
+        milliseconds const time(body.at("ttlMs").to_number<std::int64_t>());
+        leases_[++last_lease_] = {time, steady_clock::now() + time};
+        return make_response(
+            200, json::serialize(json::object{{"lease", last_lease_},
+                                              {"ttlMs", time.count()}}));
+    }
+
+    http_response keep(std::int64_t id)
+    {
+        auto const held = leases_.find(id);
+        if (held == leases_.end())
+        {
+            return make_response(404, "{}");
+        }
+        auto& value = held->second;
+        value.ends_ = steady_clock::now() + value.time_to_live_;
+        return make_response(200, json::serialize(json::object{
+                                      {"lease", id},
+                                      {"ttlMs", value.time_to_live_.count()}}));
+    }
+
+    // Removes the keys of leases that have ended.
+    void lapse()
+    {
+        auto const now = steady_clock::now();
+        std::set<std::int64_t> ended;
+        for (auto const& [id, held] : leases_)
+        {
+            if (held.ends_ < now)
+            {
+                ended.insert(id);
+            }
+        }
+        std::vector<std::string> keys;
+        for (auto const& [key, held] : items_)
+        {
+            if (ended.contains(held.lease_))
+            {
+                keys.push_back(key);
+            }
+        }
+        for (auto const& key : keys)
+        {
+            remove(key);
+        }
+        for (auto const id : ended)
+        {
+            leases_.erase(id);
+        }
+    }
+
+    // Changes under a prefix after a revision, empty if there are none.
+    json::array events(std::string const& prefix, std::int64_t after) const
+    {
+        json::array list;
+        for (auto const& change : history_)
+        {
+            if (change.revision_ > after && change.key_.starts_with(prefix))
+            {
+                list.push_back(to_json(change));
+            }
+        }
+        return list;
+    }
+
+    void drop_history()
+    {
+        history_.clear();
+        first_ = revision_ + 1;
+    }
+
+    bool has_history(std::int64_t after) const
+    {
+        return after + 1 >= first_;
+    }
+
+    std::int64_t revision() const
+    {
+        return revision_;
+    }
+
+private:
+    void apply(json::object const& body)
+    {
+        for (auto const& write : body.at("writes").as_array())
+        {
+            auto const& value = write.as_object();
+            put(std::string(value.at("key").as_string()),
+                decode_base64(value.at("value").as_string()),
+                value.at("lease").to_number<std::int64_t>());
+        }
+        for (auto const& key : body.at("deletes").as_array())
+        {
+            remove(std::string(key.as_string()));
+        }
+    }
+
+    void remove(std::string const& key)
+    {
+        record({key, "", revision_ + 1, 0, 0, true});
+    }
+
+    void record(item change)
+    {
+        revision_ = change.revision_;
+        if (change.removed_)
+        {
+            items_.erase(change.key_);
+        }
+        else
+        {
+            items_[change.key_] = change;
+        }
+        history_.push_back(std::move(change));
+    }
+
+    std::map<std::string, item> items_;
+    std::deque<item> history_;
+    std::map<std::int64_t, lease> leases_;
+    std::int64_t revision_ = 1;
+    std::int64_t first_ = 1; // revision at which the history begins
+    std::int64_t last_lease_ = 0;
+};
+
+enum class answer_mode
+{
+    serve,
+    silent, // read, and never answered on this connection
+    busy,   // 503
+    many,   // 429
+    reset,
+    count
+};
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(answer_mode::count)>
+    mode_names{"serve", "silent", "busy", "many", "reset"};
+
+answer_mode read_mode(std::string_view name)
+{
+    auto const found = std::ranges::find(mode_names, name);
+    if (found == mode_names.end())
+    {
+        throw std::invalid_argument("unknown mode '" + std::string(name) + "'");
+    }
+    return static_cast<answer_mode>(found - mode_names.begin());
+}
+
+// What happens to the calls of one machine.
+struct machine_faults
+{
+    answer_mode mode_ = answer_mode::serve;
+    milliseconds slow_{0};
+    double lose_share_ = 0;             // of answers, after their effect
+    std::uint64_t silenced_before_ = 0; // connections with a lower number
+};
+
+struct store_state
+{
+    database data_;
+    std::map<std::uint16_t, machine_faults> machines_;
+    std::map<std::string, std::int64_t> calls_;
+    std::uint64_t next_connection_ = 1;
+    std::mt19937_64 random_{1};
+
+    bool loses_answer(machine_faults const& machine)
+    {
+        return std::uniform_real_distribution<>(0, 1)(random_) <
+               machine.lose_share_;
+    }
+};
+
+void print_event(std::string_view event, json::object fields)
+{
+    auto const now = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    fields["time_ms"] = now.count();
+    fields["event"] = event;
+    std::cout << json::serialize(fields) << std::endl;
+}
+
+void set_faults(machine_faults& machine, json::object const& body,
+                std::uint64_t next_connection)
+{
+    if (auto const* mode = body.if_contains("mode"))
+    {
+        machine.mode_ = read_mode(mode->as_string());
+    }
+    if (auto const* slow = body.if_contains("slow_ms"))
+    {
+        machine.slow_ = milliseconds(slow->to_number<std::int64_t>());
+    }
+    if (auto const* share = body.if_contains("lose_share"))
+    {
+        machine.lose_share_ = share->to_number<double>();
+    }
+    // A silent store forgets the watches that wait at it.
+    if (body.contains("silence_connections") ||
+        machine.mode_ == answer_mode::silent)
+    {
+        machine.silenced_before_ = next_connection;
+    }
+}
+
+// Throws for a body that isn't understood.
+http_response command(store_state& state, std::string const& path,
+                      std::string const& text)
+{
+    if (path == "/operator")
+    {
+        auto const version = json::parse(text).at("version");
+        state.data_.put(std::string(config_key), text, 0);
+        print_event("acknowledged", {{"version", version}});
+        return make_response(200, "{}");
+    }
+    if (path == "/fault")
+    {
+        auto const body = json::parse(text).as_object();
+        auto const* ports = body.if_contains("ports");
+        for (auto& [port, machine] : state.machines_)
+        {
+            bool const is_hit =
+                ports == nullptr ||
+                std::ranges::find(ports->as_array(), json::value(port)) !=
+                    ports->as_array().end();
+            if (is_hit)
+            {
+                set_faults(machine, body, state.next_connection_);
+            }
+        }
+        if (body.contains("drop_history"))
+        {
+            state.data_.drop_history();
+        }
+        print_event("fault", {{"body", body}});
+        return make_response(200, "{}");
+    }
+    if (path == "/stats")
+    {
+        json::object calls;
+        for (auto const& [name, count] : state.calls_)
+        {
+            calls[name] = count;
+        }
+        return make_response(200, json::serialize(json::object{
+                                      {"calls", calls},
+                                      {"revision", state.data_.revision()}}));
+    }
+    return make_response(404, "{}");
+}
+
+// One connection of a machine, or of whoever gives commands (port 0).
+class session : public std::enable_shared_from_this<session>
+{
+public:
+    session(store_state& state, std::uint16_t port,
+            asio::ip::tcp::socket socket)
+        : state_(state), port_(port), number_(state.next_connection_++),
+          stream_(std::move(socket)), timer_(stream_.get_executor())
+    {
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(daisytrail::max_page_body_bytes);
+        http::async_read(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code code, std::size_t)
+            {
+                if (!code)
+                {
+                    self->handle();
+                }
+            });
+    }
+
+private:
+    void handle()
+    {
+        std::string const target(parser_->get().target());
+        auto const path = target.substr(0, target.find('?'));
+        if (port_ == 0)
+        {
+            try
+            {
+                write(command(state_, path, parser_->get().body()));
+            }
+            catch (std::exception const& failure)
+            {
+                write(make_response(400, failure.what(), "text/plain"));
+            }
+            return;
+        }
+        ++state_.calls_[path.substr(0, path.find_first_of("0123456789"))];
+        after(machine().slow_, [self = shared_from_this(), path]
+              { self->answer(path); });
+    }
+
+    machine_faults const& machine() const
+    {
+        return state_.machines_.at(port_);
+    }
+
+    void after(milliseconds time, std::function<void()> next)
+    {
+        timer_.expires_after(time);
+        timer_.async_wait([next = std::move(next)](beast::error_code code)
+                          { code ? void() : next(); });
+    }
+
+    void answer(std::string const& path)
+    {
+        switch (machine().mode_)
+        {
+        case answer_mode::silent:
+            hold_open();
+            return;
+        case answer_mode::busy:
+            write(make_response(503, "{}"));
+            return;
+        case answer_mode::many:
+            write(make_response(429, "{}"));
+            return;
+        case answer_mode::reset:
+            reset();
+            return;
+        case answer_mode::serve:
+        case answer_mode::count:
+            break;
+        }
+        try
+        {
+            serve(path);
+        }
+        catch (std::exception const& failure)
+        {
+            write(make_response(400, failure.what(), "text/plain"));
+        }
+    }
+
+    void serve(std::string const& path)
+    {
+        auto const query = read_query(parser_->get().target());
+        state_.data_.lapse();
+        if (path == "/api/kv-watch")
+        {
+            watch_prefix_ = query.at("prefix");
+            watch_after_ = number_of(query, "after");
+            watch_ends_ =
+                steady_clock::now() + milliseconds(number_of(query, "waitMs"));
+            wait_for_event();
+            return;
+        }
+        write(run(path, query));
+    }
+
+    http_response run(std::string const& path,
+                      std::map<std::string, std::string> const& query)
+    {
+        constexpr std::string_view keep_path = "/api/kv-keep/";
+        auto& data = state_.data_;
+        if (path == "/api/kv-key")
+        {
+            return data.read_key(query.at("key"));
+        }
+        if (path == "/api/kv-range")
+        {
+            return data.read_range(query.at("prefix"));
+        }
+        if (path.starts_with(keep_path))
+        {
+            return data.keep(std::stoll(path.substr(keep_path.size())));
+        }
+        auto const body = json::parse(parser_->get().body()).as_object();
+        if (path == "/api/kv-txn")
+        {
+            return data.transact(body);
+        }
+        return path == "/api/kv-lease" ? data.grant(body)
+                                       : make_response(404, "{}");
+    }
+
+    void wait_for_event()
+    {
+        if (machine().mode_ != answer_mode::serve)
+        {
+            answer("/api/kv-watch");
+            return;
+        }
+        if (!state_.data_.has_history(watch_after_))
+        {
+            write(make_response(410, "{}"));
+            return;
+        }
+        auto const events = state_.data_.events(watch_prefix_, watch_after_);
+        if (events.empty() && steady_clock::now() < watch_ends_)
+        {
+            after(poll_interval,
+                  [self = shared_from_this()] { self->wait_for_event(); });
+            return;
+        }
+        write(make_response(200,
+                            json::serialize(json::object{
+                                {"events", events},
+                                {"storeRevision", state_.data_.revision()}})));
+    }
+
+    void write(http_response response)
+    {
+        bool const is_silenced =
+            port_ != 0 && (number_ < machine().silenced_before_ ||
+                           state_.loses_answer(machine()));
+        if (is_silenced)
+        {
+            hold_open();
+            return;
+        }
+        response_ = std::move(response);
+        response_.keep_alive(parser_->get().keep_alive());
+        http::async_write(
+            stream_, response_,
+            [self = shared_from_this()](beast::error_code code, std::size_t)
+            {
+                if (!code && self->response_.keep_alive())
+                {
+                    self->read();
+                }
+            });
+    }
+
+    // Nothing is answered any more; ends when the other side closes.
+    void hold_open()
+    {
+        stream_.async_read_some(
+            asio::buffer(ignored_),
+            [self = shared_from_this()](beast::error_code code, std::size_t)
+            {
+                if (!code)
+                {
+                    self->hold_open();
+                }
+            });
+    }
+
+    void reset()
+    {
+        stream_.socket().set_option(asio::socket_base::linger(true, 0));
+        stream_.close();
+    }
+
+    store_state& state_;
+    std::uint16_t port_;
+    std::uint64_t number_;
+    beast::tcp_stream stream_;
+    asio::steady_timer timer_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    http_response response_;
+    std::array<char, 256> ignored_{};
+    std::string watch_prefix_;
+    std::int64_t watch_after_ = 0;
+    steady_clock::time_point watch_ends_;
+};
+
+// Accepts the connections of one address.
+class listener
+{
+public:
+    listener(asio::io_context& io, store_state& state,
+             daisytrail::endpoint const& at, bool takes_commands)
+        : state_(state), port_(takes_commands ? std::uint16_t{0} : at.port_),
+          acceptor_(io, {asio::ip::address_v4(at.address_), at.port_})
+    {
+        accept();
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](beast::error_code code, asio::ip::tcp::socket socket)
+            {
+                if (!code)
+                {
+                    std::make_shared<session>(state_, port_, std::move(socket))
+                        ->read();
+                }
+                accept();
+            });
+    }
+
+    store_state& state_;
+    std::uint16_t port_;
+    asio::ip::tcp::acceptor acceptor_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Stand-in for the platform's metadata store");
+    std::vector<std::string> listen;
+    std::string control;
+    app.add_option("--listen", listen, "address and port of one machine's way")
+        ->required();
+    app.add_option("--control", control, "address and port for commands")
+        ->required();
+    CLI11_PARSE(app, argc, argv);
+    try
+    {
+        asio::io_context io;
+        store_state state;
+        std::deque<listener> listeners;
+        for (auto const& address : listen)
+        {
+            auto const at = daisytrail::parse_endpoint(address);
+            state.machines_[at.port_];
+            listeners.emplace_back(io, state, at, false);
+        }
+        listeners.emplace_back(io, state, daisytrail::parse_endpoint(control),
+                               true);
+        asio::signal_set signals(io, SIGTERM, SIGINT);
+        signals.async_wait([&](beast::error_code, int) { io.stop(); });
+        io.run();
+    }
+    catch (std::exception const& failure)
+    {
+        std::cerr << "stand-in-platform-store: " << failure.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/test/support/platform_fleet.sh
@@ -0,0 +1,93 @@
+# Runs the platform's programs on loopback against a stand-in of its metadata
+# store; sourced after topology.sh. Each machine has a way of its own to the
+# store, so that a fault can hit some machines only.
+
+command_port=$((PORT_BASE + 3))
+
+# Port of machine $1's way to the store, from 1.
+store_way() { echo $((PORT_BASE + 300 + $1)); }
+
+# start_platform_store MACHINES
+start_platform_store() {
+    local ways=() i
+    for ((i = 1; i <= $1; ++i)); do
+        ways+=(--listen "127.0.0.1:$(store_way "$i")")
+    done
+    launch store stand-in-platform-store "${ways[@]}" \
+        --control "127.0.0.1:$command_port"
+    wait_for_port "$command_port"
+}
+
+# start_platform_balancer NUMBER, from 1
+start_platform_balancer() {
+    local i=$1 port=$((PORT_BASE + 400 + 5 * $1))
+    cat >"$WORK/balancer-$i.json" <<JSON
+{
+    "name": "balancer-$i", "failure_domain": "lafrenz",
+    "data": "127.0.0.1:$port", "control": "127.0.0.1:$((port + 1))",
+    "http": "127.0.0.1:$((port + 2))", "relay": "127.0.0.1:$((port + 3))",
+    "stores": ["127.0.0.1:$(store_way "$i")"],
+    "store_watchers": ${STORE_WATCHERS:-32},
+    "seeds": ["127.0.0.1:$((PORT_BASE + 406))"],
+    "keys": ["$KEY"]
+}
+JSON
+    launch "balancer-$i" daisytrail-platform-balancer \
+        --settings "$WORK/balancer-$i.json"
+    PROCESS_HTTP[balancer-$i]=$((port + 2))
+    wait_for_port $((port + 2))
+}
+
+# store_command PATH BODY
+store_command() {
+    curl -s -m 2 -f -o /dev/null -d "$2" "http://127.0.0.1:$command_port$1"
+}
+
+# store_fault BODY
+store_fault() { store_command /fault "$1"; }
+
+# put_config VERSION [ROUTES]: returns once the store has acknowledged it.
+put_config() {
+    local version=$1 count=${2:-2} routes="" i
+    for ((i = 1; i <= count; ++i)); do
+        routes+="${routes:+,}{\"name\": \"route-$i\", \"host\": \"198.18.0.$i\","
+        routes+="\"prefix\": \"/443/\", \"service\": \"till-$((version % 2))\"}"
+    done
+    store_command /operator "{\"version\": $version, \"routes\": [$routes],
+        \"services\": [{\"name\": \"till-0\"}, {\"name\": \"till-1\"}],
+        \"limits\": {\"idleTimeoutMs\": 12000}}"
+}
+
+# acknowledged_at VERSION: the store's time in milliseconds.
+acknowledged_at() {
+    grep '"event":"acknowledged"' "$WORK/store.log" |
+        grep "\"version\":$1," | grep -o '"time_ms":[0-9]*' | cut -d: -f2
+}
+
+# adopted_at BALANCER VERSION: when it came into force, empty if it didn't.
+adopted_at() {
+    grep '"event":"template_adopted"' "$WORK/$1.log" |
+        grep "\"change_id\":\"version $2\"" | tail -1 |
+        grep -o '"time_ms":[0-9]*' | cut -d: -f2
+}
+
+# in_force_after VERSION FROM_MS LIMIT_MS BALANCER...: each of them must adopt
+# the version within the limit after FROM_MS; prints the times.
+in_force_after() {
+    local version=$1 from=$2 limit=$3 name at status=0
+    shift 3
+    for name in "$@"; do
+        until at=$(adopted_at "$name" "$version") && [[ -n $at ]]; do
+            (($(date +%s%3N) > from + limit + 200)) && break
+            sleep 0.02
+        done
+        if [[ -z $at ]]; then
+            echo "  $name: version $version not in force after $limit ms"
+            status=1
+        else
+            echo "  $name: version $version in force after $((at - from)) ms"
+            ((at - from <= limit)) || status=1
+        fi
+    done
+    return "$status"
+}
