A silent watch is trusted for half of the time to apply, not for 11.5 s

Cause: a balancer took a watch's silence for 'nothing has changed' until the watch failed, 11.5 s after its start, and read the templates anew each 30 s. Both were constants that knew nothing of the bound (3 s). An open connection that falls silent without a reset looks the same as a calm store. All balancers watch, so all were blind together and gossip had nothing to carry. The class: a dependency that is trusted for longer than the bound that rests on it.

Change: template_feed (core, no input or output) decides when to read, when to watch and how long to rely on it; every wait is a part of apply_within_ms, a new setting that the platform's template fills in from its bound. A watch shows a sign of life in time or is given up, and the templates are read on a new connection. A lost read and the next one still fit. Reads of templates no longer wait for the budget that contacts, lease and list share. template_follower carries it out for both stores; the gateway of the product's own store sends no signs of life, so its watches are renewed each 6 s by default.

--- a/include/daisytrail/settings.hpp
+++ b/include/daisytrail/settings.hpp
@@ -4,6 +4,7 @@
 #include <daisytrail/organisation.hpp>
 #include <daisytrail/types.hpp>
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,8 @@
     std::vector<endpoint> stores_; // endpoints of the configuration store
     // Balancers that read the store; others hear of changes from these.
     std::uint32_t store_watchers_ = 2;
+    // A change is in force this long after the store has acknowledged it.
+    std::chrono::milliseconds apply_within_{12'000};
 };
 
 struct agent_settings
--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -94,8 +94,11 @@
     virtual void keep_alive(std::int64_t lease, store_handler handler) = 0;
 
     // Reports each change under `prefix` from revision `from` on, in batches.
-    // The handler is called once with an error when the watch ends.
+    // A batch without entries is a sign of life, which a store that can send
+    // it does at least each `sign_interval`. The handler is called once with
+    // an error when the watch ends.
     virtual void watch(std::string const& prefix, revision from,
+                       std::chrono::milliseconds sign_interval,
                        store_handler handler) = 0;
 
     // Ends every watch without a call of its handler.
--- /dev/null
+++ b/include/daisytrail/template_feed.hpp
@@ -0,0 +1,78 @@
+// When a balancer reads templates at the store and how long it relies on a
+// watch. Fault pattern: an open connection falls silent without a reset while
+// new ones work, so that a watch's silence may mean "no change" as well as "no
+// connection"; and all balancers meet that at once, so that none can tell
+// another.
+#pragma once
+
+#include <daisytrail/types.hpp>
+
+namespace daisytrail
+{
+
+// Parts of the time within which a change has to be in force.
+struct template_feed_timing
+{
+    duration trust_{};         // a watch's silence that means "no change"
+    duration call_timeout_{};  // silence after which a call has failed
+    duration first_backoff_{}; // after a failed call; doubled each time
+    duration most_backoff_{};
+};
+
+// A watch that fell silent, a first read that is lost and a second one fit into
+// `apply_within`.
+template_feed_timing feed_timing(duration apply_within);
+
+// Decides only; the caller carries out next() and reports how it went. Without
+// a report of a call's end the feed waits for it.
+class template_feed
+{
+public:
+    enum class step
+    {
+        none,
+        read, // cancel the watch, if there is one, and read the templates
+        watch // from the revision after the last read
+    };
+
+    explicit template_feed(template_feed_timing const& timing);
+
+    // Begins to follow the templates, with a read.
+    void start();
+    void stop();
+
+    bool is_active() const
+    {
+        return active_;
+    }
+
+    step next(time_point now) const;
+
+    void read_begun(time_point now);
+    void read_succeeded();
+
+    // `jitter` is from [0, 1): it spreads balancers that failed together.
+    void read_failed(time_point now, double jitter);
+
+    void watch_begun();
+
+    // The watch brought changes or a sign of life.
+    void watch_answered(time_point now);
+    void watch_failed(time_point now, double jitter);
+
+private:
+    void back_off(time_point now, double jitter);
+
+    template_feed_timing timing_;
+    bool active_ = false;
+    bool reading_ = false;
+    bool watching_ = false;
+    bool must_read_ = false; // nothing read yet, or the watch has failed
+    // The store has shown at this time or later that nothing newer exists.
+    time_point confirmed_{};
+    time_point read_began_{};
+    time_point not_before_{}; // no read until then
+    duration backoff_{};      // 0 after a success
+};
+
+} // namespace daisytrail
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -24,6 +24,8 @@
 constexpr std::uint32_t most_port = 65'535;
 constexpr std::uint32_t most_watchers = 1'000;
 constexpr double most_cross_domain_ms = 10'000;
+constexpr double least_apply_ms = 500;
+constexpr double most_apply_ms = 600'000;
 
 bool is_hex(char byte)
 {
@@ -62,6 +64,14 @@
     }
 }
 
+void read_apply_within(value_reader const& in, balancer_settings& out)
+{
+    auto ms = static_cast<double>(out.apply_within_.count());
+    in.real(ms, least_apply_ms, most_apply_ms);
+    out.apply_within_ =
+        std::chrono::milliseconds(static_cast<std::int64_t>(ms));
+}
+
 constexpr std::array<field<common_settings>, 8> common_fields{{
     {"name", presence::required,
      [](value_reader const& in, common_settings& out)
@@ -102,7 +112,8 @@
      }},
 }};
 
-constexpr std::array<field<balancer_settings>, 3> balancer_fields{{
+constexpr std::array<field<balancer_settings>, 4> balancer_fields{{
+    {"apply_within_ms", presence::optional, read_apply_within},
     {"data", presence::required,
      [](value_reader const& in, balancer_settings& out)
      {
@@ -120,8 +131,13 @@
      }},
 }};
 
-constexpr std::array<field<forward_balancer_settings>, 6>
+constexpr std::array<field<forward_balancer_settings>, 7>
     forward_balancer_fields{{
+        {"apply_within_ms", presence::optional,
+         [](value_reader const& in, forward_balancer_settings& out)
+         {
+             read_apply_within(in, out.balancer_);
+         }},
         {"data", presence::required,
          [](value_reader const& in, forward_balancer_settings& out)
          {
--- /dev/null
+++ b/src/core/template_feed.cpp
@@ -0,0 +1,100 @@
+// Reads and watches of templates.
+#include <daisytrail/template_feed.hpp>
+
+#include <algorithm>
+
+namespace daisytrail
+{
+
+template_feed_timing feed_timing(duration apply_within)
+{
+    template_feed_timing result;
+    result.trust_ = apply_within / 2;
+    result.call_timeout_ = apply_within / 4;
+    result.first_backoff_ = apply_within / 16;
+    result.most_backoff_ = apply_within / 4;
+    return result;
+}
+
+template_feed::template_feed(template_feed_timing const& timing)
+    : timing_(timing)
+{
+}
+
+void template_feed::start()
+{
+    *this = template_feed(timing_);
+    active_ = true;
+    must_read_ = true;
+}
+
+void template_feed::stop()
+{
+    active_ = false;
+}
+
+template_feed::step template_feed::next(time_point now) const
+{
+    if (!active_ || reading_)
+    {
+        return step::none;
+    }
+    if (must_read_ || now >= confirmed_ + timing_.trust_)
+    {
+        return now >= not_before_ ? step::read : step::none;
+    }
+    return watching_ ? step::none : step::watch;
+}
+
+void template_feed::read_begun(time_point now)
+{
+    reading_ = true;
+    watching_ = false;
+    must_read_ = true;
+    read_began_ = now;
+}
+
+void template_feed::read_succeeded()
+{
+    reading_ = false;
+    must_read_ = false;
+    // The answer may be as old as the call.
+    confirmed_ = read_began_;
+    backoff_ = {};
+}
+
+void template_feed::read_failed(time_point now, double jitter)
+{
+    reading_ = false;
+    back_off(now, jitter);
+}
+
+void template_feed::watch_begun()
+{
+    watching_ = true;
+}
+
+void template_feed::watch_answered(time_point now)
+{
+    confirmed_ = now;
+}
+
+void template_feed::watch_failed(time_point now, double jitter)
+{
+    watching_ = false;
+    must_read_ = true;
+    back_off(now, jitter);
+}
+
+// Half of the wait is random.
+void template_feed::back_off(time_point now, double jitter)
+{
+    backoff_ =
+        std::clamp(2 * backoff_, timing_.first_backoff_, timing_.most_backoff_);
+    auto const spread = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(
+            static_cast<double>(backoff_.count()) * jitter / 2));
+    not_before_ = now + backoff_ / 2 + spread;
+}
+
+} // namespace daisytrail
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -60,7 +60,8 @@
     if (store)
     {
         watcher_ = std::make_unique<store_watcher>(
-            io, std::move(store), settings.common_.control_, counters);
+            io, std::move(store), settings, counters,
+            [this](store_entry const& entry) { take_template(entry); });
     }
 }
 
@@ -74,9 +75,7 @@
         });
     if (watcher_)
     {
-        watcher_->start([this](store_entry const& entry)
-                        { take_template(entry); },
-                        [this](std::vector<endpoint> const& found)
+        watcher_->start([this](std::vector<endpoint> const& found)
                         { core_.add_seeds(found); },
                         [this](std::string const& value) { take_list(value); });
     }
--- a/src/net/store_call_log.cpp
+++ b/src/net/store_call_log.cpp
@@ -39,10 +39,20 @@
     counters.gauge("daisytrail_store_healthy", [this] { return healthy_; });
 }
 
-time_point store_call_log::begun(store_call call)
+store_handler
+store_call_log::track(store_call call, std::weak_ptr<bool> alive,
+                      std::function<void(store_answer const&)> handler)
 {
     ++*states_[static_cast<std::size_t>(call)].calls_;
-    return steady_clock::now();
+    return [this, call, alive = std::move(alive), begun = steady_clock::now(),
+            handler = std::move(handler)](store_answer const& answer)
+    {
+        if (!alive.expired())
+        {
+            ended(call, begun, answer);
+            handler(answer);
+        }
+    };
 }
 
 void store_call_log::ended(store_call call, time_point begun,
--- a/src/net/store_call_log.hpp
+++ b/src/net/store_call_log.hpp
@@ -7,6 +7,8 @@
 #include <daisytrail/store.hpp>
 
 #include <array>
+#include <functional>
+#include <memory>
 #include <string_view>
 
 namespace daisytrail
@@ -36,12 +38,10 @@
 public:
     explicit store_call_log(metrics& counters);
 
-    // Counts a call; the result is to be passed to ended().
-    time_point begun(store_call call);
-
-    // Takes how the call ended. A watch ends only by a failure; its batches
-    // are reported as successes that began when they came.
-    void ended(store_call call, time_point begun, store_answer const& answer);
+    // Counts a call that begins now and returns its handler, which notes how
+    // it ended. After `alive` has expired the handler does nothing.
+    store_handler track(store_call call, std::weak_ptr<bool> alive,
+                        std::function<void(store_answer const&)> handler);
 
 private:
     struct state
@@ -52,6 +52,7 @@
         time_point failing_since_{};
     };
 
+    void ended(store_call call, time_point begun, store_answer const& answer);
     void on_failure(store_call call, state& held, duration took,
                     store_answer const& answer);
 
--- a/src/net/store_watcher.cpp
+++ b/src/net/store_watcher.cpp
@@ -18,8 +18,6 @@
 constexpr milliseconds tick_interval{100};
 constexpr milliseconds first_backoff{200};
 constexpr milliseconds max_backoff{2'000};
-// Templates are read again now and then, in case a watch is silent but broken.
-constexpr milliseconds read_interval{30'000};
 constexpr milliseconds contacts_interval{2'000};
 constexpr milliseconds renew_interval{20'000};
 constexpr milliseconds list_interval{2'000}; // between writes
@@ -27,17 +25,19 @@
 // Calls at the store: one a second on average, a few at once.
 constexpr std::uint32_t calls_per_second = 1;
 constexpr std::size_t max_contacts = 64;
-constexpr milliseconds unconfirmed_limit{3'000};
 
 } // namespace
 
 store_watcher::store_watcher(boost::asio::io_context& io,
                              std::unique_ptr<config_store> store,
-                             endpoint const& contact, metrics& counters)
-    : store_(std::move(store)), contact_(contact), timer_(io),
+                             balancer_settings const& settings,
+                             metrics& counters,
+                             template_follower::handler on_template)
+    : store_(std::move(store)), contact_(settings.common_.control_), timer_(io),
       calls_(calls_per_second), random_(std::random_device{}()),
       alive_(std::make_shared<bool>(true)), call_log_(counters),
-      confirmations_(counters, unconfirmed_limit),
+      templates_(*store_, call_log_, counters, settings.apply_within_,
+                 std::move(on_template)),
       refused_calls_(
           counters.counter("daisytrail_store_calls_over_budget_total"))
 {
@@ -45,10 +45,8 @@
 
 store_watcher::~store_watcher() = default;
 
-void store_watcher::start(template_handler on_template,
-                          contacts_handler on_contacts, list_handler on_list)
+void store_watcher::start(contacts_handler on_contacts, list_handler on_list)
 {
-    on_template_ = std::move(on_template);
     on_contacts_ = std::move(on_contacts);
     on_list_ = std::move(on_list);
     tick();
@@ -59,27 +57,14 @@
 {
     stopped_ = true;
     alive_.reset();
+    templates_.stop();
     timer_.cancel();
     store_.reset();
 }
 
 void store_watcher::set_duties(store_duties duties)
 {
-    if (duties.watches_ != duties_.watches_)
-    {
-        log_event(log_level::info, "store_duty",
-                  {{"watches", duties.watches_}});
-        templates_ = {};
-        duties.watches_ ? confirmations_.start(steady_clock::now())
-                        : confirmations_.stop();
-    }
-    if (!duties.watches_ && watching_)
-    {
-        // The open watch goes on until it ends; its events are ignored.
-        ++watch_epoch_;
-        watching_ = false;
-        store_->cancel_watches();
-    }
+    templates_.set_active(duties.watches_);
     duties_ = std::move(duties);
 }
 
@@ -99,11 +84,7 @@
 
 void store_watcher::tick()
 {
-    confirmations_.tick(steady_clock::now());
-    if (duties_.watches_ && !reading_ && may_call(templates_))
-    {
-        read_templates();
-    }
+    templates_.tick();
     if (duties_.seeks_contacts_ && !seeking_ && may_call(contacts_))
     {
         read_contacts();
@@ -160,74 +141,7 @@
 store_watcher::begin(store_call call,
                      std::function<void(store_answer const&)> handler)
 {
-    return [this, weak = std::weak_ptr(alive_), call,
-            begun = call_log_.begun(call),
-            handler = std::move(handler)](store_answer const& answer)
-    {
-        if (weak.expired())
-        {
-            return;
-        }
-        call_log_.ended(call, begun, answer);
-        handler(answer);
-    };
-}
-
-void store_watcher::read_templates()
-{
-    reading_ = true;
-    store_->range(std::string(template_prefix), 0,
-                  begin(store_call::read_templates,
-                        [this](store_answer const& answer)
-                        {
-                            reading_ = false;
-                            if (answer.error_)
-                            {
-                                failed(templates_);
-                                return;
-                            }
-                            succeeded(templates_, read_interval);
-                            confirmations_.confirmed(answer.revision_,
-                                                     steady_clock::now());
-                            for (auto const& entry : answer.entries_)
-                            {
-                                on_template_(entry);
-                            }
-                            if (!watching_ && duties_.watches_)
-                            {
-                                watch(answer.revision_ + 1);
-                            }
-                        }));
-}
-
-void store_watcher::watch(revision from)
-{
-    watching_ = true;
-    auto const epoch = ++watch_epoch_;
-    store_->watch(std::string(template_prefix), from,
-                  begin(store_call::watch_templates,
-                        [this, epoch](store_answer const& answer)
-                        {
-                            if (epoch == watch_epoch_)
-                            {
-                                on_watch(answer);
-                            }
-                        }));
-}
-
-void store_watcher::on_watch(store_answer const& answer)
-{
-    if (answer.error_)
-    {
-        watching_ = false;
-        failed(templates_);
-        return;
-    }
-    confirmations_.confirmed(answer.revision_, steady_clock::now());
-    for (auto const& entry : answer.entries_)
-    {
-        on_template_(entry);
-    }
+    return call_log_.track(call, alive_, std::move(handler));
 }
 
 void store_watcher::hold_contact()
--- a/src/net/store_watcher.hpp
+++ b/src/net/store_watcher.hpp
@@ -1,12 +1,14 @@
-// Reads templates from the store and keeps this balancer's contact key, with
-// backoff and within a budget of calls.
+// What a balancer does at the store: it follows the templates, and within a
+// budget of calls keeps its contact key, looks for others and keeps the list of
+// targets.
 #pragma once
 
-#include "net/confirmation_log.hpp"
 #include "net/metrics.hpp"
 #include "net/store_call_log.hpp"
+#include "net/template_follower.hpp"
 
 #include <daisytrail/byte_budget.hpp>
+#include <daisytrail/settings.hpp>
 #include <daisytrail/store.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -35,21 +37,19 @@
 class store_watcher
 {
 public:
-    // A template as the store holds it.
-    using template_handler = std::function<void(store_entry const&)>;
     using contacts_handler = std::function<void(std::vector<endpoint> const&)>;
 
     store_watcher(boost::asio::io_context& io,
-                  std::unique_ptr<config_store> store, endpoint const& contact,
-                  metrics& counters);
+                  std::unique_ptr<config_store> store,
+                  balancer_settings const& settings, metrics& counters,
+                  template_follower::handler on_template);
     ~store_watcher();
 
     // Takes the value of target_list_key, once after the start; empty if there
     // is none.
     using list_handler = std::function<void(std::string const&)>;
 
-    void start(template_handler on_template, contacts_handler on_contacts,
-               list_handler on_list);
+    void start(contacts_handler on_contacts, list_handler on_list);
     void stop();
     void set_duties(store_duties duties);
 
@@ -66,34 +66,25 @@
     bool may_call(backoff const& state);
     void succeeded(backoff& state, std::chrono::milliseconds next);
     void failed(backoff& state);
-    void read_templates();
-    void watch(revision from);
-    void on_watch(store_answer const& answer);
     void hold_contact();
     void grant();
     void read_contacts();
     void read_list();
     void write_list();
-    // Counts the call, and drops its answer after the end of this object.
     store_handler begin(store_call call,
                         std::function<void(store_answer const&)> handler);
 
     std::unique_ptr<config_store> store_;
     endpoint contact_;
     boost::asio::steady_timer timer_;
-    byte_budget calls_; // one unit a call
+    byte_budget calls_; // one unit a call, templates left out
     std::mt19937 random_;
-    template_handler on_template_;
     contacts_handler on_contacts_;
     list_handler on_list_; // empty once called
     store_duties duties_;
-    backoff templates_;
     backoff contacts_;
     backoff lease_;
     backoff list_;
-    std::uint64_t watch_epoch_ = 0; // events of earlier watches are ignored
-    bool watching_ = false;
-    bool reading_ = false;
     bool seeking_ = false;
     bool leasing_ = false;
     bool listing_ = false;
@@ -103,7 +94,7 @@
     bool stopped_ = false;
     std::shared_ptr<bool> alive_;
     store_call_log call_log_;
-    confirmation_log confirmations_;
+    template_follower templates_;
     std::uint64_t& refused_calls_;
 };
 
--- /dev/null
+++ b/src/net/template_follower.cpp
@@ -0,0 +1,150 @@
+// Calls of the template feed.
+#include "net/template_follower.hpp"
+
+#include "net/log.hpp"
+
+namespace daisytrail
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A sign of life is asked for so much earlier than silence ends the trust in a
+// watch that it may be on its way for a while.
+milliseconds sign_interval(milliseconds apply_within)
+{
+    auto const timing = feed_timing(apply_within);
+    auto const on_the_way = apply_within / 10;
+    return std::chrono::duration_cast<milliseconds>(timing.trust_) - on_the_way;
+}
+
+} // namespace
+
+template_follower::template_follower(config_store& store, store_call_log& calls,
+                                     metrics& counters,
+                                     milliseconds apply_within,
+                                     handler on_template)
+    : store_(store), calls_(calls), on_template_(std::move(on_template)),
+      feed_(feed_timing(apply_within)),
+      sign_interval_(sign_interval(apply_within)),
+      confirmations_(counters, apply_within), random_(std::random_device{}()),
+      alive_(std::make_shared<bool>(true))
+{
+}
+
+void template_follower::set_active(bool active)
+{
+    if (active == feed_.is_active())
+    {
+        return;
+    }
+    log_event(log_level::info, "store_duty", {{"watches", active}});
+    ++epoch_;
+    if (active)
+    {
+        feed_.start();
+        confirmations_.start(steady_clock::now());
+        return;
+    }
+    feed_.stop();
+    confirmations_.stop();
+    store_.cancel_watches();
+}
+
+void template_follower::stop()
+{
+    alive_.reset();
+    feed_.stop();
+}
+
+void template_follower::tick()
+{
+    auto const now = steady_clock::now();
+    confirmations_.tick(now);
+    switch (feed_.next(now))
+    {
+    case template_feed::step::read:
+        read();
+        break;
+    case template_feed::step::watch:
+        watch();
+        break;
+    case template_feed::step::none:
+        break;
+    }
+}
+
+void template_follower::read()
+{
+    feed_.read_begun(steady_clock::now());
+    store_.cancel_watches();
+    store_.range(
+        std::string(template_prefix), 0,
+        calls_.track(store_call::read_templates, alive_,
+                     [this, epoch = ++epoch_](store_answer const& answer)
+                     {
+                         if (epoch == epoch_)
+                         {
+                             on_read(answer);
+                         }
+                     }));
+}
+
+void template_follower::on_read(store_answer const& answer)
+{
+    if (answer.error_)
+    {
+        feed_.read_failed(steady_clock::now(), jitter());
+        return;
+    }
+    feed_.read_succeeded();
+    take(answer);
+    // The watch begins at once.
+    tick();
+}
+
+void template_follower::watch()
+{
+    feed_.watch_begun();
+    store_.watch(
+        std::string(template_prefix), next_, sign_interval_,
+        calls_.track(store_call::watch_templates, alive_,
+                     [this, epoch = ++epoch_](store_answer const& answer)
+                     {
+                         if (epoch == epoch_)
+                         {
+                             on_watch(answer);
+                         }
+                     }));
+}
+
+void template_follower::on_watch(store_answer const& answer)
+{
+    if (answer.error_)
+    {
+        feed_.watch_failed(steady_clock::now(), jitter());
+        return;
+    }
+    feed_.watch_answered(steady_clock::now());
+    take(answer);
+}
+
+void template_follower::take(store_answer const& answer)
+{
+    confirmations_.confirmed(answer.revision_, steady_clock::now());
+    next_ = answer.revision_ + 1;
+    for (auto const& entry : answer.entries_)
+    {
+        on_template_(entry);
+    }
+}
+
+double template_follower::jitter()
+{
+    return std::uniform_real_distribution<>(0, 1)(random_);
+}
+
+} // namespace daisytrail
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -112,6 +112,7 @@
 }
 
 void etcd_store::watch(std::string const& prefix, revision from,
+                       std::chrono::milliseconds /*sign_interval*/,
                        store_handler handler)
 {
     ++calls_;
--- a/src/store/etcd_store.hpp
+++ b/src/store/etcd_store.hpp
@@ -36,7 +36,9 @@
     void grant_lease(std::chrono::seconds time_to_live,
                      store_handler handler) override;
     void keep_alive(std::int64_t lease, store_handler handler) override;
+    // The gateway sends no signs of life.
     void watch(std::string const& prefix, revision from,
+               std::chrono::milliseconds sign_interval,
                store_handler handler) override;
 
     void cancel_watches() override;
--- a/test/integration/platform_config.sh
+++ b/test/integration/platform_config.sh
@@ -49,11 +49,15 @@
 put_config 20
 expect "a change is in force while open connections to the store are silent" \
     in_force_after 20 "$(acknowledged_at 20)" "$apply_ms" "${balancers[@]}"
-sleep 5
-store_fault '{"silence_connections": true}'
-put_config 21
-expect "a change is in force when connections fall silent again" \
-    in_force_after 21 "$(acknowledged_at 21)" "$apply_ms" "${balancers[@]}"
+# At other moments of a watch, and again and again.
+for version in 21 22 25; do
+    sleep 4.3
+    store_fault '{"silence_connections": true}'
+    put_config "$version"
+    expect "a change is in force when connections fall silent again" \
+        in_force_after "$version" "$(acknowledged_at "$version")" \
+        "$apply_ms" "${balancers[@]}"
+done
 
 # Each way in which the store can fail for all machines while the operator's
 # change is acknowledged.
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -105,7 +105,10 @@
         post(std::move(handler), {});
     }
 
-    void watch(std::string const&, revision, store_handler) override {}
+    void watch(std::string const&, revision, std::chrono::milliseconds,
+               store_handler) override
+    {
+    }
 
     void run_one()
     {
--- a/test/support/platform_fleet.sh
+++ b/test/support/platform_fleet.sh
@@ -27,7 +27,7 @@
     "data": "127.0.0.1:$port", "control": "127.0.0.1:$((port + 1))",
     "http": "127.0.0.1:$((port + 2))", "relay": "127.0.0.1:$((port + 3))",
     "stores": ["127.0.0.1:$(store_way "$i")"],
-    "store_watchers": ${STORE_WATCHERS:-32},
+    "store_watchers": ${STORE_WATCHERS:-32}, "apply_within_ms": 3000,
     "seeds": ["127.0.0.1:$((PORT_BASE + 406))"],
     "keys": ["$KEY"]
 }
