A template that peers can't deliver in time is read from the store

What callers would see (CONFIG): in a fleet with more balancers than watch the store, a large change isn't in force in time at those that don't watch.

Cause: they fetch the body from peers in parts of 1,000 bytes, which the byte budget of 9 KB/s carries. A template of 2,000 routes (about 200 KB) takes more than 20 s.

Change: revision_book tells when a revision that peers offer hasn't come for a quarter of the time to apply; the balancer then reads the templates from the store, with or without the duty to watch, and at most once in that time.

Unit tests for is_late and for wanted reads.

--- a/include/daisytrail/revisions.hpp
+++ b/include/daisytrail/revisions.hpp
@@ -98,6 +98,12 @@
     // Repeats requests that got no answer.
     void tick(time_point now, std::vector<control_action>& out);
 
+    // True if peers offer a newer revision since more than `patience` whose
+    // value hasn't come yet. Load pattern: all balancers of a large fleet fetch
+    // a large template at once, and the byte budget of their peers can't carry
+    // it in time.
+    bool is_late(duration patience, time_point now) const;
+
     std::optional<item> find(std::uint64_t organisation) const;
 
     // Items under one node of the hash tree.
@@ -123,6 +129,15 @@
         int attempts_ = 0;
     };
 
+    // A revision that was offered and isn't held yet.
+    struct awaited_revision
+    {
+        revision revision_ = 0;
+        time_point since_; // when the first one that isn't held was offered
+        time_point last_;  // when it was offered last
+    };
+
+    void await(std::uint64_t id, revision at, time_point now);
     static item to_item(std::uint64_t id, revision at);
     void note(adoption_record line);
     void ask(std::uint64_t id, transfer& open, time_point now,
@@ -135,6 +150,7 @@
     std::optional<std::uint64_t> only_;
     std::map<std::uint64_t, held_template> held_;
     std::map<std::uint64_t, transfer> transfers_;
+    std::map<std::uint64_t, awaited_revision> awaited_;
     // Newest revision that failed the check; it isn't fetched again.
     std::map<std::uint64_t, revision> invalid_;
     std::deque<adoption_record> records_;
--- a/include/daisytrail/template_feed.hpp
+++ b/include/daisytrail/template_feed.hpp
@@ -37,10 +37,15 @@
 
     explicit template_feed(template_feed_timing const& timing);
 
-    // Begins to follow the templates, with a read.
+    // Begins to follow the templates, with a read. Without it the feed only
+    // reads when that is wanted.
     void start();
     void stop();
 
+    // One read, whether the templates are followed or not, since a peer told of
+    // a newer one. Ignored if the last read has just begun.
+    void want_read(time_point now);
+
     bool is_active() const
     {
         return active_;
@@ -67,7 +72,8 @@
     bool active_ = false;
     bool reading_ = false;
     bool watching_ = false;
-    bool must_read_ = false; // nothing read yet, or the watch has failed
+    // Nothing was read yet, the watch has failed, or a read is wanted.
+    bool must_read_ = false;
     // The store has shown at this time or later that nothing newer exists.
     time_point confirmed_{};
     time_point read_began_{};
--- a/src/core/revisions.cpp
+++ b/src/core/revisions.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds retry_interval{400};
 constexpr int max_attempts = 5;
 constexpr std::size_t max_transfer_peers = 4;
+// Peers that hold a newer revision offer it more often than this.
+constexpr milliseconds offer_lifetime{10'000};
 
 std::optional<report_kind> report_for(adoption outcome)
 {
@@ -80,6 +82,11 @@
             *kind, organisation + " revision " + std::to_string(at) + " from " +
                        source + ": " + detail});
     }
+    auto const awaited = awaited_.find(id);
+    if (awaited != awaited_.end() && at >= awaited->second.revision_)
+    {
+        awaited_.erase(awaited);
+    }
     if (outcome == adoption::refused_invalid)
     {
         invalid_[id] = at;
@@ -111,6 +118,7 @@
     {
         return;
     }
+    await(theirs.id_, at, now);
     auto& open = transfers_[theirs.id_];
     if (open.revision_ > at)
     {
@@ -132,6 +140,22 @@
     ask(theirs.id_, open, now, out);
 }
 
+void revision_book::await(std::uint64_t id, revision at, time_point now)
+{
+    auto const [held, is_first] =
+        awaited_.try_emplace(id, awaited_revision{at, now, now});
+    held->second.revision_ = std::max(held->second.revision_, at);
+    held->second.last_ = now;
+}
+
+bool revision_book::is_late(duration patience, time_point now) const
+{
+    return std::ranges::any_of(awaited_,
+                               [&](auto const& entry) {
+                                   return now >= entry.second.since_ + patience;
+                               });
+}
+
 void revision_book::answer(template_request const& request,
                            endpoint const& from,
                            std::vector<control_action>& out) const
--- a/src/core/template_feed.cpp
+++ b/src/core/template_feed.cpp
@@ -31,19 +31,26 @@
 void template_feed::stop()
 {
     active_ = false;
+    must_read_ = false;
+}
+
+void template_feed::want_read(time_point now)
+{
+    must_read_ = must_read_ || now >= read_began_ + timing_.call_timeout_;
 }
 
 template_feed::step template_feed::next(time_point now) const
 {
-    if (!active_ || reading_)
+    if (reading_)
     {
         return step::none;
     }
-    if (must_read_ || now >= confirmed_ + timing_.trust_)
+    bool const is_silent = active_ && now >= confirmed_ + timing_.trust_;
+    if (must_read_ || is_silent)
     {
         return now >= not_before_ ? step::read : step::none;
     }
-    return watching_ ? step::none : step::watch;
+    return active_ && !watching_ ? step::watch : step::none;
 }
 
 void template_feed::read_begun(time_point now)
@@ -66,6 +73,7 @@
 void template_feed::read_failed(time_point now, double jitter)
 {
     reading_ = false;
+    must_read_ = active_;
     back_off(now, jitter);
 }
 
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -52,6 +52,7 @@
             settings.common_.seeds_, check_adopted_template,
             std::random_device{}()),
       watchers_(settings.store_watchers_),
+      transfer_patience_(settings.apply_within_ / 4),
       timer_(io, tick_interval, [this] { tick(); })
 {
     counters.gauge(
@@ -131,6 +132,10 @@
         return;
     }
     runner_.run(core_.tick(now));
+    if (watcher_ && core_.templates().is_late(transfer_patience_, now))
+    {
+        watcher_->want_templates();
+    }
     if (watcher_ && now >= duties_checked_ + duties_interval)
     {
         duties_checked_ = now;
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -46,7 +46,10 @@
     detail::action_runner runner_;
     balancer_membership core_;
     std::unique_ptr<store_watcher> watcher_; // empty without a store
-    std::size_t watchers_; // balancers of the fleet that read the store
+    std::size_t watchers_; // balancers of the fleet that watch the store
+    // How long a template's transfer from peers may take; then the store is
+    // asked.
+    duration transfer_patience_;
     periodic_timer timer_;
     std::function<void()> done_; // set while stopping
     time_point stop_deadline_;
--- a/src/net/confirmation_log.cpp
+++ b/src/net/confirmation_log.cpp
@@ -47,6 +47,10 @@
 
 void confirmation_log::confirmed(revision at, time_point now)
 {
+    if (!expected_)
+    {
+        return;
+    }
     auto const gap = now - confirmed_;
     gaps_.add(std::chrono::duration<double>(gap).count());
     if (reported_)
--- a/src/net/confirmation_log.hpp
+++ b/src/net/confirmation_log.hpp
@@ -22,7 +22,7 @@
     void stop();
 
     // The store's answer shows that no newer template than the one held was
-    // written before its revision `at`.
+    // written before its revision `at`. Ignored while none are expected.
     void confirmed(revision at, time_point now);
 
     void tick(time_point now);
--- a/src/net/store_watcher.hpp
+++ b/src/net/store_watcher.hpp
@@ -53,6 +53,12 @@
     void stop();
     void set_duties(store_duties duties);
 
+    // Reads the templates soon, also without the duty to watch them.
+    void want_templates()
+    {
+        templates_.want_read();
+    }
+
 private:
     // Waits between calls of one sort; grows after each failure.
     struct backoff
--- a/src/net/template_follower.cpp
+++ b/src/net/template_follower.cpp
@@ -60,6 +60,11 @@
     feed_.stop();
 }
 
+void template_follower::want_read()
+{
+    feed_.want_read(steady_clock::now());
+}
+
 void template_follower::tick()
 {
     auto const now = steady_clock::now();
--- a/src/net/template_follower.hpp
+++ b/src/net/template_follower.hpp
@@ -29,6 +29,9 @@
     // Begins or ends to follow the templates.
     void set_active(bool active);
 
+    // Reads the templates soon, also if they aren't followed.
+    void want_read();
+
     // To be called a few times a second.
     void tick();
 
--- a/test/integration/platform_config.sh
+++ b/test/integration/platform_config.sh
@@ -84,6 +84,21 @@
     "${balancers[@]}"
 store_fault '{"mode": "serve"}'
 
+# Most balancers of a large fleet hear of a change from others, whose budget
+# carries a small template in time, and a large one not.
+stop_all
+for name in "${balancers[@]}"; do rm -f "$WORK/$name.log"; done
+STORE_WATCHERS=1
+start_platform_store 3
+for i in 1 2 3; do start_platform_balancer "$i"; done
+put_config 101 10
+expect "a small configuration reaches balancers that don't watch" \
+    in_force_after 101 "$(acknowledged_at 101)" "$apply_ms" "${balancers[@]}"
+sleep 6
+put_config 103 2000
+expect "a large configuration reaches balancers that don't watch" \
+    in_force_after 103 "$(acknowledged_at 103)" "$apply_ms" "${balancers[@]}"
+
 for name in "${balancers[@]}"; do
     expect "$name never took an older version" \
         test "$(metric "$name" \
--- a/test/support/platform_fleet.sh
+++ b/test/support/platform_fleet.sh
@@ -40,7 +40,8 @@
 
 # store_command PATH BODY
 store_command() {
-    curl -s -m 2 -f -o /dev/null -d "$2" "http://127.0.0.1:$command_port$1"
+    curl -s -m 2 -f -o /dev/null --data-binary @- \
+        "http://127.0.0.1:$command_port$1" <<<"$2"
 }
 
 # store_fault BODY
@@ -50,7 +51,8 @@
 put_config() {
     local version=$1 count=${2:-2} routes="" i
     for ((i = 1; i <= count; ++i)); do
-        routes+="${routes:+,}{\"name\": \"route-$i\", \"host\": \"198.18.0.$i\","
+        routes+="${routes:+,}{\"name\": \"route-$i\","
+        routes+="\"host\": \"198.18.$((i / 200)).$((1 + i % 200))\","
         routes+="\"prefix\": \"/443/\", \"service\": \"till-$((version % 2))\"}"
     done
     store_command /operator "{\"version\": $version, \"routes\": [$routes],
--- a/test/unit/revisions_test.cpp
+++ b/test/unit/revisions_test.cpp
@@ -138,4 +138,21 @@
     CHECK(asked->index_ == 0);
 }
 
+TEST_CASE("a template that was offered and doesn't come is late")
+{
+    constexpr milliseconds patience{750};
+    transfer_fixture fixture;
+    CHECK_FALSE(fixture.book_.is_late(patience, fixture.now_));
+    fixture.offered(5, first_peer);
+    fixture.pass(milliseconds(700));
+    CHECK_FALSE(fixture.book_.is_late(patience, fixture.now_));
+    // A newer one doesn't begin the time anew.
+    fixture.offered(6, second_peer);
+    fixture.pass(milliseconds(100));
+    CHECK(fixture.book_.is_late(patience, fixture.now_));
+    fixture.receive(part(6, 0, 1), second_peer);
+    CHECK(fixture.held() == 6);
+    CHECK_FALSE(fixture.book_.is_late(patience, fixture.now_));
+}
+
 } // namespace daisytrail
--- a/test/unit/template_feed_test.cpp
+++ b/test/unit/template_feed_test.cpp
@@ -282,4 +282,49 @@
     CHECK(feed.next(time_point{}) == template_feed::step::none);
 }
 
+TEST_CASE("a feed that doesn't follow reads once when that is wanted")
+{
+    auto const begin = time_point{} + std::chrono::minutes(1);
+    template_feed feed(feed_timing(apply_within));
+    feed.want_read(begin);
+    CHECK(feed.next(begin) == template_feed::step::read);
+    feed.read_begun(begin);
+    CHECK(feed.next(begin) == template_feed::step::none);
+    feed.read_succeeded();
+    CHECK(feed.next(begin + std::chrono::minutes(1)) ==
+          template_feed::step::none);
+}
+
+TEST_CASE("a read that is wanted again and again goes out now and then")
+{
+    auto const begin = time_point{} + std::chrono::minutes(1);
+    template_feed feed(feed_timing(apply_within));
+    int reads = 0;
+    for (auto now = begin; now < begin + std::chrono::seconds(10); now += tick)
+    {
+        feed.want_read(now);
+        if (feed.next(now) == template_feed::step::read)
+        {
+            ++reads;
+            feed.read_begun(now);
+            feed.read_succeeded();
+        }
+    }
+    CHECK(reads > 5);
+    CHECK(reads <= 14);
+}
+
+TEST_CASE("a wanted read that fails waits before it is tried again")
+{
+    auto const begin = time_point{} + std::chrono::minutes(1);
+    template_feed feed(feed_timing(apply_within));
+    feed.want_read(begin);
+    feed.read_begun(begin);
+    feed.read_failed(begin, 1);
+    auto const later = begin + feed_timing(apply_within).most_backoff_;
+    CHECK(feed.next(later) == template_feed::step::none);
+    feed.want_read(later);
+    CHECK(feed.next(later) == template_feed::step::read);
+}
+
 } // namespace daisytrail
