News of a changed template goes before news of members and isn't dropped over budget

Cause: a balancer passed the news on only once it held the template, whose body counts as bulk and waits until half of the byte budget is free; and the news stood in one message with those of members, which the budget drops. The incident's class: no news is taken for no change, by balancers that nobody can reach.

News of templates has a message and a send class of its own, which may borrow one second's bytes. Comparisons of views carry the eight latest changes and are answered by those that the other side lacks.

--- a/include/daisytrail/byte_budget.hpp
+++ b/include/daisytrail/byte_budget.hpp
@@ -13,7 +13,8 @@
 // What may still be sent when bytes are scarce.
 enum class send_class : std::uint8_t
 {
-    urgent, // signs of life and changes: the whole budget
+    news,   // of a changed template: a second's bytes may be borrowed
+    urgent, // signs of life and changes of members: the whole budget
     bulk    // bodies and comparisons, asked for again: half of it
 };
 
@@ -29,9 +30,7 @@
     bool take(std::size_t bytes, send_class kind, time_point now)
     {
         refill(now);
-        auto const reserve =
-            kind == send_class::bulk ? rate_ * burst_seconds / 2 : 0.0;
-        if (tokens_ - static_cast<double>(bytes) < reserve)
+        if (tokens_ - static_cast<double>(bytes) < least_left(kind))
         {
             return false;
         }
@@ -41,6 +40,22 @@
 
 private:
     static constexpr double burst_seconds = 10.0;
+    static constexpr double borrowed_seconds = 1.0;
+
+    // Tokens that have to be left.
+    double least_left(send_class kind) const
+    {
+        switch (kind)
+        {
+        case send_class::news:
+            return -rate_ * borrowed_seconds;
+        case send_class::bulk:
+            return rate_ * burst_seconds / 2;
+        case send_class::urgent:
+            break;
+        }
+        return 0;
+    }
 
     void refill(time_point now)
     {
@@ -54,7 +69,7 @@
     }
 
     double rate_;
-    double tokens_; // from 0 to rate_ * burst_seconds
+    double tokens_; // at most rate_ * burst_seconds; below 0 if borrowed
     time_point last_;
 };
 
--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -130,6 +130,7 @@
     std::vector<item> items_under(tree_node const& node) const;
     void compare(item const& theirs, endpoint const& from,
                  pull_message& request, digest_message& newer);
+    void tell_news(digest_message const& theirs, endpoint const& to);
     void take_items(std::vector<item> const& items, endpoint const& from);
     void refute(record_version const& version);
     void changed(target_record const& record);
--- a/include/daisytrail/revisions.hpp
+++ b/include/daisytrail/revisions.hpp
@@ -84,8 +84,9 @@
                    std::string value, std::string const& source, time_point now,
                    std::vector<control_action>& out);
 
-    // A peer holds this version: fetches it if it is newer.
-    void offered(item const& theirs, endpoint const& from, time_point now,
+    // A peer knows of this version: fetches it if it is newer. Returns true if
+    // this process didn't know of it yet.
+    bool offered(item const& theirs, endpoint const& from, time_point now,
                  std::vector<control_action>& out);
 
     // Answers a peer's request.
@@ -104,6 +105,10 @@
     // it in time.
     bool is_late(duration patience, time_point now) const;
 
+    // The newest known revisions of the organisations that changed last, held
+    // here or not.
+    std::vector<item> latest_news() const;
+
     std::optional<item> find(std::uint64_t organisation) const;
 
     // Items under one node of the hash tree.
@@ -137,7 +142,8 @@
         time_point last_;  // when it was offered last
     };
 
-    void await(std::uint64_t id, revision at, time_point now);
+    bool await(std::uint64_t id, revision at, time_point now);
+    void note_news(std::uint64_t id);
     static item to_item(std::uint64_t id, revision at);
     void note(adoption_record line);
     void ask(std::uint64_t id, transfer& open, time_point now,
@@ -151,6 +157,7 @@
     std::map<std::uint64_t, held_template> held_;
     std::map<std::uint64_t, transfer> transfers_;
     std::map<std::uint64_t, awaited_revision> awaited_;
+    std::deque<std::uint64_t> news_; // organisations, the last changed first
     // Newest revision that failed the check; it isn't fetched again.
     std::map<std::uint64_t, revision> invalid_;
     std::deque<adoption_record> records_;
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -445,8 +445,9 @@
     hot_[value.id_] = {value, rounds};
 }
 
-// Load pattern: after a loss of power every member is news at once. What has
-// been spread the least goes first, so that none waits until others are done.
+// Load pattern: after a loss of power every member is news at once. Templates
+// go first, then what has been spread the least, so that none waits until
+// others are done.
 std::vector<balancer_membership::hot_map::iterator>
 balancer_membership::freshest_changes(std::size_t count)
 {
@@ -461,22 +462,33 @@
         std::ranges::nth_element(
             result, result.begin() + static_cast<std::ptrdiff_t>(count),
             std::ranges::greater{},
-            [](hot_map::iterator at) { return at->second.second; });
+            [](hot_map::iterator at)
+            {
+                bool const is_template =
+                    at->second.first.kind_ == item_kind::organisation;
+                return std::pair(is_template, at->second.second);
+            });
         result.resize(count);
     }
     return result;
 }
 
+// Changes of templates go in a message of their own, which is sent even if
+// those of members have used up the byte budget.
 void balancer_membership::gossip()
 {
     if (hot_.empty() || !due(gossiped_, timing_.gossip_))
     {
         return;
     }
-    digest_message digest;
+    digest_message templates;
+    digest_message members;
     for (auto const at : freshest_changes(items_in_digest))
     {
-        digest.items_.push_back(at->second.first);
+        auto const& value = at->second.first;
+        auto& digest =
+            value.kind_ == item_kind::organisation ? templates : members;
+        digest.items_.push_back(value);
         if (--at->second.second <= 0)
         {
             hot_.erase(at);
@@ -484,7 +496,14 @@
     }
     for (auto const& peer : random_balancers(gossip_fanout))
     {
-        send(peer.control_, digest);
+        if (!templates.items_.empty())
+        {
+            send(peer.control_, templates);
+        }
+        if (!members.items_.empty())
+        {
+            send(peer.control_, members);
+        }
     }
 }
 
@@ -497,7 +516,8 @@
     }
     for (auto const& peer : random_balancers(1))
     {
-        send(peer.control_, digest_message{table_.tree().root(), {}, false});
+        send(peer.control_,
+             digest_message{table_.tree().root(), book_.latest_news(), false});
     }
 }
 
@@ -515,8 +535,10 @@
     if (!lost.empty())
     {
         std::uniform_int_distribution<std::size_t> pick(0, lost.size() - 1);
+        auto items = book_.latest_news();
+        items.push_back(to_item(self_));
         send(lost[pick(random_)],
-             digest_message{table_.tree().root(), {to_item(self_)}, false});
+             digest_message{table_.tree().root(), std::move(items), false});
     }
 }
 
--- a/src/core/balancer_messages.cpp
+++ b/src/core/balancer_messages.cpp
@@ -76,10 +76,32 @@
     take_items(message.items_, from);
     if (message.root_ != 0 && message.root_ != table_.tree().root())
     {
+        tell_news(message, from);
         send(from, tree_message{1, 0, table_.tree().children(1, 0)});
     }
 }
 
+// The comparison of whole views takes several messages and may wait for bytes;
+// a changed template must not.
+void balancer_membership::tell_news(digest_message const& theirs,
+                                    endpoint const& to)
+{
+    digest_message answer;
+    for (auto const& news : book_.latest_news())
+    {
+        auto const known =
+            std::ranges::find(theirs.items_, news.id_, &item::id_);
+        if (known == theirs.items_.end() || known->version_ < news.version_)
+        {
+            answer.items_.push_back(news);
+        }
+    }
+    if (!answer.items_.empty())
+    {
+        send(to, std::move(answer));
+    }
+}
+
 void balancer_membership::take_items(std::vector<item> const& items,
                                      endpoint const& from)
 {
@@ -110,7 +132,11 @@
             newer.items_.push_back(*mine);
             return;
         }
-        book_.offered(theirs, from, now_, out_);
+        // The news spreads before the template itself has come.
+        if (book_.offered(theirs, from, now_, out_))
+        {
+            make_hot(theirs);
+        }
         return;
     }
     if (theirs.id_ == self_.target_)
--- a/src/core/revisions.cpp
+++ b/src/core/revisions.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds retry_interval{400};
 constexpr int max_attempts = 5;
 constexpr std::size_t max_transfer_peers = 4;
+constexpr std::size_t max_news = 8;
 // Peers that hold a newer revision offer it more often than this.
 constexpr milliseconds offer_lifetime{10'000};
 
@@ -97,6 +98,7 @@
     }
     auto const before = find(id);
     held_[id] = {organisation, at, value};
+    note_news(id);
     if (changed_)
     {
         changed_(before, find(id));
@@ -106,7 +108,7 @@
     return outcome;
 }
 
-void revision_book::offered(item const& theirs, endpoint const& from,
+bool revision_book::offered(item const& theirs, endpoint const& from,
                             time_point now, std::vector<control_action>& out)
 {
     auto const at = theirs.version_.incarnation_;
@@ -116,13 +118,13 @@
         (held != held_.end() && at <= held->second.revision_) ||
         (invalid != invalid_.end() && at <= invalid->second))
     {
-        return;
+        return false;
     }
-    await(theirs.id_, at, now);
+    bool const is_news = await(theirs.id_, at, now);
     auto& open = transfers_[theirs.id_];
     if (open.revision_ > at)
     {
-        return;
+        return is_news;
     }
     if (open.revision_ == at)
     {
@@ -132,20 +134,57 @@
         {
             open.peers_.push_back(from);
         }
-        return;
+        return is_news;
     }
     open = {};
     open.revision_ = at;
     open.peers_ = {from};
     ask(theirs.id_, open, now, out);
+    return is_news;
 }
 
-void revision_book::await(std::uint64_t id, revision at, time_point now)
+bool revision_book::await(std::uint64_t id, revision at, time_point now)
 {
     auto const [held, is_first] =
         awaited_.try_emplace(id, awaited_revision{at, now, now});
-    held->second.revision_ = std::max(held->second.revision_, at);
-    held->second.last_ = now;
+    auto& known = held->second;
+    bool const is_news = is_first || at > known.revision_;
+    known.revision_ = std::max(known.revision_, at);
+    known.last_ = now;
+    if (is_news)
+    {
+        note_news(id);
+    }
+    return is_news;
+}
+
+void revision_book::note_news(std::uint64_t id)
+{
+    std::erase(news_, id);
+    news_.push_front(id);
+    if (news_.size() > max_news)
+    {
+        news_.pop_back();
+    }
+}
+
+std::vector<item> revision_book::latest_news() const
+{
+    std::vector<item> result;
+    for (auto const id : news_)
+    {
+        auto const held = held_.find(id);
+        auto const awaited = awaited_.find(id);
+        revision const in_force =
+            held == held_.end() ? 0 : held->second.revision_;
+        revision const known =
+            awaited == awaited_.end() ? 0 : awaited->second.revision_;
+        if (auto const at = std::max(in_force, known); at != 0)
+        {
+            result.push_back(to_item(id, at));
+        }
+    }
+    return result;
 }
 
 bool revision_book::is_late(duration patience, time_point now) const
--- a/src/rpc/control_messages.cpp
+++ b/src/rpc/control_messages.cpp
@@ -321,6 +321,15 @@
 
 send_class class_of(control_message const& message)
 {
+    if (auto const* digest = std::get_if<digest_message>(&message))
+    {
+        bool const is_news =
+            digest->root_ == 0 && !digest->items_.empty() &&
+            std::ranges::all_of(
+                digest->items_, [](item const& value)
+                { return value.kind_ == item_kind::organisation; });
+        return is_news ? send_class::news : send_class::urgent;
+    }
     bool const bulk = std::holds_alternative<template_chunk>(message) ||
                       std::holds_alternative<template_request>(message) ||
                       std::holds_alternative<tree_message>(message);
--- a/test/support/platform_fleet.cpp
+++ b/test/support/platform_fleet.cpp
@@ -15,9 +15,7 @@
 // Offsets from the fleet's first port.
 constexpr int commands_at = 0;
 constexpr int callers_at = 1;
-constexpr int ways_at = 10;
-constexpr int balancers_at = 100;
-constexpr int agents_at = 300;
+constexpr int ways_at = 2; // one for each balancer, then its own ports
 constexpr int ports_of_process = 5;
 constexpr int most_seeds = 3;
 
@@ -60,14 +58,14 @@
 
 endpoint platform_fleet::balancer_port(int number, int offset) const
 {
-    return at(plan_.first_port_ + balancers_at + ports_of_process * number +
-              offset);
+    int const first = plan_.first_port_ + ways_at + plan_.balancers_;
+    return at(first + ports_of_process * number + offset);
 }
 
 endpoint platform_fleet::agent_port(int number, int offset) const
 {
-    return at(plan_.first_port_ + agents_at + ports_of_process * number +
-              offset);
+    auto const last = balancer_port(plan_.balancers_, 0);
+    return at(last.port_ + ports_of_process * number + offset);
 }
 
 endpoint platform_fleet::balancer_data(int number) const
--- a/test/tools/platform_trial.cpp
+++ b/test/tools/platform_trial.cpp
@@ -39,6 +39,7 @@
                                                    milliseconds(600)};
 constexpr milliseconds probe_lifetime{1'400};
 constexpr milliseconds cycle_time{10'000}; // faults, then calm
+constexpr milliseconds calm_change_interval{4'000};
 
 constexpr std::uint8_t flag_ack = 1;
 constexpr std::uint8_t flag_syn = 64;
@@ -133,8 +134,9 @@
 class trial
 {
 public:
-    trial(fleet_plan const& plan, std::uint64_t seed, milliseconds length)
-        : fleet_(plan), random_(seed), length_(length),
+    trial(fleet_plan const& plan, std::uint64_t seed, milliseconds length,
+          bool is_calm)
+        : fleet_(plan), random_(seed), length_(length), is_calm_(is_calm),
           callers_(io_, fleet_.callers()),
           probes_timer_(io_, probe_interval, [this] { send_probe(); }),
           heartbeats_(io_, heartbeat_interval, [this] { send_heartbeats(); })
@@ -566,6 +568,15 @@
         (this->*faults[random_() % faults.size()])(time);
     }
 
+    // Changes only.
+    void draw_calm_timeline()
+    {
+        for (milliseconds at(5'000); at < length_; at += calm_change_interval)
+        {
+            later(at, [this] { change_config(); });
+        }
+    }
+
     // Each cycle has up to three faults at its beginning, and changes at any
     // time.
     void draw_timeline()
@@ -575,6 +586,11 @@
             is_up_[i] = true;
         }
         later(milliseconds(300), [this] { change_config(); });
+        if (is_calm_)
+        {
+            draw_calm_timeline();
+            return;
+        }
         for (milliseconds at(5'000); at + cycle_time <= length_;
              at += cycle_time)
         {
@@ -617,6 +633,7 @@
     platform_fleet fleet_;
     std::mt19937_64 random_;
     milliseconds length_;
+    bool is_calm_; // without faults
     platform::packet_head format_;
     datagram_port callers_;
     std::deque<datagram_port> backends_;
@@ -648,15 +665,18 @@
         ->required();
     app.add_option("--work", plan.work_, "folder for settings and logs")
         ->required();
-    app.add_option("--port", plan.first_port_, "first of 600 ports");
+    app.add_option("--port", plan.first_port_,
+                   "first of 6 ports a process, and a few more");
     app.add_option("--balancers", plan.balancers_, "number of balancers");
     app.add_option("--agents", plan.agents_, "number of agents");
     app.add_option("--watchers", plan.store_watchers_,
                    "balancers that read the store");
+    bool is_calm = false;
+    app.add_flag("--calm", is_calm, "changes without faults");
     CLI11_PARSE(app, argc, argv);
     try
     {
-        trial run(plan, seed, std::chrono::seconds(seconds));
+        trial run(plan, seed, std::chrono::seconds(seconds), is_calm);
         return run.run() == 0 ? 0 : 1;
     }
     catch (std::exception const& failure)
--- a/test/unit/membership_test.cpp
+++ b/test/unit/membership_test.cpp
@@ -412,3 +412,35 @@
         CHECK(took <= flow_forwarder_settings{}.learning_time_);
     }
 }
+
+// Load pattern: all processes of a large fleet come back at once, and what they
+// tell each other about members uses up their byte budgets.
+// Regression: CONFIG, news of a change dropped over budget (issue 16).
+TEST_CASE("a change is known of everywhere while a large fleet starts")
+{
+    constexpr int balancers = 75;
+    control_fleet fleet(31);
+    fleet.limit_bytes(9'000);
+    for (int i = 0; i < balancers; ++i)
+    {
+        fleet.add_balancer(name('b', i));
+    }
+    for (int i = 0; i < 150; ++i)
+    {
+        fleet.add_agent(name('t', i), 7, "");
+    }
+    for (revision change = 1; change <= 8; ++change)
+    {
+        CAPTURE(change);
+        fleet.run_for(seconds(2));
+        fleet.offer(fleet.at("b0"), change, std::string(400, 'x'));
+        auto const knows = [&](process& each)
+        {
+            return !each.balancer_ || each.templates_["org"] == change ||
+                   each.balancer_->templates().is_late({}, fleet.now());
+        };
+        CHECK(fleet.run_until([&] { return fleet.all_of(knows); },
+                              seconds(10)) <= seconds(2));
+    }
+    CHECK(fleet.over_budget() > 0);
+}
