A call times out by its peer's silence, not by the length of its answer

What callers would see (CONFIG): a balancer behind a slow link never gets a large configuration.

Cause: the timeout covered the whole call, so that it trusted no answer that is long. Change: the timeout is the longest pause while connecting, sending and between two parts of the answer; the whole call ends after eight of them. A watch has its time from its begin on, as it goes on where the read ended; else a long read would leave it none and the next read would follow at once.

--- a/include/daisytrail/template_feed.hpp
+++ b/include/daisytrail/template_feed.hpp
@@ -59,7 +59,7 @@
     // `jitter` is from [0, 1): it spreads balancers that failed together.
     void read_failed(time_point now, double jitter);
 
-    void watch_begun();
+    void watch_begun(time_point now);
 
     // The watch brought changes or a sign of life.
     void watch_answered(time_point now);
@@ -74,8 +74,9 @@
     bool watching_ = false;
     // Nothing was read yet, the watch has failed, or a read is wanted.
     bool must_read_ = false;
-    // The store has shown at this time or later that nothing newer exists.
-    time_point confirmed_{};
+    // Begin or last sign of life of the watch. It goes on where the read ended,
+    // so that only its own silence counts.
+    time_point heard_{};
     time_point read_began_{};
     time_point not_before_{}; // no read until then
     duration backoff_{};      // 0 after a success
--- a/src/core/template_feed.cpp
+++ b/src/core/template_feed.cpp
@@ -45,7 +45,8 @@
     {
         return step::none;
     }
-    bool const is_silent = active_ && now >= confirmed_ + timing_.trust_;
+    bool const is_silent =
+        active_ && watching_ && now >= heard_ + timing_.trust_;
     if (must_read_ || is_silent)
     {
         return now >= not_before_ ? step::read : step::none;
@@ -65,8 +66,6 @@
 {
     reading_ = false;
     must_read_ = false;
-    // The answer may be as old as the call.
-    confirmed_ = read_began_;
     backoff_ = {};
 }
 
@@ -77,14 +76,15 @@
     back_off(now, jitter);
 }
 
-void template_feed::watch_begun()
+void template_feed::watch_begun(time_point now)
 {
     watching_ = true;
+    heard_ = now;
 }
 
 void template_feed::watch_answered(time_point now)
 {
-    confirmed_ = now;
+    heard_ = now;
 }
 
 void template_feed::watch_failed(time_point now, double jitter)
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -53,7 +53,7 @@
         parser_.body_limit(max_page_body_bytes);
     }
 
-    void start(endpoint const& peer, std::chrono::milliseconds timeout)
+    void start(endpoint const& peer, std::chrono::milliseconds silence)
     {
         if (!request_.has_content_length())
         {
@@ -63,8 +63,10 @@
         {
             request_.set(http::field::host, to_string(peer));
         }
-        timeout_ = timeout;
-        stream_.expires_after(timeout);
+        silence_ = silence;
+        ends_ =
+            std::chrono::steady_clock::now() + most_silences_of_call * silence;
+        stream_.expires_after(silence_);
         stream_.async_connect(
             asio::ip::tcp::endpoint(asio::ip::address_v4(peer.address_),
                                     peer.port_),
@@ -89,6 +91,7 @@
     void write()
     {
         phase_ = call_phase::sending;
+        stream_.expires_after(silence_);
         http::async_write(stream_, request_,
                           [self = shared_from_this()](beast::error_code code,
                                                       std::size_t written)
@@ -108,16 +111,30 @@
     void read()
     {
         phase_ = call_phase::waiting;
-        http::async_read(
+        stream_.expires_after(silence_);
+        http::async_read_some(
             stream_, buffer_, parser_,
             [self = shared_from_this()](beast::error_code code, std::size_t)
             {
                 if (code)
                 {
                     self->fail(error_kind::outcome_unknown, code);
-                    return;
                 }
-                self->finish({std::nullopt, {}, self->parser_.release()});
+                else if (self->parser_.is_done())
+                {
+                    self->finish({std::nullopt, {}, self->parser_.release()});
+                }
+                else if (std::chrono::steady_clock::now() >= self->ends_)
+                {
+                    self->stream_.close();
+                    self->finish({error_kind::outcome_unknown,
+                                  "the answer came too slowly",
+                                  {}});
+                }
+                else
+                {
+                    self->read();
+                }
             });
     }
 
@@ -132,7 +149,7 @@
         if (code == beast::error::timeout)
         {
             return std::string(text.timeout_) + " for " +
-                   std::to_string(timeout_.count()) + " ms";
+                   std::to_string(silence_.count()) + " ms";
         }
         return std::string(text.name_) + ": " + code.message();
     }
@@ -146,7 +163,8 @@
     }
 
     beast::tcp_stream stream_;
-    std::chrono::milliseconds timeout_{0};
+    std::chrono::milliseconds silence_{0}; // longest pause of the peer
+    std::chrono::steady_clock::time_point ends_;
     call_phase phase_ = call_phase::connecting;
     http_request request_;
     std::function<void(http_outcome)> handler_; // empty once called
@@ -159,12 +177,12 @@
 std::function<void()> async_http_call(asio::io_context& io,
                                       endpoint const& peer,
                                       http_request request,
-                                      std::chrono::milliseconds timeout,
+                                      std::chrono::milliseconds silence,
                                       std::function<void(http_outcome)> handler)
 {
     auto call =
         std::make_shared<http_call>(io, std::move(request), std::move(handler));
-    call->start(peer, timeout);
+    call->start(peer, silence);
     return [weak = std::weak_ptr(call)]
     {
         if (auto const alive = weak.lock())
--- a/src/net/http_call.hpp
+++ b/src/net/http_call.hpp
@@ -26,10 +26,15 @@
 };
 
 // Starts the call and returns a function that cancels it; after a cancel the
-// handler isn't called.
+// handler isn't called. `silence` is the longest pause of the peer while it is
+// connected to, takes the request or sends its answer: a long answer over a
+// slow link doesn't fail by its length. The whole call takes at most
+// most_silences_of_call times as long.
+inline constexpr int most_silences_of_call = 8;
+
 std::function<void()>
 async_http_call(boost::asio::io_context& io, endpoint const& peer,
-                http_request request, std::chrono::milliseconds timeout,
+                http_request request, std::chrono::milliseconds silence,
                 std::function<void(http_outcome)> handler);
 
 } // namespace daisytrail
--- a/src/net/template_follower.cpp
+++ b/src/net/template_follower.cpp
@@ -113,7 +113,7 @@
 
 void template_follower::watch()
 {
-    feed_.watch_begun();
+    feed_.watch_begun(steady_clock::now());
     store_.watch(
         std::string(template_prefix), next_, sign_interval_,
         calls_.track(store_call::watch_templates, alive_,
--- /dev/null
+++ b/test/unit/http_call_test.cpp
@@ -0,0 +1,150 @@
+// Calls to a peer that is slow, silent or not there.
+#include "net/http_call.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <optional>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr milliseconds silence{100};
+
+// Sends an answer in parts with a pause before each; after `parts_sent` of
+// them it says nothing more and keeps the connection open.
+class slow_server
+{
+public:
+    slow_server(asio::io_context& io, std::size_t parts, std::size_t parts_sent,
+                milliseconds pause)
+        : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          socket_(io), timer_(io), left_(parts_sent), pause_(pause)
+    {
+        body_bytes_ = parts * part_.size();
+        acceptor_.async_accept(socket_,
+                               [this](boost::system::error_code code)
+                               {
+                                   if (!code)
+                                   {
+                                       send_head();
+                                   }
+                               });
+    }
+
+    endpoint address() const
+    {
+        return {acceptor_.local_endpoint().address().to_v4().to_uint(),
+                acceptor_.local_endpoint().port()};
+    }
+
+private:
+    void send_head()
+    {
+        head_ = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                std::to_string(body_bytes_) + "\r\n\r\n";
+        asio::async_write(socket_, asio::buffer(head_),
+                          [this](boost::system::error_code code, std::size_t)
+                          { code ? void() : send_part(); });
+    }
+
+    void send_part()
+    {
+        if (left_ == 0)
+        {
+            return;
+        }
+        --left_;
+        timer_.expires_after(pause_);
+        timer_.async_wait(
+            [this](boost::system::error_code)
+            {
+                asio::async_write(
+                    socket_, asio::buffer(part_),
+                    [this](boost::system::error_code code, std::size_t)
+                    { code ? void() : send_part(); });
+            });
+    }
+
+    tcp::acceptor acceptor_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::string const part_ = std::string(1'000, 'x');
+    std::string head_;
+    std::size_t body_bytes_ = 0;
+    std::size_t left_;
+    milliseconds pause_;
+};
+
+http_outcome call(asio::io_context& io, endpoint const& peer)
+{
+    std::optional<http_outcome> result;
+    http_request request{boost::beast::http::verb::get, "/", 11};
+    async_http_call(io, peer, std::move(request), silence,
+                    [&](http_outcome outcome)
+                    {
+                        result = std::move(outcome);
+                        io.stop();
+                    });
+    io.run_for(std::chrono::seconds(10));
+    REQUIRE(result);
+    return std::move(*result);
+}
+
+} // namespace
+
+// Regression: CONFIG, a large configuration over a slow link was never read.
+TEST_CASE("an answer that takes longer than a silence comes whole")
+{
+    asio::io_context io;
+    slow_server server(io, 10, 10, milliseconds(30));
+    auto const outcome = call(io, server.address());
+    CHECK_FALSE(outcome.error_);
+    CHECK(outcome.response_.body().size() == 10'000);
+}
+
+TEST_CASE("a peer that falls silent within its answer fails the call")
+{
+    asio::io_context io;
+    slow_server server(io, 10, 5, milliseconds(10));
+    auto const outcome = call(io, server.address());
+    REQUIRE(outcome.error_);
+    CHECK(*outcome.error_ == error_kind::outcome_unknown);
+    CHECK(outcome.detail_ == "no answer for 100 ms");
+}
+
+TEST_CASE("an answer that never comes to its end fails the call")
+{
+    asio::io_context io;
+    slow_server server(io, 1'000, 1'000, milliseconds(60));
+    auto const outcome = call(io, server.address());
+    REQUIRE(outcome.error_);
+    CHECK(outcome.detail_ == "the answer came too slowly");
+}
+
+TEST_CASE("a refused connection is told apart from a silent peer")
+{
+    asio::io_context io;
+    endpoint closed;
+    {
+        slow_server const server(io, 1, 1, milliseconds(0));
+        closed = server.address();
+    }
+    io.poll();
+    io.restart();
+    auto const outcome = call(io, closed);
+    REQUIRE(outcome.error_);
+    CHECK(*outcome.error_ == error_kind::unavailable);
+    CHECK(outcome.detail_ == "connecting: Connection refused");
+}
+
+} // namespace daisytrail
