Resets of unknown flows wait until a balancer that started meets no more targets

Cause: a balancer took itself to know every target 4 s after its start. With 75 balancers and 220 agents that start at once, the byte budget spreads their records over 5 to 7 s and more; again a wait that isn't tied to what it rests on. Change: the time begins anew with each target that is met while it runs, up to 30 s; the list of targets in the store still ends it at once.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -96,8 +96,10 @@
     // refuses no new flow.
     duration learning_time_ = std::chrono::milliseconds(1'500);
     // The same for resets of flows that it doesn't know: to refuse a flow costs
-    // its caller a try, to reset an open one a request.
+    // its caller a try, to reset an open one a request. The time begins anew
+    // with each target that it meets, up to a bound.
     duration reset_learning_time_ = std::chrono::milliseconds(4'000);
+    duration most_reset_learning_time_ = std::chrono::seconds(30);
 };
 
 class flow_forwarder
@@ -175,7 +177,9 @@
     std::vector<target_id> next_questions(owner_search& search, time_point now);
     std::vector<target_id> search_order(flow const& value,
                                         time_point now) const;
-    bool is_learning(time_point now, duration time) const;
+    bool is_learning(time_point now) const;
+    bool is_learning_for_resets(time_point now) const;
+    void note_new_targets(time_point now);
     bool may_take_soon(service_id service, time_point now) const;
     forward_action send(flow& value, forward_cause cause, time_point now);
     placement_request request_for(flow const& value,
@@ -185,6 +189,8 @@
     forward_directory& directory_;
     flow_forwarder_settings settings_;
     time_point started_;
+    time_point met_last_;                        // a target, while learning
+    std::size_t known_targets_ = 0;              // at the last tick
     std::map<endpoint, route_profile> profiles_; // by VIP
     flow_list flows_;                            // least recently used first
     std::unordered_map<flow_key, flow_list::iterator, flow_hash> index_;
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -9,7 +9,8 @@
 
 flow_forwarder::flow_forwarder(forward_directory& directory,
                                flow_forwarder_settings settings, time_point now)
-    : directory_(directory), settings_(std::move(settings)), started_(now)
+    : directory_(directory), settings_(std::move(settings)), started_(now),
+      met_last_(now)
 {
 }
 
@@ -52,6 +53,7 @@
 
 void flow_forwarder::tick(time_point now)
 {
+    note_new_targets(now);
     while (!flows_.empty() && now > flows_.front().sent_ + settings_.flow_idle_)
     {
         erase(flow_key{flows_.front().key_});
@@ -328,14 +330,34 @@
                                  nullptr};
 }
 
-bool flow_forwarder::is_learning(time_point now, duration time) const
+bool flow_forwarder::is_learning(time_point now) const
 {
-    return now < started_ + time && !directory_.has_met_all();
+    return now < started_ + settings_.learning_time_ &&
+           !directory_.has_met_all();
+}
+
+bool flow_forwarder::is_learning_for_resets(time_point now) const
+{
+    auto const end = std::min(met_last_ + settings_.reset_learning_time_,
+                              started_ + settings_.most_reset_learning_time_);
+    return now < end && !directory_.has_met_all();
+}
+
+// Load pattern: hundreds of VMs start at once, and the byte budget spreads what
+// is known of them over many seconds.
+void flow_forwarder::note_new_targets(time_point now)
+{
+    auto const known = directory_.targets().size();
+    if (known > known_targets_ && is_learning_for_resets(now))
+    {
+        met_last_ = now;
+    }
+    known_targets_ = known;
 }
 
 bool flow_forwarder::may_take_soon(service_id service, time_point now) const
 {
-    return is_learning(now, settings_.learning_time_) ||
+    return is_learning(now) ||
            std::ranges::any_of(directory_.members(service),
                                [](forward_target const* target)
                                { return !target->has_report_; });
@@ -445,7 +467,7 @@
 // holds which isn't known yet.
 forward_action flow_forwarder::give_up(flow& value, time_point now)
 {
-    if (is_learning(now, settings_.reset_learning_time_))
+    if (is_learning_for_resets(now))
     {
         return {forward_step::hold, forward_cause::owner_missing, nullptr};
     }
--- a/test/unit/flow_forwarder_test.cpp
+++ b/test/unit/flow_forwarder_test.cpp
@@ -511,6 +511,59 @@
           searched.questions_.end());
 }
 
+// Regression: FLOW, an open flow reset while 300 VMs start (issue 11).
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "no reset while a balancer that has started still meets "
+                  "targets")
+{
+    forwarder_ = std::make_unique<flow_forwarder>(
+        directory_, flow_forwarder_settings{}, now_);
+    // The outcome for a flow that no target holds.
+    auto const ask_after = [this](duration time, std::uint16_t port)
+    {
+        now_ += time;
+        forwarder_->tick(now_);
+        send(packet(port));
+        answer(packet(port), "one", flow_holding::not_held);
+        return answer(packet(port), "two", flow_holding::not_held).step_;
+    };
+    add_target("one");
+    forwarder_->tick(now_);
+    now_ += 3'500ms;
+    add_target("two");
+    CHECK(ask_after(100ms, 1) == forward_step::hold);
+    CHECK(ask_after(1'500ms, 2) == forward_step::hold);
+    CHECK(ask_after(3'000ms, 3) == forward_step::reset);
+    // One that joins later doesn't begin the start anew.
+    add_target("three");
+    now_ += 100ms;
+    forwarder_->tick(now_);
+    send(packet(4));
+    answer(packet(4), "one", flow_holding::not_held);
+    answer(packet(4), "two", flow_holding::not_held);
+    CHECK(answer(packet(4), "three", flow_holding::not_held).step_ ==
+          forward_step::reset);
+}
+
+// Hypothesis 3 of the CONFIG incident (issue 16).
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a SYN's copy goes to the service of the newest template")
+{
+    add_target("one");
+    CHECK(send(syn(1)).target_->record_.name_ == "one");
+    organisation_template moved{"org", {}, {}};
+    moved.routes_.push_back({"main", vip, {{hash_name("org/other"), 1}}});
+    directory_.apply(moved, 2);
+    auto other = add_target("other");
+    other.service_ = hash_name("org/other");
+    other.version_.sequence_ += 1;
+    directory_.apply(other);
+    now_ += 200ms;
+    auto const copy = send(syn(1, 1));
+    REQUIRE(copy.step_ == forward_step::send);
+    CHECK(copy.target_->record_.name_ == "other");
+}
+
 TEST_CASE_FIXTURE(forwarding_fixture, "a draining target takes no new flow")
 {
     add_target("one", member_state::draining);
