Agents reach a peer again after their connection to it fell silent

What callers would see (mode requests): requests that wait at a full agent are no longer run by its peers, and offers to one peer cost 250 ms each, until the connection ends by itself.

An offer or a note of a key that got no answer in time was given up, but the connection stayed the peer's only one; one that falls silent without an end made the peer unreachable for good.

Change: after a call without an answer in time new calls use a new connection, at most two a second. Requests that run over the former one keep it until they end, so that a peer that is only slow loses none.

--- a/src/agent/peer_thread.cpp
+++ b/src/agent/peer_thread.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::chrono::milliseconds immediate_timeout{250};
+// A peer that doesn't answer gets a new connection at most this often.
+constexpr std::chrono::milliseconds least_connection_time{500};
 
 kj::Duration to_kj_time(duration value)
 {
@@ -82,7 +84,8 @@
             });
 }
 
-kj::Promise<wire::Agent::Client> peer_rpc_thread::connect(endpoint const& peer)
+kj::Promise<peer_rpc_thread::shared_connection>
+peer_rpc_thread::connect(endpoint const& peer)
 {
     auto found = peers_.find(peer);
     if (found == peers_.end())
@@ -113,11 +116,25 @@
                         kj::throwFatalException(kj::mv(failure));
                     })
                 .fork();
-        found = peers_.emplace(peer, known_peer{number, kj::mv(ready)}).first;
+        found = peers_
+                    .emplace(peer, known_peer{number,
+                                              std::chrono::steady_clock::now(),
+                                              kj::mv(ready)})
+                    .first;
+    }
+    return found->second.ready_.addBranch();
+}
+
+void peer_rpc_thread::replace_connection(endpoint const& peer)
+{
+    auto const found = peers_.find(peer);
+    bool const is_old = found != peers_.end() &&
+                        std::chrono::steady_clock::now() >=
+                            found->second.since_ + least_connection_time;
+    if (is_old)
+    {
+        disconnect(peer, found->second.number_);
     }
-    return found->second.ready_.addBranch().then(
-        [](shared_connection const& open)
-        { return open->client_->bootstrap().castAs<wire::Agent>(); });
 }
 
 // Runs later, since a promise of the connection may be on the call stack.
@@ -141,22 +158,29 @@
     auto const timeout =
         offer.immediate_ ? duration(immediate_timeout) : offer.deadline_;
     auto call = connect(peer).then(
-        [offer](wire::Agent::Client agent)
+        [offer](shared_connection open)
         {
-            auto out = agent.reserveRequest();
+            auto out = open->agent().reserveRequest();
             write_offer(out.initOffer(), offer);
-            return out.send().then(
-                [](capnp::Response<wire::Agent::ReserveResults>&& in)
-                {
-                    return offer_reply{in.getGranted() ? offer_result::granted
-                                                       : offer_result::refused,
-                                       in.getReservation(),
-                                       read_load(in.getLoad())};
-                });
+            return out.send()
+                .attach(kj::mv(open))
+                .then(
+                    [](capnp::Response<wire::Agent::ReserveResults>&& in)
+                    {
+                        return offer_reply{
+                            in.getGranted() ? offer_result::granted
+                                            : offer_result::refused,
+                            in.getReservation(), read_load(in.getLoad())};
+                    });
         });
     auto late = io_->provider->getTimer()
                     .afterDelay(to_kj_time(timeout))
-                    .then([] { return offer_reply{}; });
+                    .then(
+                        [this, peer]
+                        {
+                            replace_connection(peer);
+                            return offer_reply{};
+                        });
     tasks_->add(
         call.exclusiveJoin(kj::mv(late))
             .catch_([](kj::Exception&&) { return offer_reply{}; })
@@ -168,12 +192,12 @@
                               request_id request)
 {
     tasks_->add(connect(peer).then(
-        [home, request](wire::Agent::Client agent)
+        [home, request](shared_connection open)
         {
-            auto out = agent.releaseRequest();
+            auto out = open->agent().releaseRequest();
             out.setHome(home);
             out.setRequest(request);
-            return out.send().ignoreResult();
+            return out.send().ignoreResult().attach(kj::mv(open));
         }));
 }
 
@@ -184,19 +208,27 @@
 {
     using answer = std::optional<note_result>;
     auto call = connect(peer).then(
-        [home, key, fingerprint](wire::Agent::Client agent)
+        [home, key, fingerprint](shared_connection open)
         {
-            auto out = agent.witnessRequest();
+            auto out = open->agent().witnessRequest();
             out.setHome(home);
             out.setKey(key.c_str());
             out.setFingerprint(fingerprint);
-            return out.send().then(
-                [](capnp::Response<wire::Agent::WitnessResults>&& in)
-                { return answer(static_cast<note_result>(in.getAnswer())); });
+            return out.send()
+                .attach(kj::mv(open))
+                .then(
+                    [](capnp::Response<wire::Agent::WitnessResults>&& in) {
+                        return answer(static_cast<note_result>(in.getAnswer()));
+                    });
         });
     auto late = io_->provider->getTimer()
                     .afterDelay(to_kj_time(immediate_timeout))
-                    .then([] { return answer(); });
+                    .then(
+                        [this, peer]
+                        {
+                            replace_connection(peer);
+                            return answer();
+                        });
     tasks_->add(
         call.exclusiveJoin(kj::mv(late))
             .catch_([](kj::Exception&&) { return answer(); })
@@ -221,16 +253,15 @@
             });
     };
     auto running = connect(peer).then(
-        [this, reservation, request, call, target,
-         sent](wire::Agent::Client agent)
+        [this, reservation, request, call, target, sent](shared_connection open)
             -> kj::Promise<capnp::Response<wire::Agent::StartResults>>
         {
-            auto out = agent.startRequest();
+            auto out = open->agent().startRequest();
             out.setReservation(reservation);
             write_request(out.initRequest(), request);
             out.setSink(make_sink_server(*this, call, target));
             *sent = true;
-            return out.send();
+            return out.send().attach(kj::mv(open));
         });
     auto ended = running.then(
         [this, pass, call](capnp::Response<wire::Agent::StartResults>&& in)
--- a/src/agent/peer_thread.hpp
+++ b/src/agent/peer_thread.hpp
@@ -62,6 +62,11 @@
 
     struct connection
     {
+        wire::Agent::Client agent()
+        {
+            return client_->bootstrap().castAs<wire::Agent>();
+        }
+
         kj::Own<kj::AsyncIoStream> stream_;
         kj::Own<capnp::TwoPartyClient> client_;
     };
@@ -92,12 +97,19 @@
     void run();
     void serve();
     kj::Promise<void> watch_wake(kj::AsyncInputStream& wake);
-    kj::Promise<wire::Agent::Client> connect(endpoint const& peer);
+    // Whoever waits for an answer keeps the connection: it stays open for
+    // calls that run when another one has taken its place.
+    kj::Promise<shared_connection> connect(endpoint const& peer);
     void disconnect(endpoint const& peer, std::uint64_t number);
 
+    // The peer didn't answer in time. New calls use a new connection, since
+    // this one may have fallen silent without an end.
+    void replace_connection(endpoint const& peer);
+
     struct known_peer
     {
         std::uint64_t number_ = 0; // tells it from an earlier connection
+        time_point since_;
         kj::ForkedPromise<shared_connection> ready_;
     };
 
