--- a/src/core/revisions.cpp
+++ b/src/core/revisions.cpp
@@ -272,7 +272,8 @@
     {
         if (now >= open.asked_ + retry_interval)
         {
-            std::ranges::rotate(open.peers_, open.peers_.begin() + 1);
+            std::rotate(open.peers_.begin(), open.peers_.begin() + 1,
+                        open.peers_.end());
             ask(id, open, now, out);
         }
     }
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -8,8 +8,6 @@
 #include <system_error>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace daisytrail
 {
 
@@ -20,6 +18,7 @@
     std::vector<std::string> words{program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
     for (auto& word : words)
     {
         pointers.push_back(word.data());
--- a/test/tools/platform_trial.cpp
+++ b/test/tools/platform_trial.cpp
@@ -375,7 +375,7 @@
     }
 
     void command(std::string const& path, std::string const& body,
-                 std::function<void(bool done)> on_end)
+                 std::function<void(bool done)> const& on_end)
     {
         http_request request{http::verb::post, path, 11};
         request.keep_alive(false);
@@ -390,7 +390,7 @@
 
     // Faults.
 
-    void store_fault(json::object body)
+    void store_fault(json::object const& body)
     {
         command("/fault", json::serialize(body), [](bool) {});
     }
--- a/test/unit/peer_silence_test.cpp
+++ b/test/unit/peer_silence_test.cpp
@@ -62,9 +62,9 @@
 
     void silence()
     {
-        for (auto& way : ways_)
+        for (auto& each : ways_)
         {
-            way.is_silent_ = true;
+            each.is_silent_ = true;
         }
     }
 
@@ -77,8 +77,8 @@
     // Bytes of one connection in one direction.
     struct way
     {
-        std::shared_ptr<tcp::socket> from_;
-        std::shared_ptr<tcp::socket> to_;
+        std::shared_ptr<tcp::socket> source_;
+        std::shared_ptr<tcp::socket> sink_;
         std::array<char, 4'096> bytes_{};
         bool is_silent_ = false;
     };
@@ -96,15 +96,24 @@
                                    auto callee =
                                        std::make_shared<tcp::socket>(io_);
                                    callee->connect(to_);
-                                   pass_on(ways_.emplace_back(caller, callee));
-                                   pass_on(ways_.emplace_back(callee, caller));
+                                   add_way(caller, callee);
+                                   add_way(callee, caller);
                                    accept();
                                });
     }
 
+    void add_way(std::shared_ptr<tcp::socket> const& source,
+                 std::shared_ptr<tcp::socket> const& sink)
+    {
+        auto& added = ways_.emplace_back();
+        added.source_ = source;
+        added.sink_ = sink;
+        pass_on(added);
+    }
+
     void pass_on(way& each)
     {
-        each.from_->async_read_some(
+        each.source_->async_read_some(
             asio::buffer(each.bytes_),
             [this, &each](boost::system::error_code code, std::size_t size)
             {
@@ -113,7 +122,7 @@
                     return;
                 }
                 boost::system::error_code ignored;
-                asio::write(*each.to_, asio::buffer(each.bytes_, size),
+                asio::write(*each.sink_, asio::buffer(each.bytes_, size),
                             ignored);
                 pass_on(each);
             });
