--- a/test/integration/platform_config.sh
+++ b/test/integration/platform_config.sh
@@ -84,6 +84,17 @@
     "${balancers[@]}"
 store_fault '{"mode": "serve"}'
 
+# Another key whose name begins like the configuration's is none.
+sleep 2
+put_config 900 2 op/config-draft
+version=$((version + 7))
+put_config "$version"
+expect "a change is in force after a write beside the configuration's key" \
+    in_force_after "$version" "$(acknowledged_at "$version")" "$apply_ms" \
+    "${balancers[@]}"
+expect "what was written beside it is in force nowhere" \
+    test -z "$(adopted_at balancer-1 900)$(adopted_at balancer-2 900)"
+
 # Most balancers of a large fleet hear of a change from others, whose budget
 # carries a small template in time, and a large one not.
 stop_all
--- a/test/stand_ins/platform_store.cpp
+++ b/test/stand_ins/platform_store.cpp
@@ -3,7 +3,8 @@
 //
 // Each --listen address stands for the way of one machine to the store, so that
 // a fault can hit some machines only. Commands go to the --control address:
-//   POST /operator  writes the body as the operator's configuration
+//   POST /operator  writes the body as the operator's configuration, or under
+//                   the key that the query names
 //   POST /fault     {"ports":[...],"mode":"serve|silent|busy|many|reset",
 //                    "slow_ms":0,"lose_share":0.0,"silence_connections":true,
 //                    "drop_history":true}; without ports it hits every machine
@@ -404,12 +405,16 @@
 
 // Throws for a body that isn't understood.
 http_response command(store_state& state, std::string const& path,
+                      std::map<std::string, std::string> const& query,
                       std::string const& text)
 {
     if (path == "/operator")
     {
         auto const version = json::parse(text).at("version");
-        state.data_.put(std::string(config_key), text, 0);
+        auto const key = query.find("key");
+        state.data_.put(key == query.end() ? std::string(config_key)
+                                           : key->second,
+                        text, 0);
         print_event("acknowledged", {{"version", version}});
         return make_response(200, "{}");
     }
@@ -484,7 +489,8 @@
         {
             try
             {
-                write(command(state_, path, parser_->get().body()));
+                write(command(state_, path, read_query(parser_->get().target()),
+                              parser_->get().body()));
             }
             catch (std::exception const& failure)
             {
--- a/test/support/platform_fleet.sh
+++ b/test/support/platform_fleet.sh
@@ -47,15 +47,15 @@
 # store_fault BODY
 store_fault() { store_command /fault "$1"; }
 
-# put_config VERSION [ROUTES]: returns once the store has acknowledged it.
+# put_config VERSION [ROUTES [KEY]]: returns once the store has acknowledged it.
 put_config() {
-    local version=$1 count=${2:-2} routes="" i
+    local version=$1 count=${2:-2} key=${3:-op/config} routes="" i
     for ((i = 1; i <= count; ++i)); do
         routes+="${routes:+,}{\"name\": \"route-$i\","
         routes+="\"host\": \"198.18.$((i / 200)).$((1 + i % 200))\","
         routes+="\"prefix\": \"/443/\", \"service\": \"till-$((version % 2))\"}"
     done
-    store_command /operator "{\"version\": $version, \"routes\": [$routes],
+    store_command "/operator?key=$key" "{\"version\": $version, \"routes\": [$routes],
         \"services\": [{\"name\": \"till-0\"}, {\"name\": \"till-1\"}],
         \"limits\": {\"idleTimeoutMs\": 12000}}"
 }
