--- a/test/stand_ins/platform_store.cpp
+++ b/test/stand_ins/platform_store.cpp
@@ -9,8 +9,7 @@
 //                    "slow_ms":0,"lose_share":0.0,"silence_connections":true,
 //                    "drop_history":true}; without ports it hits every machine
 //   GET /stats      calls by path and the store's revision
-#include "net/http_page.hpp"
-#include "store/etcd_codec.hpp"
+#include "support/platform_database.hpp"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/ip/address_v4.hpp>
@@ -29,7 +28,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 
 namespace
 {
@@ -41,46 +39,13 @@
 using daisytrail::http_request;
 using daisytrail::http_response;
 using daisytrail::make_response;
-using daisytrail::detail::decode_base64;
-using daisytrail::detail::encode_base64;
+using daisytrail::platform_database;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 constexpr std::string_view config_key = "op/config";
 constexpr milliseconds poll_interval{5}; // of a waiting watch
 
-// One item, or its removal.
-struct item
-{
-    std::string key_;
-    std::string value_;
-    std::int64_t revision_ = 0;
-    std::int64_t created_ = 0;
-    std::int64_t lease_ = 0;
-    bool removed_ = false;
-};
-
-struct lease
-{
-    milliseconds time_to_live_;
-    steady_clock::time_point ends_;
-};
-
-json::object to_json(item const& from)
-{
-    if (from.removed_)
-    {
-        return {{"key", from.key_},
-                {"revision", from.revision_},
-                {"tombstone", true}};
-    }
-    return {{"key", from.key_},
-            {"value", encode_base64(from.value_)},
-            {"revision", from.revision_},
-            {"createRevision", from.created_},
-            {"lease", from.lease_}};
-}
-
 // The words of a query string, percent-decoded.
 std::map<std::string, std::string> read_query(std::string_view target)
 {
@@ -121,208 +86,6 @@
     return found == query.end() ? 0 : std::stoll(found->second);
 }
 
-// Items, leases and the history that watches read.
-class database
-{
-public:
-    void put(std::string const& key, std::string value, std::int64_t lease)
-    {
-        auto const held = items_.find(key);
-        auto const next = revision_ + 1;
-        auto const created =
-            held == items_.end() ? next : held->second.created_;
-        record({key, std::move(value), next, created, lease, false});
-    }
-
-    http_response read_key(std::string const& key) const
-    {
-        auto const found = items_.find(key);
-        if (found == items_.end())
-        {
-            return make_response(404, "{}");
-        }
-        auto body = to_json(found->second);
-        body["storeRevision"] = revision_;
-        return make_response(200, json::serialize(body));
-    }
-
-    http_response read_range(std::string const& prefix) const
-    {
-        json::array list;
-        for (auto at = items_.lower_bound(prefix);
-             at != items_.end() && at->first.starts_with(prefix); ++at)
-        {
-            list.push_back(to_json(at->second));
-        }
-        return make_response(
-            200, json::serialize(json::object{{"items", list},
-                                              {"truncated", false},
-                                              {"storeRevision", revision_}}));
-    }
-
-    http_response transact(json::object const& body)
-    {
-        json::array current;
-        bool holds = true;
-        for (auto const& row : body.at("expectRev").as_array())
-        {
-            auto const& expected = row.as_object();
-            std::string const key(expected.at("key").as_string());
-            auto const found = items_.find(key);
-            auto const held =
-                found == items_.end() ? 0 : found->second.revision_;
-            holds = holds &&
-                    held == expected.at("revision").to_number<std::int64_t>();
-            if (found != items_.end())
-            {
-                current.push_back(to_json(found->second));
-            }
-        }
-        if (!holds)
-        {
-            return make_response(
-                412, json::serialize(json::object{{"items", current}}));
-        }
-        for (auto const& write : body.at("writes").as_array())
-        {
-            auto const lease =
-                write.as_object().at("lease").to_number<std::int64_t>();
-            if (lease != 0 && !leases_.contains(lease))
-            {
-                return make_response(404, "{}");
-            }
-        }
-        apply(body);
-        return make_response(
-            200, json::serialize(json::object{{"revision", revision_}}));
-    }
-
-    http_response grant(json::object const& body)
-    {
-        milliseconds const time(body.at("ttlMs").to_number<std::int64_t>());
-        leases_[++last_lease_] = {time, steady_clock::now() + time};
-        return make_response(
-            200, json::serialize(json::object{{"lease", last_lease_},
-                                              {"ttlMs", time.count()}}));
-    }
-
-    http_response keep(std::int64_t id)
-    {
-        auto const held = leases_.find(id);
-        if (held == leases_.end())
-        {
-            return make_response(404, "{}");
-        }
-        auto& value = held->second;
-        value.ends_ = steady_clock::now() + value.time_to_live_;
-        return make_response(
-            200, json::serialize(json::object{
-                     {"lease", id}, {"ttlMs", value.time_to_live_.count()}}));
-    }
-
-    // Removes the keys of leases that have ended.
-    void lapse()
-    {
-        auto const now = steady_clock::now();
-        std::set<std::int64_t> ended;
-        for (auto const& [id, held] : leases_)
-        {
-            if (held.ends_ < now)
-            {
-                ended.insert(id);
-            }
-        }
-        std::vector<std::string> keys;
-        for (auto const& [key, held] : items_)
-        {
-            if (ended.contains(held.lease_))
-            {
-                keys.push_back(key);
-            }
-        }
-        for (auto const& key : keys)
-        {
-            remove(key);
-        }
-        for (auto const id : ended)
-        {
-            leases_.erase(id);
-        }
-    }
-
-    // Changes under a prefix after a revision, empty if there are none.
-    json::array events(std::string const& prefix, std::int64_t after) const
-    {
-        json::array list;
-        for (auto const& change : history_)
-        {
-            if (change.revision_ > after && change.key_.starts_with(prefix))
-            {
-                list.push_back(to_json(change));
-            }
-        }
-        return list;
-    }
-
-    void drop_history()
-    {
-        history_.clear();
-        first_ = revision_ + 1;
-    }
-
-    bool has_history(std::int64_t after) const
-    {
-        return after + 1 >= first_;
-    }
-
-    std::int64_t revision() const
-    {
-        return revision_;
-    }
-
-private:
-    void apply(json::object const& body)
-    {
-        for (auto const& write : body.at("writes").as_array())
-        {
-            auto const& value = write.as_object();
-            put(std::string(value.at("key").as_string()),
-                decode_base64(value.at("value").as_string()),
-                value.at("lease").to_number<std::int64_t>());
-        }
-        for (auto const& key : body.at("deletes").as_array())
-        {
-            remove(std::string(key.as_string()));
-        }
-    }
-
-    void remove(std::string const& key)
-    {
-        record({key, "", revision_ + 1, 0, 0, true});
-    }
-
-    void record(item change)
-    {
-        revision_ = change.revision_;
-        if (change.removed_)
-        {
-            items_.erase(change.key_);
-        }
-        else
-        {
-            items_[change.key_] = change;
-        }
-        history_.push_back(std::move(change));
-    }
-
-    std::map<std::string, item> items_;
-    std::deque<item> history_;
-    std::map<std::int64_t, lease> leases_;
-    std::int64_t revision_ = 1;
-    std::int64_t first_ = 1; // revision at which the history begins
-    std::int64_t last_lease_ = 0;
-};
-
 enum class answer_mode
 {
     serve,
@@ -358,7 +121,7 @@
 
 struct store_state
 {
-    database data_;
+    platform_database data_;
     std::map<std::uint16_t, machine_faults> machines_;
     std::map<std::string, std::int64_t> calls_;
     std::uint64_t next_connection_ = 1;
--- /dev/null
+++ b/test/support/platform_database.cpp
@@ -0,0 +1,227 @@
+// Reads, transactions and leases of the store in memory.
+#include "support/platform_database.hpp"
+
+#include "store/etcd_codec.hpp"
+
+#include <set>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+json::object to_json(platform_item const& from)
+{
+    if (from.removed_)
+    {
+        return {{"key", from.key_},
+                {"revision", from.revision_},
+                {"tombstone", true}};
+    }
+    return {{"key", from.key_},
+            {"value", detail::encode_base64(from.value_)},
+            {"revision", from.revision_},
+            {"createRevision", from.created_},
+            {"lease", from.lease_}};
+}
+
+http_response answer(unsigned status, json::object const& body)
+{
+    return make_response(status, json::serialize(body));
+}
+
+} // namespace
+
+void platform_database::put(std::string const& key, std::string value,
+                            std::int64_t lease_id)
+{
+    auto const held = items_.find(key);
+    auto const next = revision_ + 1;
+    auto const created = held == items_.end() ? next : held->second.created_;
+    record({key, std::move(value), next, created, lease_id, false});
+}
+
+http_response platform_database::read_key(std::string const& key) const
+{
+    auto const found = items_.find(key);
+    if (found == items_.end())
+    {
+        return answer(404, {});
+    }
+    auto body = to_json(found->second);
+    body["storeRevision"] = revision_;
+    return answer(200, body);
+}
+
+http_response platform_database::read_range(std::string const& prefix) const
+{
+    json::array list;
+    for (auto at = items_.lower_bound(prefix);
+         at != items_.end() && at->first.starts_with(prefix); ++at)
+    {
+        list.push_back(to_json(at->second));
+    }
+    return answer(
+        200,
+        {{"items", list}, {"truncated", false}, {"storeRevision", revision_}});
+}
+
+bool platform_database::expectation_holds(json::object const& row,
+                                          json::array& current) const
+{
+    std::string const key(row.at("key").as_string());
+    auto const found = items_.find(key);
+    if (found != items_.end())
+    {
+        current.push_back(to_json(found->second));
+    }
+    auto const held = found == items_.end() ? 0 : found->second.revision_;
+    return held == row.at("revision").to_number<std::int64_t>();
+}
+
+bool platform_database::leases_live(json::array const& writes) const
+{
+    for (auto const& write : writes)
+    {
+        auto const id = write.as_object().at("lease").to_number<std::int64_t>();
+        if (id != 0 && !leases_.contains(id))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+http_response platform_database::transact(json::object const& body)
+{
+    json::array current;
+    bool holds = true;
+    for (auto const& row : body.at("expectRev").as_array())
+    {
+        holds = expectation_holds(row.as_object(), current) && holds;
+    }
+    if (!holds)
+    {
+        return answer(412, {{"items", current}});
+    }
+    if (!leases_live(body.at("writes").as_array()))
+    {
+        return answer(404, {});
+    }
+    apply(body);
+    return answer(200, {{"revision", revision_}});
+}
+
+http_response platform_database::grant(json::object const& body)
+{
+    milliseconds const time(body.at("ttlMs").to_number<std::int64_t>());
+    leases_[++last_lease_] = {time, steady_clock::now() + time};
+    return answer(200, {{"lease", last_lease_}, {"ttlMs", time.count()}});
+}
+
+http_response platform_database::keep(std::int64_t id)
+{
+    auto const held = leases_.find(id);
+    if (held == leases_.end())
+    {
+        return answer(404, {});
+    }
+    auto& value = held->second;
+    value.ends_ = steady_clock::now() + value.time_to_live_;
+    return answer(200, {{"lease", id}, {"ttlMs", value.time_to_live_.count()}});
+}
+
+void platform_database::lapse()
+{
+    auto const now = steady_clock::now();
+    std::set<std::int64_t> ended;
+    for (auto const& [id, held] : leases_)
+    {
+        if (held.ends_ < now)
+        {
+            ended.insert(id);
+        }
+    }
+    std::vector<std::string> keys;
+    for (auto const& [key, held] : items_)
+    {
+        if (ended.contains(held.lease_))
+        {
+            keys.push_back(key);
+        }
+    }
+    for (auto const& key : keys)
+    {
+        remove(key);
+    }
+    for (auto const id : ended)
+    {
+        leases_.erase(id);
+    }
+}
+
+json::array platform_database::events(std::string const& prefix,
+                                      std::int64_t after) const
+{
+    json::array list;
+    for (auto const& change : history_)
+    {
+        if (change.revision_ > after && change.key_.starts_with(prefix))
+        {
+            list.push_back(to_json(change));
+        }
+    }
+    return list;
+}
+
+void platform_database::drop_history()
+{
+    history_.clear();
+    first_ = revision_ + 1;
+}
+
+bool platform_database::has_history(std::int64_t after) const
+{
+    return after + 1 >= first_;
+}
+
+void platform_database::apply(json::object const& body)
+{
+    for (auto const& write : body.at("writes").as_array())
+    {
+        auto const& value = write.as_object();
+        put(std::string(value.at("key").as_string()),
+            detail::decode_base64(value.at("value").as_string()),
+            value.at("lease").to_number<std::int64_t>());
+    }
+    for (auto const& key : body.at("deletes").as_array())
+    {
+        remove(std::string(key.as_string()));
+    }
+}
+
+void platform_database::remove(std::string const& key)
+{
+    record({key, "", revision_ + 1, 0, 0, true});
+}
+
+void platform_database::record(platform_item change)
+{
+    revision_ = change.revision_;
+    if (change.removed_)
+    {
+        items_.erase(change.key_);
+    }
+    else
+    {
+        items_[change.key_] = change;
+    }
+    history_.push_back(std::move(change));
+}
+
+} // namespace daisytrail
--- /dev/null
+++ b/test/support/platform_database.hpp
@@ -0,0 +1,76 @@
+// Items, leases and history of the platform's metadata store, in memory, with
+// its answers as HTTP responses.
+#pragma once
+
+#include "net/http_page.hpp"
+
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace daisytrail
+{
+
+// One item, or its removal.
+struct platform_item
+{
+    std::string key_;
+    std::string value_;
+    std::int64_t revision_ = 0;
+    std::int64_t created_ = 0;
+    std::int64_t lease_ = 0;
+    bool removed_ = false;
+};
+
+class platform_database
+{
+public:
+    void put(std::string const& key, std::string value, std::int64_t lease_id);
+
+    http_response read_key(std::string const& key) const;
+    http_response read_range(std::string const& prefix) const;
+    http_response transact(boost::json::object const& body);
+    http_response grant(boost::json::object const& body);
+    http_response keep(std::int64_t id);
+
+    // Removes the keys of leases that have ended.
+    void lapse();
+
+    // Changes under a prefix after a revision, empty if there are none.
+    boost::json::array events(std::string const& prefix,
+                              std::int64_t after) const;
+
+    void drop_history();
+    bool has_history(std::int64_t after) const;
+
+    std::int64_t revision() const
+    {
+        return revision_;
+    }
+
+private:
+    struct lease
+    {
+        std::chrono::milliseconds time_to_live_;
+        std::chrono::steady_clock::time_point ends_;
+    };
+
+    bool expectation_holds(boost::json::object const& row,
+                           boost::json::array& current) const;
+    bool leases_live(boost::json::array const& writes) const;
+    void apply(boost::json::object const& body);
+    void remove(std::string const& key);
+    void record(platform_item change);
+
+    std::map<std::string, platform_item> items_;
+    std::deque<platform_item> history_;
+    std::map<std::int64_t, lease> leases_;
+    std::int64_t revision_ = 1;
+    std::int64_t first_ = 1; // revision at which the history begins
+    std::int64_t last_lease_ = 0;
+};
+
+} // namespace daisytrail
