A feed that was stopped within a read can read again when a peer tells of news

What callers would see (CONFIG): a balancer that stops watching the store (others take the duty) while a read is open never again reads a template that its peers can't deliver.

Cause: the answer of that read is ignored, and the feed waited for it for good. Found by reading the change. Change: a stop forgets the open call. Evidence: template_feed_test, 'a read that was open when the feed was stopped blocks no other', failed before and passes.

--- a/include/daisytrail/template_feed.hpp
+++ b/include/daisytrail/template_feed.hpp
@@ -40,6 +40,8 @@
     // Begins to follow the templates, with a read. Without it the feed only
     // reads when that is wanted.
     void start();
+
+    // The end of a call that is open now isn't to be reported any more.
     void stop();
 
     // One read, whether the templates are followed or not, since a peer told of
--- a/src/core/template_feed.cpp
+++ b/src/core/template_feed.cpp
@@ -30,8 +30,9 @@
 
 void template_feed::stop()
 {
-    active_ = false;
-    must_read_ = false;
+    auto const last_read = read_began_;
+    *this = template_feed(timing_);
+    read_began_ = last_read;
 }
 
 void template_feed::want_read(time_point now)
--- a/test/unit/template_feed_test.cpp
+++ b/test/unit/template_feed_test.cpp
@@ -309,6 +309,18 @@
           template_feed::step::none);
 }
 
+TEST_CASE("a read that was open when the feed was stopped blocks no other")
+{
+    auto const begin = time_point{} + std::chrono::minutes(1);
+    template_feed feed(feed_timing(apply_within));
+    feed.start();
+    feed.read_begun(begin);
+    feed.stop();
+    auto const later = begin + std::chrono::seconds(10);
+    feed.want_read(later);
+    CHECK(feed.next(later) == template_feed::step::read);
+}
+
 TEST_CASE("a read that is wanted again and again goes out now and then")
 {
     auto const begin = time_point{} + std::chrono::minutes(1);
