Failing watches are begun ever more rarely, and forgotten offers end their reads

Found by reading the change, both with a test that failed before.

What callers would see: nothing; the store would see up to 18 calls a second from one balancer whose reads succeed while its watches fail at once, since a read ended the series of failures.

A revision that peers offered and nobody offers any more (a store that went back, say) was read for each quarter of the time to apply without end. It is awaited until 10 s after the last offer (revisions_test).

--- a/include/daisytrail/template_feed.hpp
+++ b/include/daisytrail/template_feed.hpp
@@ -81,7 +81,9 @@
     time_point heard_{};
     time_point read_began_{};
     time_point not_before_{}; // no read until then
-    duration backoff_{};      // 0 after a success
+    // 0 after a watch has shown a sign of life; a read alone ends no series of
+    // failures, since watches may fail while reads succeed.
+    duration backoff_{};
 };
 
 } // namespace daisytrail
--- a/src/core/revisions.cpp
+++ b/src/core/revisions.cpp
@@ -190,8 +190,11 @@
 bool revision_book::is_late(duration patience, time_point now) const
 {
     return std::ranges::any_of(awaited_,
-                               [&](auto const& entry) {
-                                   return now >= entry.second.since_ + patience;
+                               [&](auto const& entry)
+                               {
+                                   auto const& known = entry.second;
+                                   return now >= known.since_ + patience &&
+                                          now < known.last_ + offer_lifetime;
                                });
 }
 
--- a/src/core/template_feed.cpp
+++ b/src/core/template_feed.cpp
@@ -67,7 +67,10 @@
 {
     reading_ = false;
     must_read_ = false;
-    backoff_ = {};
+    if (!active_)
+    {
+        backoff_ = {};
+    }
 }
 
 void template_feed::read_failed(time_point now, double jitter)
@@ -86,6 +89,7 @@
 void template_feed::watch_answered(time_point now)
 {
     heard_ = now;
+    backoff_ = {};
 }
 
 void template_feed::watch_failed(time_point now, double jitter)
--- a/test/support/config_judge.cpp
+++ b/test/support/config_judge.cpp
@@ -167,9 +167,9 @@
     auto result = judge_order();
     for (auto const& probe : probes_)
     {
-        if (auto const fault = judge_time(probe))
+        if (auto const broken = judge_time(probe))
         {
-            result.push_back(*fault);
+            result.push_back(*broken);
         }
     }
     return result;
--- a/test/unit/revisions_test.cpp
+++ b/test/unit/revisions_test.cpp
@@ -155,4 +155,14 @@
     CHECK_FALSE(fixture.book_.is_late(patience, fixture.now_));
 }
 
+TEST_CASE("a revision that nobody offers any more isn't awaited")
+{
+    transfer_fixture fixture;
+    fixture.offered(5, first_peer);
+    fixture.pass(milliseconds(5'000));
+    CHECK(fixture.book_.is_late(milliseconds(750), fixture.now_));
+    fixture.pass(milliseconds(10'000));
+    CHECK_FALSE(fixture.book_.is_late(milliseconds(750), fixture.now_));
+}
+
 } // namespace daisytrail
--- a/test/unit/template_feed_test.cpp
+++ b/test/unit/template_feed_test.cpp
@@ -272,6 +272,37 @@
     }
 }
 
+TEST_CASE(
+    "a watch that fails at once again and again is begun ever more rarely")
+{
+    auto const begin = time_point{} + std::chrono::minutes(1);
+    template_feed feed(feed_timing(apply_within));
+    feed.start();
+    int calls = 0;
+    for (auto now = begin; now < begin + std::chrono::seconds(10);
+         now += milliseconds(10))
+    {
+        switch (feed.next(now))
+        {
+        case template_feed::step::read:
+            ++calls;
+            feed.read_begun(now);
+            feed.read_succeeded();
+            break;
+        case template_feed::step::watch:
+            ++calls;
+            feed.watch_begun(now);
+            feed.watch_failed(now, 0);
+            break;
+        case template_feed::step::none:
+            break;
+        }
+    }
+    // Two calls each 375 ms, and some more at the beginning.
+    CHECK(calls <= 60);
+    CHECK(calls >= 20);
+}
+
 TEST_CASE("a watch that begins after a long read has all its time")
 {
     auto const timing = feed_timing(apply_within);
