Balancers measure how late control is and how long they hear nobody

A balancer now measures the round trip of its probes, how late its control timer runs and how long ago it heard another balancer. It writes a line when it begins to suspect itself and when that ends, and when it hasn't heard other balancers for over a second and hears them again, each with the time that it took. Lines are written on change only; self_suspected used to come again every ten seconds. No decision depends on any of it.

--- a/include/daisytrail/control_messages.hpp
+++ b/include/daisytrail/control_messages.hpp
@@ -208,6 +208,9 @@
     declared_dead,    // this process was declared dead and comes back
     paused,           // the event loop stood still
     member_dead,      // this process declared a member dead
+    self_trusted,     // most others answer again
+    balancers_silent, // no other balancer was heard for over a second
+    balancers_heard,  // one was heard again
     count
 };
 
@@ -215,7 +218,8 @@
                             static_cast<std::size_t>(report_kind::count)>
     report_kind_names{"refused_older",  "refused_invalid", "refused_conflict",
                       "self_suspected", "declared_dead",   "paused",
-                      "member_dead"};
+                      "member_dead",    "self_trusted",    "balancers_silent",
+                      "balancers_heard"};
 
 struct report_action
 {
@@ -223,7 +227,13 @@
     std::string text_;
 };
 
-using control_action =
-    std::variant<send_action, member_action, template_action, report_action>;
+// A probe of this process was answered.
+struct round_trip_action
+{
+    duration took_{};
+};
+
+using control_action = std::variant<send_action, member_action, template_action,
+                                    report_action, round_trip_action>;
 
 } // namespace daisytrail
--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <daisytrail/control.hpp>
+#include <daisytrail/control_health.hpp>
 #include <daisytrail/control_messages.hpp>
 #include <daisytrail/failure_detector.hpp>
 #include <daisytrail/member_table.hpp>
@@ -80,6 +81,11 @@
         return self_;
     }
 
+    control_health const& health() const
+    {
+        return health_;
+    }
+
     // The book of templates holds a reference to this object.
     balancer_membership(balancer_membership const&) = delete;
     balancer_membership& operator=(balancer_membership const&) = delete;
@@ -170,6 +176,7 @@
     member_table table_;
     revision_book book_;
     failure_detector detector_;
+    control_health health_;
     probe_relay relay_;
     std::mt19937_64 random_;
     std::vector<endpoint> seeds_;
@@ -186,7 +193,6 @@
     time_point ticked_;
     time_point sampled_;
     time_point forgotten_;
-    time_point suspected_self_;
     time_point probed_;
     time_point gossiped_;
     time_point compared_;
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -25,7 +25,6 @@
 constexpr milliseconds young_compare_interval{250};
 constexpr milliseconds pull_interval{200};
 constexpr int max_pulls = 3; // then the next comparison of views has to do
-constexpr milliseconds report_interval{10'000};
 constexpr std::size_t small_fleet = 8;
 constexpr std::size_t helpers = 3;
 constexpr std::size_t samples = 3;
@@ -100,6 +99,7 @@
     watch_silence();
     sample_others();
     run_detector();
+    health_.tick(now_, table_.balancers().size() > 1, out_);
     gossip();
     compare_views();
     meet_lost();
@@ -219,6 +219,7 @@
         if (auto const subject = next_probe())
         {
             send(subject->control_, ping_message{subject->id_});
+            health_.pinged(subject->id_, now_);
             probes_.push_back({*subject, now_});
         }
     }
@@ -349,12 +350,9 @@
     {
         declare_dead(subject);
     }
-    if (!result.self_suspected_.empty() &&
-        due(suspected_self_, report_interval))
+    if (!result.self_suspected_.empty())
     {
-        out_.emplace_back(
-            report_action{report_kind::self_suspected,
-                          "the last view is kept; most others don't answer"});
+        health_.suspected_self(now_, out_);
     }
 }
 
--- a/src/core/balancer_messages.cpp
+++ b/src/core/balancer_messages.cpp
@@ -33,6 +33,7 @@
              record != nullptr && record->service_ == balancer_service)
     {
         heard_[sender] = now_;
+        health_.heard_balancer(now_, out_);
     }
     std::visit([&](auto const& body) { on(body, from); }, message);
     return std::exchange(out_, {});
@@ -57,6 +58,10 @@
     {
         out_.emplace_back(std::move(send));
     }
+    if (auto const took = health_.answered(sender_, now_))
+    {
+        out_.emplace_back(round_trip_action{*took});
+    }
     take_items({message.self_}, from);
 }
 
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include <algorithm>
 #include <random>
 #include <sstream>
 #include <utility>
@@ -40,6 +41,11 @@
     return record;
 }
 
+double age_in_seconds(time_point since)
+{
+    return std::chrono::duration<double>(steady_clock::now() - since).count();
+}
+
 } // namespace
 
 balancer_control::balancer_control(boost::asio::io_context& io,
@@ -53,11 +59,14 @@
             std::random_device{}()),
       watchers_(settings.store_watchers_),
       transfer_patience_(settings.apply_within_ / 4),
-      timer_(io, tick_interval, [this] { tick(); })
+      timer_(io, tick_interval, [this] { tick(); }),
+      lateness_(counters.latency("daisytrail_control_tick_late_seconds"))
 {
     counters.gauge(
         "daisytrail_balancers", [this]
         { return static_cast<double>(core_.members().balancers().size()); });
+    counters.gauge("daisytrail_control_heard_age_seconds",
+                   [this] { return age_in_seconds(core_.health().heard()); });
     if (store)
     {
         watcher_ = std::make_unique<store_watcher>(
@@ -120,6 +129,7 @@
 void balancer_control::tick()
 {
     auto const now = steady_clock::now();
+    note_lateness(now);
     if (done_ && now >= stop_deadline_)
     {
         timer_.stop();
@@ -143,6 +153,17 @@
     }
 }
 
+// A starved process runs its ticks late.
+void balancer_control::note_lateness(time_point now)
+{
+    if (due_ != time_point{})
+    {
+        auto const late = std::max<duration>(now - due_, duration{});
+        lateness_.add(std::chrono::duration<double>(late).count());
+    }
+    due_ = now + tick_interval;
+}
+
 void balancer_control::update_duties()
 {
     store_duties duties;
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -36,6 +36,7 @@
 
 private:
     void tick();
+    void note_lateness(time_point now);
     void take_template(store_entry const& entry);
     void take_list(std::string const& value);
     std::string target_list() const;
@@ -51,6 +52,8 @@
     // asked.
     duration transfer_patience_;
     periodic_timer timer_;
+    time_point due_; // of the next tick
+    histogram& lateness_;
     std::function<void()> done_; // set while stopping
     time_point stop_deadline_;
     time_point duties_checked_;
--- a/src/net/control_outputs.cpp
+++ b/src/net/control_outputs.cpp
@@ -30,7 +30,8 @@
 
 action_runner::action_runner(control_link& link, control_events& events,
                              metrics& counters)
-    : link_(link), events_(events)
+    : link_(link), events_(events),
+      round_trips_(counters.latency("daisytrail_control_round_trip_seconds"))
 {
     for (std::size_t i = 0; i < reports_.size(); ++i)
     {
@@ -86,6 +87,11 @@
               {{"detail", action.text_}});
 }
 
+void action_runner::on(round_trip_action const& action)
+{
+    round_trips_.add(std::chrono::duration<double>(action.took_).count());
+}
+
 json::value to_json(revision_book const& book, std::string const& process)
 {
     json::array held;
--- a/src/net/control_outputs.hpp
+++ b/src/net/control_outputs.hpp
@@ -26,9 +26,11 @@
     void on(member_action const& action);
     void on(template_action const& action);
     void on(report_action const& action);
+    void on(round_trip_action const& action);
 
     control_link& link_;
     control_events& events_;
+    histogram& round_trips_;
     std::array<std::uint64_t*, static_cast<std::size_t>(report_kind::count)>
         reports_{};
 };
--- /dev/null
+++ b/test/unit/control_health_test.cpp
@@ -0,0 +1,51 @@
+// Tests of what a balancer reports on how well it hears others.
+#include "../support/control_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace daisytrail::test;
+
+TEST_CASE("a cut-off balancer leaves no trace of when and how long")
+{
+    control_fleet fleet(41);
+    fill(fleet, 6, 9);
+    auto& alone = fleet.at("b0");
+    alone.side_ = 1;
+    CHECK(fleet.run_until(
+              [&] { return alone.reports_[report_kind::balancers_silent] > 0; },
+              seconds(5)) <= seconds(2));
+    fleet.run_for(seconds(20));
+    CHECK(alone.balancer_->health().suspects_self());
+    CHECK(fleet.now() - alone.balancer_->health().heard() >= seconds(20));
+    alone.side_ = 0;
+    fleet.run_for(seconds(10));
+    CHECK(!alone.balancer_->health().suspects_self());
+    CHECK(alone.reports_[report_kind::balancers_silent] == 1);
+    CHECK(alone.reports_[report_kind::balancers_heard] == 1);
+    CHECK(alone.reports_[report_kind::self_suspected] == 1);
+    CHECK(alone.reports_[report_kind::self_trusted] == 1);
+}
+
+TEST_CASE("balancers that hear each other report silence")
+{
+    for (int const balancers : {1, 2, 3, 18})
+    {
+        CAPTURE(balancers);
+        control_fleet fleet(42);
+        fill(fleet, balancers, 4);
+        fleet.run_for(seconds(30));
+        CHECK(fleet.reports(report_kind::balancers_silent) == 0);
+        CHECK(fleet.reports(report_kind::self_suspected) == 0);
+    }
+}
+
+TEST_CASE("the round trip of a probe isn't measured")
+{
+    time_point const start{seconds(5)};
+    control_health health;
+    CHECK(!health.answered(1, start));
+    health.pinged(1, start);
+    CHECK(health.answered(1, start + milliseconds(700)) == milliseconds(700));
+    CHECK(!health.answered(1, start + milliseconds(701)));
+}
