Control datagrams are read together, not one in each turn of the event loop

Seen: edge-lafrenz-4, a small balancer, heard of an agent 6.86 s after its start, took no news of eleven joins for 5 s while it still sent, was declared dead though nothing disturbed it and suspected itself.

Cause: control datagrams share the event loop with packets. In one turn each of the two data sockets reads up to 512 datagrams, but the control socket read one. When a search storm makes turns long, news and answers wait for a turn each in the socket's buffer, and beyond it they are lost.

Up to 64 datagrams are now read in a turn, so what a control socket waits for is one turn, not one for each datagram. Agents use the same socket code.

--- a/src/net/control_link.cpp
+++ b/src/net/control_link.cpp
@@ -24,6 +24,9 @@
 
 constexpr std::chrono::seconds report_interval{1}; // of dropped datagrams
 
+// Datagrams read before other events of the loop get a turn.
+constexpr int datagrams_per_turn = 64;
+
 time_point now()
 {
     return std::chrono::steady_clock::now();
@@ -67,7 +70,7 @@
 void control_link::start(receiver handler)
 {
     handler_ = std::move(handler);
-    receive();
+    wait();
 }
 
 void control_link::stop()
@@ -105,26 +108,42 @@
     }
 }
 
-void control_link::receive()
+void control_link::wait()
+{
+    socket_.async_wait(udp::socket::wait_read,
+                       [this](boost::system::error_code code)
+                       {
+                           if (code || !socket_.is_open())
+                           {
+                               return;
+                           }
+                           read();
+                           if (socket_.is_open())
+                           {
+                               wait();
+                           }
+                       });
+}
+
+// Load pattern: packets take up to 512 datagrams of each data socket in one
+// turn of the loop, so news must not take one turn each.
+void control_link::read()
 {
-    socket_.async_receive_from(
-        asio::buffer(buffer_), from_,
-        [this](boost::system::error_code code, std::size_t bytes)
+    for (int i = 0; i < datagrams_per_turn && socket_.is_open(); ++i)
+    {
+        boost::system::error_code code;
+        auto const bytes =
+            socket_.receive_from(asio::buffer(buffer_), from_, 0, code);
+        if (code == asio::error::would_block)
+        {
+            return;
+        }
+        // A refused datagram of an earlier send is reported here.
+        if (!code)
         {
-            if (code == asio::error::operation_aborted || !socket_.is_open())
-            {
-                return;
-            }
-            // A refused datagram of an earlier send is reported here.
-            if (!code)
-            {
-                take(bytes);
-            }
-            if (socket_.is_open())
-            {
-                receive();
-            }
-        });
+            take(bytes);
+        }
+    }
 }
 
 void control_link::take(std::size_t bytes)
--- a/src/net/control_link.hpp
+++ b/src/net/control_link.hpp
@@ -36,7 +36,8 @@
     void send(endpoint const& to, control_message const& message);
 
 private:
-    void receive();
+    void wait();
+    void read();
     void take(std::size_t bytes);
     void drop_over_budget(time_point at);
 
