A balancer asks others whether it knows every target

Cause: a target that a balancer doesn't know of counts as not there, however old its list is.

confirm_view() asks three other balancers, of other failure domains if possible, for a hash over the identifiers of the targets that they know, kept incrementally and quiet unless targets join or end. If the hashes differ, the answer names the targets that joined or ended there last, and those unknown here are pulled. The round ends in a view_confirmed_action, as of its begin, once a majority of those asked (two at least, or the only other one) know nothing more, and nobody who has answered does.

Which targets make up a difference is found without a list of all: the hashes are XORs, so a difference of targets that are known here, and that joined or ended here or there lately, is a sum of theirs. So one that knows more is confirmed, and so is everybody while targets join all the time; a target that only the peer knows is no such sum. Else the comparison of views starts as after a gossiped difference and the peer is asked again. Who has started less than 5 s ago, or suspects itself, confirms nobody; who gets no answers isn't confirmed. The only balancer is confirmed at once, but not in its first 5 s, in which it may not have met the others.

A round with three full answers stays under 1 KB.

Every tick the data path asks for a confirmation while a flow is searched and passes it to the directory, which only stores it yet. Gossip and comparison moved to a file of their own, unchanged.

--- a/include/daisytrail/control.hpp
+++ b/include/daisytrail/control.hpp
@@ -25,6 +25,12 @@
     virtual void on_organisation(organisation_template const& value,
                                  revision at) = 0;
 
+    // Other balancers know no target that isn't known here, as of this time.
+    virtual void on_view_confirmed(time_point asked)
+    {
+        (void)asked;
+    }
+
     // The targets that were known before this process started.
     virtual void on_target_list(std::vector<target_id> const& targets)
     {
--- a/include/daisytrail/control_health.hpp
+++ b/include/daisytrail/control_health.hpp
@@ -1,6 +1,5 @@
 // How well a balancer hears others: round trips of its probes, how long other
-// balancers have been silent, and whether it suspects itself. It only reports;
-// no decision depends on the reports.
+// balancers have been silent, and whether it suspects itself.
 #pragma once
 
 #include <daisytrail/control_messages.hpp>
--- a/include/daisytrail/control_messages.hpp
+++ b/include/daisytrail/control_messages.hpp
@@ -171,11 +171,33 @@
     bool operator==(template_chunk const&) const = default;
 };
 
+// Asks a balancer whether it knows targets that the asker doesn't know.
+struct view_question
+{
+    std::uint32_t round_ = 0;
+    std::uint64_t targets_hash_ = 0; // over the identifiers known to the asker
+
+    bool operator==(view_question const&) const = default;
+};
+
+struct view_answer
+{
+    std::uint32_t round_ = 0; // as in the question
+    std::uint64_t targets_hash_ = 0;
+    // False if the sender has just started or most others don't answer it:
+    // then it knows too little to confirm anything.
+    bool is_settled_ = false;
+    // If the hashes differ: targets that joined or ended here, newest first.
+    std::vector<std::uint64_t> latest_;
+
+    bool operator==(view_answer const&) const = default;
+};
+
 using control_message =
     std::variant<ping_message, pong_message, probe_request, probe_answer,
                  digest_message, pull_message, records_message, tree_message,
                  branch_message, heartbeat_message, heartbeat_ack,
-                 template_request, template_chunk>;
+                 template_request, template_chunk, view_question, view_answer>;
 
 // Actions that the core asks of the surrounding code.
 struct send_action
@@ -211,15 +233,17 @@
     self_trusted,     // most others answer again
     balancers_silent, // no other balancer was heard for over a second
     balancers_heard,  // one was heard again
+    view_unconfirmed, // others don't confirm the targets that are known
+    view_settled,     // they do, or nobody wants it any more
     count
 };
 
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(report_kind::count)>
-    report_kind_names{"refused_older",  "refused_invalid", "refused_conflict",
-                      "self_suspected", "declared_dead",   "paused",
-                      "member_dead",    "self_trusted",    "balancers_silent",
-                      "balancers_heard"};
+    report_kind_names{"refused_older",   "refused_invalid",  "refused_conflict",
+                      "self_suspected",  "declared_dead",    "paused",
+                      "member_dead",     "self_trusted",     "balancers_silent",
+                      "balancers_heard", "view_unconfirmed", "view_settled"};
 
 struct report_action
 {
@@ -233,7 +257,14 @@
     duration took_{};
 };
 
-using control_action = std::variant<send_action, member_action, template_action,
-                                    report_action, round_trip_action>;
+// Others know no target that isn't known here, as of this time.
+struct view_confirmed_action
+{
+    time_point asked_;
+};
+
+using control_action =
+    std::variant<send_action, member_action, template_action, report_action,
+                 round_trip_action, view_confirmed_action>;
 
 } // namespace daisytrail
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -131,6 +131,9 @@
         return searches_.contains(key);
     }
 
+    // True while a decision waits for a confirmed view of the targets.
+    bool wants_view(time_point now) const;
+
     // Forgets idle flows.
     void tick(time_point now);
 
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -54,6 +54,9 @@
     // True once expect() was called and each of its targets is known.
     bool has_met_all() const;
 
+    // Other balancers knew no target that isn't known here, as of this time.
+    void confirm_view(time_point asked);
+
     // Notes a datagram from a target's agent.
     void heard(target_id target, backend_load const& load, time_point now);
 
@@ -111,6 +114,7 @@
     // Points into templates_.
     std::map<endpoint, route_template const*> routes_;
     revision newest_ = 0;
+    std::optional<time_point> view_confirmed_;
     bool has_list_ = false;           // expect() was called
     std::vector<target_id> expected_; // that aren't known yet
 };
--- a/include/daisytrail/member_table.hpp
+++ b/include/daisytrail/member_table.hpp
@@ -61,6 +61,19 @@
 
     std::span<std::uint64_t const> service_members(service_id service) const;
 
+    // Hash over the identifiers of targets that may own flows. Versions and
+    // states don't count, so it is quiet unless targets join or end.
+    std::uint64_t targets_hash() const
+    {
+        return targets_hash_;
+    }
+
+    // Targets that joined or ended lately, newest first.
+    std::vector<std::uint64_t> const& latest_targets() const
+    {
+        return latest_targets_;
+    }
+
     // Ids of live balancers.
     std::vector<std::uint64_t> const& balancers() const
     {
@@ -78,6 +91,7 @@
         std::vector<std::uint64_t> members_; // ended ones too
     };
 
+    void note_target(std::uint64_t id);
     void replace(entry& held, target_record const& record, time_point now);
     void count_in_or_out(target_record const& record);
     void update_balancer(target_record const& record);
@@ -87,6 +101,8 @@
     std::map<std::uint64_t, entry> entries_;
     item_tree tree_; // over live members
     std::unordered_map<service_id, service_index> services_;
+    std::uint64_t targets_hash_ = 0; // XOR of hash_identifier()
+    std::vector<std::uint64_t> latest_targets_;
     std::vector<std::uint64_t> balancers_; // sorted
     // Points of live balancers, ring_points each, sorted.
     std::vector<std::pair<std::uint64_t, std::uint64_t>> ring_;
@@ -94,4 +110,6 @@
 
 item to_item(target_record const& record);
 
+std::uint64_t hash_identifier(std::uint64_t id);
+
 } // namespace daisytrail
--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -9,6 +9,7 @@
 #include <daisytrail/failure_detector.hpp>
 #include <daisytrail/member_table.hpp>
 #include <daisytrail/revisions.hpp>
+#include <daisytrail/view_confirmation.hpp>
 
 #include <cstdint>
 #include <map>
@@ -56,6 +57,17 @@
                                       revision at, std::string value,
                                       time_point now);
 
+    // Asks others whether they know targets that aren't known here, unless that
+    // is under way. A view_confirmed_action follows, now or later, once they
+    // don't; none while they don't answer.
+    std::vector<control_action> confirm_view(time_point now);
+
+    // The time as of which the view was last confirmed.
+    std::optional<time_point> view_confirmed() const
+    {
+        return confirmation_.confirmed();
+    }
+
     // Adds endpoints to ask first, found in the store.
     void add_seeds(std::vector<endpoint> const& seeds);
 
@@ -130,6 +142,13 @@
     void on(heartbeat_ack const& message, endpoint const& from);
     void on(template_request const& message, endpoint const& from);
     void on(template_chunk const& message, endpoint const& from);
+    void on(view_question const& message, endpoint const& from);
+    void on(view_answer const& message, endpoint const& from);
+
+    void ask_views();
+    void check_views();
+    bool is_settled() const;
+    std::size_t other_balancers() const;
 
     void send(endpoint const& to, control_message message);
     bool merge(target_record const& record);
@@ -177,6 +196,7 @@
     revision_book book_;
     failure_detector detector_;
     control_health health_;
+    view_confirmation confirmation_;
     probe_relay relay_;
     std::mt19937_64 random_;
     std::vector<endpoint> seeds_;
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -1,8 +1,7 @@
-// A balancer's timers: probing, observing, gossip and comparison of views.
+// A balancer's timers: probing, observing and verifying.
 #include <daisytrail/membership.hpp>
 
 #include <algorithm>
-#include <bit>
 #include <utility>
 
 namespace daisytrail
@@ -17,22 +16,12 @@
 constexpr milliseconds fresh_contact{1'000}; // heard since: no probe is needed
 constexpr milliseconds sample_interval{250};
 constexpr milliseconds forget_interval{10'000};
-constexpr milliseconds lonely_interval{200};
-constexpr milliseconds meet_interval{5'000};
-constexpr milliseconds start_time{30'000}; // as often as a lonely one
-// A process that has just started has most to learn from comparisons.
-constexpr milliseconds young_time{5'000};
-constexpr milliseconds young_compare_interval{250};
-constexpr milliseconds pull_interval{200};
-constexpr int max_pulls = 3; // then the next comparison of views has to do
 constexpr std::size_t small_fleet = 8;
 constexpr std::size_t helpers = 3;
 constexpr std::size_t samples = 3;
-constexpr std::size_t gossip_fanout = 2;
-constexpr std::size_t items_in_digest = 30;
+constexpr std::size_t told_of_end = 4;
 constexpr std::size_t scan_parts = 80; // ticks for a scan of a large table
 constexpr std::size_t min_scan = 64;
-constexpr int extra_rounds = 3; // of gossip, beyond the logarithm
 
 } // namespace
 
@@ -57,6 +46,7 @@
                     offer_to_observed(*after);
                 }
             }),
+      confirmation_(static_cast<std::uint32_t>(random_seed)),
       random_(random_seed)
 {
     self_.service_ = balancer_service;
@@ -99,7 +89,10 @@
     watch_silence();
     sample_others();
     run_detector();
-    health_.tick(now_, table_.balancers().size() > 1, out_);
+    health_.tick(now_, other_balancers() > 0, out_);
+    ask_views();
+    check_views();
+    confirmation_.tick(now_, out_);
     gossip();
     compare_views();
     meet_lost();
@@ -118,7 +111,7 @@
     merge(self_);
     if (!may_own_flows(state))
     {
-        for (auto const& peer : random_balancers(2 * gossip_fanout))
+        for (auto const& peer : random_balancers(told_of_end))
         {
             send(peer.control_, digest_message{0, {to_item(self_)}, false});
         }
@@ -435,153 +428,6 @@
     return result;
 }
 
-void balancer_membership::make_hot(item const& value)
-{
-    auto const rounds =
-        extra_rounds +
-        static_cast<int>(std::bit_width(table_.balancers().size()));
-    hot_[value.id_] = {value, rounds};
-}
-
-// Load pattern: after a loss of power every member is news at once. Templates
-// go first, then what has been spread the least, so that none waits until
-// others are done.
-std::vector<balancer_membership::hot_map::iterator>
-balancer_membership::freshest_changes(std::size_t count)
-{
-    std::vector<hot_map::iterator> result;
-    result.reserve(hot_.size());
-    for (auto at = hot_.begin(); at != hot_.end(); ++at)
-    {
-        result.push_back(at);
-    }
-    if (result.size() > count)
-    {
-        std::ranges::nth_element(
-            result, result.begin() + static_cast<std::ptrdiff_t>(count),
-            std::ranges::greater{},
-            [](hot_map::iterator at)
-            {
-                bool const is_template =
-                    at->second.first.kind_ == item_kind::organisation;
-                return std::pair(is_template, at->second.second);
-            });
-        result.resize(count);
-    }
-    return result;
-}
-
-// Changes of templates go in a message of their own, which is sent even if
-// those of members have used up the byte budget.
-void balancer_membership::gossip()
-{
-    if (hot_.empty() || !due(gossiped_, timing_.gossip_))
-    {
-        return;
-    }
-    digest_message templates;
-    digest_message members;
-    for (auto const at : freshest_changes(items_in_digest))
-    {
-        auto const& value = at->second.first;
-        auto& digest =
-            value.kind_ == item_kind::organisation ? templates : members;
-        digest.items_.push_back(value);
-        if (--at->second.second <= 0)
-        {
-            hot_.erase(at);
-        }
-    }
-    for (auto const& peer : random_balancers(gossip_fanout))
-    {
-        if (!templates.items_.empty())
-        {
-            send(peer.control_, templates);
-        }
-        if (!members.items_.empty())
-        {
-            send(peer.control_, members);
-        }
-    }
-}
-
-void balancer_membership::compare_views()
-{
-    bool const is_young = now_ < start_ + young_time;
-    if (!due(compared_, is_young ? young_compare_interval : timing_.compare_))
-    {
-        return;
-    }
-    for (auto const& peer : random_balancers(1))
-    {
-        send(peer.control_,
-             digest_message{table_.tree().root(), book_.latest_news(), false});
-    }
-}
-
-// Asks seeds and balancers that were declared dead, so that halves that were
-// parted find each other again.
-void balancer_membership::meet_lost()
-{
-    bool const early =
-        table_.balancers().size() < 2 || now_ < start_ + start_time;
-    if (!due(met_, early ? lonely_interval : meet_interval))
-    {
-        return;
-    }
-    auto const lost = lost_contacts();
-    if (!lost.empty())
-    {
-        std::uniform_int_distribution<std::size_t> pick(0, lost.size() - 1);
-        auto items = book_.latest_news();
-        items.push_back(to_item(self_));
-        send(lost[pick(random_)],
-             digest_message{table_.tree().root(), std::move(items), false});
-    }
-}
-
-std::vector<endpoint> balancer_membership::lost_contacts() const
-{
-    std::vector<endpoint> result = seeds_;
-    for (auto const id : table_.service_members(balancer_service))
-    {
-        auto const& record = *table_.find(id);
-        if (may_own_flows(record.state_))
-        {
-            std::erase(result, record.control_);
-        }
-        else if (record.state_ == member_state::dead)
-        {
-            result.push_back(record.control_);
-        }
-    }
-    return result;
-}
-
-// Asks again for records whose request or answer was lost.
-void balancer_membership::repeat_pulls()
-{
-    for (auto at = pulls_.begin(); at != pulls_.end();)
-    {
-        auto& [id, open] = *at;
-        auto const* held = table_.find(id);
-        bool const arrived = held != nullptr && held->version_ >= open.version_;
-        bool const waiting = now_ < open.asked_ + pull_interval;
-        if (arrived || (!waiting && open.attempts_ >= max_pulls))
-        {
-            at = pulls_.erase(at);
-            continue;
-        }
-        if (!waiting)
-        {
-            open.asked_ = now_;
-            ++open.attempts_;
-            send(open.from_, pull_message{{id}});
-        }
-        ++at;
-    }
-}
-
 void balancer_membership::forget_ended()
 {
     if (!due(forgotten_, forget_interval))
--- a/src/core/balancer_messages.cpp
+++ b/src/core/balancer_messages.cpp
@@ -36,6 +36,7 @@
         health_.heard_balancer(now_, out_);
     }
     std::visit([&](auto const& body) { on(body, from); }, message);
+    check_views();
     return std::exchange(out_, {});
 }
 
--- a/src/core/control_health.cpp
+++ b/src/core/control_health.cpp
@@ -12,8 +12,8 @@
 
 using std::chrono::milliseconds;
 
-// A balancer that hasn't been heard for a second is probed within half a
-// second, so in a small fleet this much is usual.
+// A balancer that hasn't been heard for a second is probed within half a second,
+// so in a small fleet this much is usual.
 constexpr milliseconds silence_limit{1'750};
 // A verification takes 1.25 s: if none has failed for so long, others answer.
 constexpr milliseconds trust_time{2'000};
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -330,6 +330,12 @@
                                  nullptr};
 }
 
+bool flow_forwarder::wants_view(time_point now) const
+{
+    (void)now;
+    return !searches_.empty();
+}
+
 bool flow_forwarder::is_learning(time_point now) const
 {
     return now < started_ + settings_.learning_time_ &&
--- a/src/core/member_table.cpp
+++ b/src/core/member_table.cpp
@@ -16,6 +16,13 @@
 // their square root.
 constexpr std::uint64_t ring_points = 16;
 
+constexpr std::size_t latest_targets_kept = 24;
+
+bool is_live_target(target_record const& record)
+{
+    return record.service_ != balancer_service && may_own_flows(record.state_);
+}
+
 std::uint64_t ring_point(std::uint64_t balancer, std::uint64_t index)
 {
     std::uint64_t const words[2] = {balancer, index};
@@ -29,6 +36,11 @@
     return {item_kind::member, record.target_, record.version_, record.state_};
 }
 
+std::uint64_t hash_identifier(std::uint64_t id)
+{
+    return XXH3_64bits(&id, sizeof(id));
+}
+
 bool member_table::merge(target_record const& record, time_point now)
 {
     auto const [at, fresh] = entries_.try_emplace(record.target_);
@@ -38,6 +50,10 @@
         services_[record.service_].members_.push_back(record.target_);
         count_in_or_out(record);
         update_balancer(record);
+        if (is_live_target(record))
+        {
+            note_target(record.target_);
+        }
         return true;
     }
     if (!supersedes(record, at->second.record_))
@@ -75,9 +91,24 @@
         std::erase(services_[held.record_.service_].members_, record.target_);
         services_[record.service_].members_.push_back(record.target_);
     }
+    bool const was_live = is_live_target(held.record_);
     held = {record, now};
     count_in_or_out(record);
     update_balancer(record);
+    if (was_live != is_live_target(record))
+    {
+        note_target(record.target_);
+    }
+}
+
+void member_table::note_target(std::uint64_t id)
+{
+    std::erase(latest_targets_, id);
+    latest_targets_.insert(latest_targets_.begin(), id);
+    if (latest_targets_.size() > latest_targets_kept)
+    {
+        latest_targets_.pop_back();
+    }
 }
 
 void member_table::count_in_or_out(target_record const& record)
@@ -89,6 +120,10 @@
     auto const value = to_item(record);
     tree_.toggle(value);
     services_[record.service_].hash_ ^= hash_item(value);
+    if (is_live_target(record))
+    {
+        targets_hash_ ^= hash_identifier(record.target_);
+    }
 }
 
 void member_table::update_balancer(target_record const& record)
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -149,6 +149,10 @@
 {
     auto const now = current_time();
     relay_.tick(now);
+    if (relay_.wants_view(now))
+    {
+        control_.confirm_view();
+    }
     has_settled_ = has_settled_ || (directory_.has_template() &&
                                     !directory_.targets().empty() &&
                                     now >= learned_ + settle_time);
@@ -192,6 +196,11 @@
                {"outcome", taken ? "taken" : "older than the one held"}});
 }
 
+void forward_balancer::on_view_confirmed(time_point asked)
+{
+    directory_.confirm_view(asked);
+}
+
 void forward_balancer::on_target_list(std::vector<target_id> const& targets)
 {
     directory_.expect(targets);
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -67,6 +67,9 @@
         { return static_cast<double>(core_.members().balancers().size()); });
     counters.gauge("daisytrail_control_heard_age_seconds",
                    [this] { return age_in_seconds(core_.health().heard()); });
+    counters.gauge(
+        "daisytrail_view_confirmed_age_seconds", [this]
+        { return age_in_seconds(core_.view_confirmed().value_or(started_)); });
     if (store)
     {
         watcher_ = std::make_unique<store_watcher>(
@@ -89,10 +92,16 @@
                         { core_.add_seeds(found); },
                         [this](std::string const& value) { take_list(value); });
     }
+    started_ = steady_clock::now();
     timer_.start();
     tick();
 }
 
+void balancer_control::confirm_view()
+{
+    runner_.run(core_.confirm_view(steady_clock::now()));
+}
+
 void balancer_control::stop(std::function<void()> done)
 {
     done_ = std::move(done);
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -25,6 +25,10 @@
 
     void start();
 
+    // Asks others whether they know targets that aren't known here;
+    // control_events::on_view_confirmed() follows once they don't.
+    void confirm_view();
+
     // Tells others that this balancer leaves, then calls `done`.
     void stop(std::function<void()> done);
 
@@ -52,6 +56,7 @@
     // asked.
     duration transfer_patience_;
     periodic_timer timer_;
+    time_point started_;
     time_point due_; // of the next tick
     histogram& lateness_;
     std::function<void()> done_; // set while stopping
--- a/src/net/control_outputs.cpp
+++ b/src/net/control_outputs.cpp
@@ -92,6 +92,11 @@
     round_trips_.add(std::chrono::duration<double>(action.took_).count());
 }
 
+void action_runner::on(view_confirmed_action const& action)
+{
+    events_.on_view_confirmed(action.asked_);
+}
+
 json::value to_json(revision_book const& book, std::string const& process)
 {
     json::array held;
--- a/src/net/control_outputs.hpp
+++ b/src/net/control_outputs.hpp
@@ -27,6 +27,7 @@
     void on(template_action const& action);
     void on(report_action const& action);
     void on(round_trip_action const& action);
+    void on(view_confirmed_action const& action);
 
     control_link& link_;
     control_events& events_;
--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -86,6 +86,18 @@
   bytes @4 :Data;
 }
 
+struct ViewQuestion {
+  round @0 :UInt32;
+  targetsHash @1 :UInt64;
+}
+
+struct ViewAnswer {
+  round @0 :UInt32;
+  targetsHash @1 :UInt64;
+  settled @2 :Bool;
+  latest @3 :List(UInt64);
+}
+
 struct ControlMessage {
   union {
     ping @0 :UInt64;
@@ -101,5 +113,7 @@
     heartbeatAck @10 :HeartbeatAck;
     templateRequest @11 :TemplateRequest;
     templateChunk @12 :TemplateChunk;
+    viewQuestion @13 :ViewQuestion;
+    viewAnswer @14 :ViewAnswer;
   }
 }
--- a/src/rpc/control_messages.cpp
+++ b/src/rpc/control_messages.cpp
@@ -255,6 +255,22 @@
         to.setBytes(
             kj::StringPtr(from.bytes_.c_str(), from.bytes_.size()).asBytes());
     }
+
+    void operator()(view_question const& from)
+    {
+        auto to = to_.initViewQuestion();
+        to.setRound(from.round_);
+        to.setTargetsHash(from.targets_hash_);
+    }
+
+    void operator()(view_answer const& from)
+    {
+        auto to = to_.initViewAnswer();
+        to.setRound(from.round_);
+        to.setTargetsHash(from.targets_hash_);
+        to.setSettled(from.is_settled_);
+        write_numbers(to.initLatest(size_of(from.latest_)), from.latest_);
+    }
 };
 
 control_message read_heartbeat(wire::Heartbeat::Reader from)
@@ -272,6 +288,12 @@
                           std::string(bytes.begin(), bytes.end())};
 }
 
+control_message read_view_answer(wire::ViewAnswer::Reader from)
+{
+    return view_answer{from.getRound(), from.getTargetsHash(),
+                       from.getSettled(), read_numbers(from.getLatest())};
+}
+
 control_message read_message(reader from)
 {
     switch (from.which())
@@ -313,6 +335,11 @@
                                 from.getTemplateRequest().getIndex()};
     case wire::ControlMessage::TEMPLATE_CHUNK:
         return read_chunk(from.getTemplateChunk());
+    case wire::ControlMessage::VIEW_QUESTION:
+        return view_question{from.getViewQuestion().getRound(),
+                             from.getViewQuestion().getTargetsHash()};
+    case wire::ControlMessage::VIEW_ANSWER:
+        return read_view_answer(from.getViewAnswer());
     }
     throw malformed{};
 }
--- a/test/support/control_fleet.hpp
+++ b/test/support/control_fleet.hpp
@@ -48,6 +48,8 @@
     std::map<std::uint64_t, target_record> view_; // from member actions
     std::map<std::string, revision> templates_;
     std::map<report_kind, int> reports_;
+    std::optional<time_point> confirmed_; // view, as of this time
+    time_point confirmed_at_;             // when it was
 
     target_record const& self() const
     {
@@ -146,6 +148,11 @@
         run(to, to.balancer_->offer("org", at, value, now_));
     }
 
+    void confirm_view(process& balancer)
+    {
+        run(balancer, balancer.balancer_->confirm_view(now_));
+    }
+
     void publish(process& agent, member_state state)
     {
         run(agent, agent.agent_->publish({4, 100, 1, state}, now_));
@@ -257,6 +264,12 @@
             {
                 ++from.reports_[report->kind_];
             }
+            else if (auto const* view =
+                         std::get_if<view_confirmed_action>(&action))
+            {
+                from.confirmed_ = view->asked_;
+                from.confirmed_at_ = now_;
+            }
         }
     }
 
--- a/test/unit/control_messages_test.cpp
+++ b/test/unit/control_messages_test.cpp
@@ -32,7 +32,9 @@
             heartbeat_message{record, 1, 2, 3, 4},
             heartbeat_ack{one, {{1, {2, 3}}}},
             template_request{1, 2, 3},
-            template_chunk{"hamutenya", 1, 2, 3, std::string("\0a", 2)}};
+            template_chunk{"hamutenya", 1, 2, 3, std::string("\0a", 2)},
+            view_question{1, 2},
+            view_answer{1, 2, true, {3, 4}}};
 }
 
 } // namespace
