An isolated balancer leaves bytes to answer and to learn

Cause: a verification that ends in "most others don't answer" was forgotten, and the next tick suspected the same member anew. A balancer that hears nobody, or late, thus verified all its members at once without a pause, with a ping and three requests four times a second each. The same budget pays for its pongs, pulls and refutation.

Such a verification now stays open and begins anew after 2 s, unless the member is heard. Its member counts as suspected meanwhile and isn't asked for help. Further tests, which held before: turns of up to 900 ms cause no deaths and no late news, as long as a turn reads all that waits.

--- a/include/daisytrail/failure_detector.hpp
+++ b/include/daisytrail/failure_detector.hpp
@@ -98,6 +98,7 @@
         }
     };
 
+    static void verify_later(verification& open, time_point now);
     void run_round(verification& open, time_point now,
                    helper_choice const& helpers, detector_result& result);
 
--- a/src/core/failure_detector.cpp
+++ b/src/core/failure_detector.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds round_interval{250};
 constexpr int rounds = 5;
+// Time between two verifications of a member by an isolated process.
+constexpr milliseconds isolated_wait{2'000};
 constexpr milliseconds relay_timeout{200};
 constexpr milliseconds sample_age_limit{3'000};
 // A sampled member has this long to answer before it counts as unreached.
@@ -78,6 +80,16 @@
     }
 }
 
+// An isolated process that verifies all others again and again would use up its
+// byte budget, and couldn't answer or ask anybody once it is reached again.
+void failure_detector::verify_later(verification& open, time_point now)
+{
+    open.round_ = 0;
+    open.next_ = now + isolated_wait;
+    open.helpers_.clear();
+    open.confirmed_.clear();
+}
+
 detector_result failure_detector::tick(time_point now,
                                        helper_choice const& helpers,
                                        reach_count const& reach)
@@ -95,15 +107,17 @@
             run_round(open, now, helpers, result);
             continue;
         }
-        ended.push_back(id);
-        bool const confirmed =
-            open.helpers_.empty() || !open.confirmed_.empty();
-        if (!confirmed || !reach(id).is_majority())
+        if (!reach(id).is_majority())
         {
             result.self_suspected_.push_back(open.subject_);
+            verify_later(open, now);
             continue;
         }
-        result.dead_.push_back(open.subject_);
+        ended.push_back(id);
+        bool const confirmed =
+            open.helpers_.empty() || !open.confirmed_.empty();
+        auto& verdict = confirmed ? result.dead_ : result.self_suspected_;
+        verdict.push_back(open.subject_);
     }
     for (auto const id : ended)
     {
--- a/test/support/control_fleet.hpp
+++ b/test/support/control_fleet.hpp
@@ -14,6 +14,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace daisytrail::test
 {
@@ -42,6 +43,11 @@
     std::unique_ptr<agent_announcer> agent_;
     bool alive_ = true;
     bool paused_ = false;
+    // Of a starved process: time between its turns, at which it reads what has
+    // come and its timers run; 0: at once.
+    duration turn_{};
+    time_point next_turn_;
+    std::vector<std::function<void()>> unread_;
     int side_ = 0; // of a partition; sides don't hear each other
     std::optional<byte_budget> budget_; // none: it may send without bound
     std::uint64_t over_budget_ = 0;     // datagrams that were dropped
@@ -125,8 +131,7 @@
             {
                 if (each->alive_ && !each->paused_)
                 {
-                    run(*each, each->balancer_ ? each->balancer_->tick(now_)
-                                               : each->agent_->tick(now_));
+                    take_turn(*each);
                 }
             }
         }
@@ -232,6 +237,21 @@
         }
     };
 
+    void take_turn(process& each)
+    {
+        if (now_ < each.next_turn_)
+        {
+            return;
+        }
+        each.next_turn_ = now_ + each.turn_;
+        for (auto const& read : std::exchange(each.unread_, {}))
+        {
+            read();
+        }
+        run(each, each.balancer_ ? each.balancer_->tick(now_)
+                                 : each.agent_->tick(now_));
+    }
+
     process& add(std::string const& name)
     {
         ports_[name] = ++last_port_;
@@ -314,11 +334,20 @@
             auto& peer = *to->second;
             endpoint const source = from.self().control_;
             auto const sender = from.self().target_;
-            run(peer, peer.balancer_
-                          ? peer.balancer_->receive(now_, source, sender,
-                                                    next.message_)
-                          : peer.agent_->receive(now_, source, sender,
-                                                 next.message_));
+            auto read = [this, &peer, source, sender, next]
+            {
+                run(peer, peer.balancer_
+                              ? peer.balancer_->receive(now_, source, sender,
+                                                        next.message_)
+                              : peer.agent_->receive(now_, source, sender,
+                                                     next.message_));
+            };
+            if (peer.turn_ > duration{})
+            {
+                peer.unread_.emplace_back(std::move(read));
+                continue;
+            }
+            read();
         }
         // Time goes on from the tick, not from the last datagram.
         now_ = end - tick_interval;
--- /dev/null
+++ b/test/unit/starved_member_test.cpp
@@ -0,0 +1,90 @@
+// Tests of membership with a balancer that is starved or cut off for a while.
+#include "../support/control_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace daisytrail::test;
+
+namespace
+{
+
+std::string name(char kind, int index)
+{
+    return kind + std::to_string(index);
+}
+
+} // namespace
+
+TEST_CASE("a balancer whose turns come late declares others dead or is itself")
+{
+    for (int const turn : {200, 400, 600, 900})
+    {
+        CAPTURE(turn);
+        control_fleet fleet(71, 0.01);
+        fleet.limit_bytes(9'000);
+        fill(fleet, 18, 60, "");
+        auto& starved = fleet.at("b0");
+        starved.turn_ = milliseconds(turn);
+        auto const before = fleet.over_budget();
+        fleet.run_for(seconds(60));
+        CHECK(fleet.reports(report_kind::member_dead) == 0);
+        CHECK(fleet.reports(report_kind::declared_dead) == 0);
+        CHECK(fleet.reports(report_kind::self_suspected) == 0);
+        CHECK(fleet.over_budget() == before);
+    }
+}
+
+TEST_CASE("a balancer whose turns come late hears of joins late")
+{
+    for (int const turn : {200, 400, 600, 900})
+    {
+        CAPTURE(turn);
+        control_fleet fleet(72, 0.01);
+        fleet.limit_bytes(9'000);
+        fill(fleet, 18, 60, "");
+        fleet.at("b0").turn_ = milliseconds(turn);
+        fleet.run_for(seconds(10));
+        for (int i = 0; i < 20; ++i)
+        {
+            auto const fresh = name('n', i);
+            fleet.add_agent(fresh, 7, "");
+            auto const took = fleet.run_until(
+                [&] { return fleet.all_see(fresh, member_state::ready); },
+                seconds(10));
+            CHECK(took <= seconds(2) + 3 * milliseconds(turn));
+            fleet.run_for(milliseconds(300));
+        }
+    }
+}
+
+TEST_CASE("a balancer that was cut off has no bytes left to learn what is new")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        CAPTURE(seed);
+        control_fleet fleet(seed, 0.01);
+        fleet.limit_bytes(9'000);
+        fill(fleet, 18, 60, "");
+        fleet.run_for(seconds(20));
+        auto& alone = fleet.at("b0");
+        auto const before = alone.over_budget_;
+        alone.side_ = 1;
+        fleet.run_for(seconds(30));
+        CHECK(alone.over_budget_ == before);
+        for (int i = 0; i < 10; ++i)
+        {
+            fleet.add_agent(name('n', i), 7, "");
+        }
+        fleet.run_for(seconds(3));
+        alone.side_ = 0;
+        auto const knows_all = [&]
+        {
+            return alone.balancer_->members().all().size() >= 18 + 60 + 10;
+        };
+        CHECK(fleet.run_until(knows_all, seconds(20)) <= seconds(2));
+        CHECK(fleet.run_until(
+                  [&] { return fleet.all_see("b0", member_state::ready); },
+                  seconds(20)) <= seconds(2));
+    }
+}
