--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -25,6 +25,10 @@
 
     void start();
 
+    // Asks others whether they know targets that aren't known here;
+    // control_events::on_view_confirmed() follows once they don't.
+    void confirm_view();
+
     // Tells others that this balancer leaves, then calls `done`.
     void stop(std::function<void()> done);
 
@@ -36,6 +40,7 @@
 
 private:
     void tick();
+    void note_lateness(time_point now);
     void take_template(store_entry const& entry);
     void take_list(std::string const& value);
     std::string target_list() const;
@@ -51,6 +56,9 @@
     // asked.
     duration transfer_patience_;
     periodic_timer timer_;
+    time_point started_;
+    time_point due_; // of the next tick
+    histogram& lateness_;
     std::function<void()> done_; // set while stopping
     time_point stop_deadline_;
     time_point duties_checked_;
