An offer holds up the questions: packets of open flows reach other backend servers

Cause: an agent that answered `unsure` was offered all packets that were kept before the others had answered, one after the other, each for 150 to 600 ms. No further question went out meanwhile, nor while any question had no answer. Agents taken for silent were asked last, though silence is often the balancer's own lateness, and those declared dead and silent not at all.

Change: questions go on, to all candidates in one order, in growing batches after answers or 50 ms. A packet is offered once only silent agents owe an answer; while one does, two packets at most are sent in the whole search, since the third is what breaks a flow. Once all have answered, the owner is among those that can't tell: up to eight get the packet at the same time. An offer is one packet and counts as in vain after 600 ms; its agent is asked again and has to answer before it gets a further one, so that none piles up in front of an agent that is stuck. Targets that the flow's SYNs went to are asked first and may be offered the packet as soon as these have answered. What is returned after the owner was found isn't sent to the owner again.

That one late agent doesn't hold up the rest has a case of its own.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -79,6 +79,9 @@
     bool asks_owner_ = false;
     // Targets whose agents are to be asked whether they hold the flow.
     std::vector<forward_target*> questions_ = {};
+    // Targets whose agents can't tell: each gets one of the packets that are
+    // kept. Set together with `send`, with asks_owner_.
+    std::vector<forward_target*> offers_ = {};
 };
 
 struct flow_forwarder_settings
@@ -154,7 +157,10 @@
         // Targets that the flow's SYN came back from, or that gave no answer.
         std::vector<target_id> refused_;
         bool may_be_taken_ = false; // by one of refused_, a moment later
+        // Targets that may return a packet which the owner has got as well.
+        std::vector<target_id> spare_returns_;
         std::unique_ptr<owner_search> search_; // while the owner isn't known
+        std::size_t searched_of_ = 0; // targets known when search_ last grew
     };
 
     using flow_list = std::list<flow>;
@@ -170,11 +176,15 @@
     forward_action begin_search(flow& value, forward_cause cause,
                                 time_point now);
     forward_action search(flow& value, forward_cause cause, time_point now);
+    std::vector<target_id> repeat_questions(flow& value, time_point now);
     void add_questions(forward_action& action,
                        std::vector<target_id> const& targets, time_point now);
     forward_action give_up(flow& value, time_point now);
     void settle(flow& value, target_id owner);
-    std::vector<target_id> next_questions(owner_search& search, time_point now);
+    void add_offers(forward_action& action,
+                    std::vector<target_id> const& targets, time_point now);
+    void extend(flow& value, time_point now);
+    std::vector<target_id> syn_targets(flow const& value);
     std::vector<target_id> search_order(flow const& value,
                                         time_point now) const;
     bool is_learning(time_point now) const;
--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -1,6 +1,7 @@
 // Search for the target that holds an open flow, as after a restart of the
-// balancer that knew it. Agents are asked by small questions, several at once;
-// the caller's packets go only to targets whose agents can't tell.
+// balancer that knew it. All agents are asked by small questions; a packet of
+// the caller goes only to targets whose agents can't tell, and only once the
+// others have answered.
 //
 // Load pattern: after a restart thousands of flows are searched within a
 // second, by balancers whose links carry little more than their usual traffic.
@@ -19,6 +20,18 @@
 class owner_search
 {
 public:
+    using target_test = std::function<bool(target_id)>;
+
+    explicit owner_search(time_point now) : began_(now) {}
+
+    time_point began() const
+    {
+        return began_;
+    }
+
+    // Targets that the flow's SYNs went to: asked before all others.
+    void prefer(std::vector<target_id> const& targets);
+
     // Adds targets that aren't candidates yet, in this order.
     void extend(std::vector<target_id> const& order);
 
@@ -28,31 +41,39 @@
     // The target returned the flow's packet.
     void on_returned(target_id target);
 
-    // True while a question has no answer.
+    // True while a candidate isn't asked yet or hasn't answered.
     bool is_asking() const;
 
+    // True while a target has the packet and nothing came back.
+    bool is_offering() const;
+
+    // Targets that got the packet and may return it yet.
+    std::vector<target_id> holders() const;
+
+    // True once every candidate has denied.
+    bool has_ended() const;
+
+    // True if questions are to be repeated or the next ones are due.
+    bool is_overdue(time_point now) const;
+
     // True if a question or an offer has waited for too long.
-    bool is_overdue(time_point now) const
+    bool must_repeat(time_point now) const
     {
         return now > repeat_at_;
     }
 
     // Asks again, ever more rarely: returns the targets whose questions are
-    // repeated. A target that let an offered packet pass in silence comes last
-    // among those that can't tell.
+    // repeated. One that let an offered packet pass in silence is asked too.
     std::vector<target_id> repeat(time_point now);
 
-    // The next targets to ask; empty if all were. `may_ask` leaves some out.
-    std::vector<target_id>
-    next_questions(time_point now,
-                   std::function<bool(target_id)> const& may_ask);
-
-    // The next target whose agent can't tell, to be offered the packet; 0 if
-    // there is none.
-    target_id next_offer(time_point now);
+    // The next targets to ask; empty if all were, or if these are to wait for
+    // answers to the last ones.
+    std::vector<target_id> next_questions(time_point now);
 
-    // The target that has the packet at present; 0 if none.
-    target_id offered() const;
+    // Targets that can't tell and are to be offered the packet now. Only a
+    // silent one may owe an answer by then.
+    std::vector<target_id> next_offers(time_point now,
+                                       target_test const& is_silent);
 
 private:
     enum class state : std::uint8_t
@@ -68,21 +89,33 @@
     {
         target_id target_ = 0;
         state state_ = state::unasked;
+        bool is_preferred_ = false;
+        time_point offered_{};
     };
 
-    void wait(time_point now);
     candidate* find(target_id target);
     bool has(state wanted) const;
+    bool is_awaited(candidate const& each, target_test const& is_silent) const;
+    std::size_t offer_limit() const;
 
+    time_point began_;
     std::vector<candidate> candidates_;
     std::size_t batch_ = first_batch; // questions sent together next time
+    std::size_t early_offers_left_ = early_offers;
+    time_point next_batch_{}; // sent then even if answers are missing
     duration patience_ = first_patience;
     time_point repeat_at_{};
 
     static constexpr std::size_t first_batch = 6;
     static constexpr std::size_t batch_growth = 2;
+    static constexpr std::chrono::milliseconds batch_patience{50};
     static constexpr std::chrono::milliseconds first_patience{150};
     static constexpr std::chrono::milliseconds most_patience{600};
+    // Targets that have the packet at the same time.
+    static constexpr std::size_t max_offers = 8;
+    // Packets that are sent before every candidate has answered: what reaches
+    // other backend servers while the owner is silent disturbs its caller.
+    static constexpr std::size_t early_offers = 2;
 };
 
 } // namespace daisytrail
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -88,24 +88,38 @@
         erase(flow_key{key});
         return {forward_step::drop, forward_cause::owner_missing, nullptr};
     }
+    auto const again = repeat_questions(*value, now);
+    auto action = search(*value, forward_cause::search_goes_on, now);
+    add_questions(action, again, now);
+    return action;
+}
+
+// A target that was declared dead may have been so wrongly: it counts as lost
+// once it is silent, too.
+std::vector<target_id> flow_forwarder::repeat_questions(flow& value,
+                                                        time_point now)
+{
     std::vector<target_id> again;
-    for (auto const id : value->search_->repeat(now))
+    if (!value.search_->must_repeat(now))
+    {
+        return again;
+    }
+    extend(value, now);
+    for (auto const id : value.search_->repeat(now))
     {
         auto const& target = *directory_.find(id);
         bool const is_lost =
             !may_own_flows(target.record_.state_) && target.is_silent(now);
         if (is_lost)
         {
-            value->search_->on_returned(id);
+            value.search_->on_returned(id);
         }
         else
         {
             again.push_back(id);
         }
     }
-    auto action = search(*value, forward_cause::search_goes_on, now);
-    add_questions(action, again, now);
-    return action;
+    return again;
 }
 
 placement_request
@@ -255,6 +269,10 @@
                    ? send(*value, forward_cause::moved, now)
                    : open(*value, forward_cause::moved, now);
     }
+    if (std::erase(value->spare_returns_, from) > 0)
+    {
+        return {forward_step::drop, forward_cause::search_goes_on, nullptr};
+    }
     if (is_settled_elsewhere)
     {
         return send(*value, forward_cause::search_goes_on, now);
@@ -264,7 +282,7 @@
         value->search_->on_returned(from);
         return search(*value, forward_cause::search_goes_on, now);
     }
-    value->search_ = std::make_unique<owner_search>();
+    value->search_ = std::make_unique<owner_search>(now);
     value->search_->on_returned(from);
     return begin_search(*value, forward_cause::search_goes_on, now);
 }
@@ -293,6 +311,8 @@
 void flow_forwarder::settle(flow& value, target_id owner)
 {
     value.target_ = owner;
+    value.spare_returns_ = value.search_->holders();
+    std::erase(value.spare_returns_, owner);
     value.search_.reset();
     searches_.erase(value.key_);
     value.refused_ = {};
@@ -390,64 +410,62 @@
 {
     if (!value.search_)
     {
-        value.search_ = std::make_unique<owner_search>();
+        value.search_ = std::make_unique<owner_search>(now);
     }
-    value.search_->extend(search_order(value, now));
+    value.search_->prefer(syn_targets(value));
+    value.searched_of_ = 0;
+    extend(value, now);
+    value.spare_returns_.clear();
     searches_.insert(value.key_);
     return search(value, cause, now);
 }
 
-forward_action flow_forwarder::search(flow& value, forward_cause cause,
-                                      time_point now)
+// The latest first.
+std::vector<target_id> flow_forwarder::syn_targets(flow const& value)
 {
-    if (value.search_->offered() != 0)
-    {
-        return {forward_step::hold, cause, nullptr};
-    }
-    // The owner may be found before the slowest agent has answered.
-    if (auto const offered = value.search_->next_offer(now); offered != 0)
-    {
-        value.target_ = offered;
-        return send(value, cause, now);
-    }
-    forward_action action{forward_step::hold, cause, nullptr};
-    if (value.search_->is_asking())
+    std::vector<target_id> result;
+    auto const add = [&](target_id id)
     {
-        return action;
-    }
-    auto questions = next_questions(*value.search_, now);
-    if (questions.empty())
+        auto const* const target = directory_.find(id);
+        bool const may_hold =
+            target != nullptr && target->record_.state_ != member_state::left;
+        if (may_hold)
+        {
+            result.push_back(id);
+        }
+    };
+    add(value.target_);
+    std::for_each(value.refused_.rbegin(), value.refused_.rend(), add);
+    return result;
+}
+
+// Some targets may have become known since the search began.
+void flow_forwarder::extend(flow& value, time_point now)
+{
+    auto const known = directory_.targets().size();
+    if (known != value.searched_of_)
     {
-        // Some targets may have joined since the search began.
+        value.searched_of_ = known;
         value.search_->extend(search_order(value, now));
-        questions = next_questions(*value.search_, now);
-    }
-    if (questions.empty())
-    {
-        return give_up(value, now);
     }
-    add_questions(action, questions, now);
-    return action;
 }
 
-// A target whose agent is silent is asked after all others, and not at all if
-// it was declared dead.
-std::vector<target_id> flow_forwarder::next_questions(owner_search& search,
-                                                      time_point now)
+forward_action flow_forwarder::search(flow& value, forward_cause cause,
+                                      time_point now)
 {
-    auto questions =
-        search.next_questions(now, [&](target_id id)
-                              { return !directory_.find(id)->is_silent(now); });
-    if (questions.empty())
-    {
-        questions = search.next_questions(
-            now,
-            [&](target_id id) {
-                return directory_.find(id)->record_.state_ !=
-                       member_state::dead;
-            });
-    }
-    return questions;
+    auto& search = *value.search_;
+    if (!search.is_asking())
+    {
+        extend(value, now);
+    }
+    forward_action action{forward_step::hold, cause, nullptr};
+    add_questions(action, search.next_questions(now), now);
+    auto const is_silent = [&](target_id id)
+    {
+        return directory_.find(id)->is_silent(now);
+    };
+    add_offers(action, search.next_offers(now, is_silent), now);
+    return search.has_ended() ? give_up(value, now) : action;
 }
 
 void flow_forwarder::add_questions(forward_action& action,
@@ -462,6 +480,24 @@
     }
 }
 
+void flow_forwarder::add_offers(forward_action& action,
+                                std::vector<target_id> const& targets,
+                                time_point now)
+{
+    for (auto const id : targets)
+    {
+        auto* const target = directory_.find(id);
+        directory_.sent(*target, now);
+        action.offers_.push_back(target);
+    }
+    if (!targets.empty())
+    {
+        action.step_ = forward_step::send;
+        action.target_ = action.offers_.front();
+        action.asks_owner_ = true;
+    }
+}
+
 // Every target that may be asked doesn't hold the flow. A reset tells the
 // caller to open a new one at once, but it must never hit a flow that a target
 // holds which isn't known yet.
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -19,6 +19,17 @@
            candidates_.end();
 }
 
+void owner_search::prefer(std::vector<target_id> const& targets)
+{
+    for (auto const target : targets)
+    {
+        if (find(target) == nullptr)
+        {
+            candidates_.push_back({target, state::unasked, true});
+        }
+    }
+}
+
 void owner_search::extend(std::vector<target_id> const& order)
 {
     for (auto const target : order)
@@ -60,40 +71,71 @@
 
 bool owner_search::is_asking() const
 {
-    return has(state::asked);
+    return has(state::unasked) || has(state::asked);
 }
 
-void owner_search::wait(time_point now)
+bool owner_search::is_offering() const
 {
-    repeat_at_ = now + patience_;
+    return has(state::offered);
 }
 
-std::vector<target_id> owner_search::repeat(time_point now)
+std::vector<target_id> owner_search::holders() const
 {
-    patience_ = std::min<duration>(2 * patience_, most_patience);
-    wait(now);
     std::vector<target_id> result;
     for (auto const& each : candidates_)
     {
-        if (each.state_ == state::asked)
+        bool const was_offered = each.offered_ != time_point{};
+        if (was_offered && each.state_ != state::denied)
         {
             result.push_back(each.target_);
         }
     }
-    auto const silent =
-        std::ranges::find(candidates_, state::offered, &candidate::state_);
-    if (silent != candidates_.end())
+    return result;
+}
+
+bool owner_search::has_ended() const
+{
+    return std::ranges::all_of(candidates_, [](candidate const& each)
+                               { return each.state_ == state::denied; });
+}
+
+bool owner_search::is_overdue(time_point now) const
+{
+    return must_repeat(now) || (now > next_batch_ && has(state::unasked));
+}
+
+std::vector<target_id> owner_search::repeat(time_point now)
+{
+    patience_ = std::min<duration>(2 * patience_, most_patience);
+    repeat_at_ = now + patience_;
+    std::vector<target_id> result;
+    for (auto& each : candidates_)
     {
-        silent->state_ = state::unsure;
-        std::rotate(silent, std::next(silent), candidates_.end());
+        bool const was_in_vain = each.state_ == state::offered &&
+                                 now >= each.offered_ + most_patience;
+        if (was_in_vain)
+        {
+            each.state_ = state::asked;
+        }
+        if (each.state_ == state::asked)
+        {
+            result.push_back(each.target_);
+        }
     }
     return result;
 }
 
-std::vector<target_id>
-owner_search::next_questions(time_point now,
-                             std::function<bool(target_id)> const& may_ask)
+std::vector<target_id> owner_search::next_questions(time_point now)
 {
+    bool const waits =
+        (has(state::asked) || has(state::offered)) && now <= next_batch_;
+    if (waits)
+    {
+        return {};
+    }
+    bool const asks_preferred = std::ranges::any_of(
+        candidates_, [](candidate const& each)
+        { return each.is_preferred_ && each.state_ == state::unasked; });
     std::vector<target_id> result;
     for (auto& each : candidates_)
     {
@@ -101,7 +143,9 @@
         {
             break;
         }
-        if (each.state_ == state::unasked && may_ask(each.target_))
+        bool const is_next = each.state_ == state::unasked &&
+                             each.is_preferred_ == asks_preferred;
+        if (is_next)
         {
             each.state_ = state::asked;
             result.push_back(each.target_);
@@ -109,30 +153,66 @@
     }
     if (!result.empty())
     {
-        wait(now);
-        batch_ *= batch_growth;
+        batch_ *= asks_preferred ? 1 : batch_growth;
+        next_batch_ = now + batch_patience;
+        repeat_at_ = now + patience_;
     }
     return result;
 }
 
-target_id owner_search::next_offer(time_point now)
+bool owner_search::is_awaited(candidate const& each,
+                              target_test const& is_silent) const
 {
-    auto const found =
-        std::ranges::find(candidates_, state::unsure, &candidate::state_);
-    if (found == candidates_.end())
+    return each.state_ == state::unasked ||
+           (each.state_ == state::asked && !is_silent(each.target_));
+}
+
+// Once each candidate has answered, the owner is among those that get the
+// packet.
+std::size_t owner_search::offer_limit() const
+{
+    if (is_asking())
     {
-        return 0;
+        return early_offers_left_;
     }
-    found->state_ = state::offered;
-    wait(now);
-    return found->target_;
+    auto const open = static_cast<std::size_t>(
+        std::ranges::count(candidates_, state::offered, &candidate::state_));
+    return max_offers - std::min(open, max_offers);
 }
 
-target_id owner_search::offered() const
+std::vector<target_id> owner_search::next_offers(time_point now,
+                                                 target_test const& is_silent)
 {
-    auto const found =
-        std::ranges::find(candidates_, state::offered, &candidate::state_);
-    return found == candidates_.end() ? 0 : found->target_;
+    bool awaits_any = false;
+    bool awaits_preferred = false;
+    for (auto const& each : candidates_)
+    {
+        bool const awaited = is_awaited(each, is_silent);
+        awaits_any = awaits_any || awaited;
+        awaits_preferred = awaits_preferred || (awaited && each.is_preferred_);
+    }
+    std::vector<candidate*> ready;
+    for (auto& each : candidates_)
+    {
+        bool const may_have_it =
+            each.is_preferred_ ? !awaits_preferred : !awaits_any;
+        if (each.state_ == state::unsure && may_have_it)
+        {
+            ready.push_back(&each);
+        }
+    }
+    // One that let a packet pass in silence comes after the others.
+    std::ranges::stable_sort(ready, {}, &candidate::offered_);
+    ready.resize(std::min(ready.size(), offer_limit()));
+    early_offers_left_ -= is_asking() ? ready.size() : 0;
+    std::vector<target_id> result;
+    for (auto* const each : ready)
+    {
+        each->state_ = state::offered;
+        each->offered_ = now;
+        result.push_back(each->target_);
+    }
+    return result;
 }
 
 } // namespace daisytrail
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -171,7 +171,13 @@
     switch (action.step_)
     {
     case forward_step::send:
-        send(action, bytes);
+        if (action.offers_.empty())
+        {
+            send(*action.target_, action.asks_owner_, bytes);
+            break;
+        }
+        not_kept_ += kept_.add(packet.flow_from_caller(), bytes) ? 0 : 1;
+        offer(action, kept_.find(packet.flow_from_caller()));
         break;
     case forward_step::reset:
         reset(packet);
@@ -198,9 +204,13 @@
     ++*actions_[{action.step_, action.cause_}];
     auto const latest = *format_.read(packets.back().bytes_);
     note(action, latest, now);
-    if (action.step_ == forward_step::send)
+    if (!action.offers_.empty())
     {
-        send_kept(action, packets);
+        offer(action, packets);
+    }
+    else if (action.step_ == forward_step::send)
+    {
+        send_kept(*action.target_, packets);
     }
     else if (action.step_ == forward_step::reset)
     {
@@ -212,25 +222,42 @@
     }
 }
 
-// A target that is asked whether it holds the flow gets all packets, also
-// again; the flow's owner only those that it doesn't have yet.
-void balancer_relay::send_kept(forward_action const& action,
+// The owner gets the packets that it doesn't have yet.
+void balancer_relay::send_kept(forward_target const& owner,
                                std::span<kept_packets::packet> packets)
 {
-    auto const target = action.target_->record_.target_;
+    auto const target = owner.record_.target_;
     for (auto& packet : packets)
     {
-        bool const has_it = packet.sent_to_ == target;
-        packet.sent_to_ = target;
-        if (action.asks_owner_ || !has_it)
+        bool const has_it =
+            std::ranges::find(packet.sent_to_, target) != packet.sent_to_.end();
+        if (!has_it)
         {
-            send(action, packet.bytes_);
+            packet.sent_to_.push_back(target);
+            send(owner, false, packet.bytes_);
         }
     }
     // The batch points to the packets.
     flush();
 }
 
+// One packet is enough to learn whether a backend server holds the flow.
+void balancer_relay::offer(forward_action const& action,
+                           std::span<kept_packets::packet> packets)
+{
+    if (packets.empty())
+    {
+        return;
+    }
+    auto& packet = packets.front();
+    for (auto const* const target : action.offers_)
+    {
+        packet.sent_to_.push_back(target->record_.target_);
+        send(*target, true, packet.bytes_);
+    }
+    flush();
+}
+
 void balancer_relay::continue_searches(time_point now)
 {
     for (auto const& flow : core_.overdue_searches(now))
@@ -257,12 +284,11 @@
     }
 }
 
-void balancer_relay::send(forward_action const& action,
+void balancer_relay::send(forward_target const& target, bool asks_owner,
                           std::span<std::byte const> bytes)
 {
-    auto const& target = *action.target_;
     relay_message message;
-    message.asks_owner_ = action.asks_owner_;
+    message.asks_owner_ = asks_owner;
     message.service_ = target.record_.service_;
     message.target_ = target.record_.target_;
     message.revision_ = directory_.newest_revision();
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -39,15 +39,18 @@
     void take(relay_message const& message, time_point now);
     void carry_out(forward_action const& action, flow_packet const& packet,
                    std::span<std::byte const> bytes, time_point now);
-    void send(forward_action const& action, std::span<std::byte const> bytes);
+    void send(forward_target const& target, bool asks_owner,
+              std::span<std::byte const> bytes);
     void reset(flow_packet const& packet);
     void note_owner_answer(relay_message const& message, time_point now);
     void ask(forward_target& target, time_point now);
     void ask_owners(flow_key const& flow, forward_action const& action);
     void carry_on(flow_key const& flow, forward_action const& action,
                   time_point now);
-    void send_kept(forward_action const& action,
+    void send_kept(forward_target const& owner,
                    std::span<kept_packets::packet> packets);
+    void offer(forward_action const& action,
+               std::span<kept_packets::packet> packets);
     void continue_searches(time_point now);
     void note(forward_action const& action, flow_packet const& packet,
               time_point now);
--- a/src/forward/kept_packets.hpp
+++ b/src/forward/kept_packets.hpp
@@ -23,7 +23,7 @@
     struct packet
     {
         std::vector<std::byte> bytes_;
-        target_id sent_to_ = 0; // the latest; 0: none yet
+        std::vector<target_id> sent_to_ = {};
     };
 
     // Returns false if there is no room.
--- /dev/null
+++ b/test/unit/flow_search_test.cpp
@@ -0,0 +1,290 @@
+// A search for a flow's owner played on virtual time: agents answer when they
+// get round to it, backend servers return what they don't hold.
+#include "forwarding_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <vector>
+
+using namespace daisytrail;
+using namespace daisytrail::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// How a target takes part in a search.
+struct search_part
+{
+    flow_holding says_ = flow_holding::not_held;
+    duration answers_after_ = 5ms; // a question
+    duration returns_after_ = 5ms; // a packet that its backend server lacks
+    bool holds_flow_ = false;
+    bool is_silent_ = false;
+};
+
+struct search_play : forwarding_fixture
+{
+    // Targets in the order in which a search ranks them.
+    std::vector<std::string> add_ranked(int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            add_target("target-" + std::to_string(i));
+        }
+        std::vector<std::string> result;
+        flow_forwarder other(directory_, {}, now_ - 1min);
+        auto action = other.on_packet(packet(1), now_);
+        while (!action.questions_.empty())
+        {
+            auto const asked = action.questions_;
+            for (auto const* const target : asked)
+            {
+                result.push_back(target->record_.name_);
+                action = other.on_owner_answer(packet(1).flow_from_caller(),
+                                               target->record_.target_,
+                                               flow_holding::not_held, now_);
+            }
+        }
+        for (auto const& name : result)
+        {
+            report(name, {});
+        }
+        REQUIRE(result.size() == static_cast<std::size_t>(count));
+        return result;
+    }
+
+    void take(forward_action const& action)
+    {
+        for (auto const* const target : action.questions_)
+        {
+            ++questions_;
+            ask(target->record_.name_);
+        }
+        for (auto* const target : action.offers_)
+        {
+            offer(target);
+        }
+        bool const is_found = action.step_ == forward_step::send &&
+                              action.cause_ == forward_cause::found;
+        if (is_found)
+        {
+            found_ = action.target_->record_.name_;
+        }
+        was_reset_ = was_reset_ || action.step_ == forward_step::reset;
+    }
+
+    void ask(std::string const& name)
+    {
+        auto const& part = parts_[name];
+        if (!part.is_silent_)
+        {
+            after(part.answers_after_, [this, name]
+                  { take(answer(packet(1), name, parts_[name].says_)); });
+        }
+    }
+
+    void offer(forward_target* target)
+    {
+        auto const& name = target->record_.name_;
+        auto const& part = parts_[name];
+        if (part.holds_flow_)
+        {
+            after(part.answers_after_, [this, name]
+                  { take(answer(packet(1), name, flow_holding::held)); });
+            return;
+        }
+        ++strays_;
+        after(part.returns_after_,
+              [this, target] { take(give_back(packet(1), target)); });
+    }
+
+    void after(duration time, std::function<void()> what)
+    {
+        due_.emplace(now_ + time, std::move(what));
+    }
+
+    // As the balancer's own ticks do.
+    void play(duration time)
+    {
+        auto const end = now_ + time;
+        for (int step = 0; now_ < end; ++step, now_ += 5ms)
+        {
+            while (!due_.empty() && due_.begin()->first <= now_)
+            {
+                auto const what = due_.extract(due_.begin()).mapped();
+                what();
+            }
+            if (step % 20 != 0)
+            {
+                continue;
+            }
+            forwarder_->tick(now_);
+            for (auto const& key : forwarder_->overdue_searches(now_))
+            {
+                take(forwarder_->on_overdue(key, now_));
+            }
+        }
+    }
+
+    std::map<std::string, search_part> parts_;
+    std::multimap<time_point, std::function<void()>> due_;
+    int questions_ = 0;
+    int strays_ = 0; // packets that reached other backend servers
+    std::string found_;
+    bool was_reset_ = false;
+};
+
+} // namespace
+
+// Regression: FLOW, for 2.8 s packets went to the backend servers of three
+// restarted agents (issue 19).
+TEST_CASE_FIXTURE(search_play,
+                  "restarted agents get the packets before the owner is asked")
+{
+    auto const order = add_ranked(30);
+    for (auto const& name : order)
+    {
+        parts_[name].answers_after_ = 350ms;
+    }
+    for (auto const i : {1U, 7U, 9U})
+    {
+        parts_[order[i]] = {flow_holding::unsure, 20ms, 700ms};
+    }
+    parts_[order.back()] = {flow_holding::held, 400ms, 0ms, true};
+    take(send(packet(1)));
+    play(2s);
+    CHECK(found_ == order.back());
+    CHECK(strays_ <= 2);
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "an offer that nobody answers holds up the questions")
+{
+    auto const order = add_ranked(30);
+    parts_[order[0]] = {flow_holding::unsure, 5ms, 10s};
+    parts_[order.back()] = {flow_holding::held, 5ms, 0ms, true};
+    take(send(packet(1)));
+    play(300ms);
+    CHECK(found_ == order.back());
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "one unanswered question holds up all further ones")
+{
+    auto const order = add_ranked(30);
+    parts_[order[0]].is_silent_ = true;
+    parts_[order.back()] = {flow_holding::held, 5ms, 0ms, true};
+    take(send(packet(1)));
+    play(500ms);
+    CHECK(found_ == order.back());
+}
+
+// A third packet at other backend servers breaks the flow while its owner is
+// silent.
+TEST_CASE_FIXTURE(search_play,
+                  "packets are sent around while the flow's owner is silent")
+{
+    auto const order = add_ranked(12);
+    for (auto const i : {0U, 2U, 4U, 6U})
+    {
+        parts_[order[i]] = {flow_holding::unsure, 5ms, 1s};
+    }
+    parts_[order[3]].is_silent_ = true;
+    take(send(packet(1)));
+    play(3s);
+    CHECK(strays_ <= 2);
+    CHECK_FALSE(was_reset_);
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "an owner that can't tell waits for its turn among others")
+{
+    auto const order = add_ranked(12);
+    for (auto const& name : order)
+    {
+        parts_[name] = {flow_holding::unsure, 5ms, 500ms};
+    }
+    parts_[order[6]].holds_flow_ = true;
+    take(send(packet(1)));
+    play(300ms);
+    CHECK(found_ == order[6]);
+}
+
+// Silence is often the balancer's own lateness.
+TEST_CASE_FIXTURE(search_play, "an owner that was silent is asked last")
+{
+    auto const order = add_ranked(30);
+    directory_.sent(*directory_.find(hash_name(order[0])), now_);
+    now_ += 400ms;
+    parts_[order[0]] = {flow_holding::held, 5ms, 0ms, true};
+    take(send(packet(1)));
+    play(10ms);
+    CHECK(found_ == order[0]);
+    CHECK(questions_ == 6);
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "an agent that has answered is asked again and again")
+{
+    auto const order = add_ranked(30);
+    parts_[order[4]].is_silent_ = true;
+    take(send(packet(1)));
+    play(2s);
+    // The silent one after 150, 300, then every 600 ms.
+    CHECK(questions_ <= 30 + 5);
+}
+
+TEST_CASE_FIXTURE(
+    search_play, "the owner gets an offered packet again when others return it")
+{
+    auto const order = add_ranked(2);
+    send(packet(1));
+    answer(packet(1), order[0], flow_holding::unsure);
+    auto const offer = answer(packet(1), order[1], flow_holding::unsure);
+    REQUIRE(offer.offers_.size() == 2);
+    CHECK(answer(packet(1), order[0], flow_holding::held).step_ ==
+          forward_step::send);
+    CHECK(give_back(packet(1), offer.offers_[1]).step_ == forward_step::drop);
+    // A later one is of another sort.
+    CHECK(give_back(packet(1), offer.offers_[1]).target_ == offer.offers_[0]);
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "targets that a SYN went to are asked after others")
+{
+    auto const order = add_ranked(30);
+    auto const first = send(syn(1));
+    now_ += 300ms;
+    for (auto const& name : order)
+    {
+        report(name, {.under_way_ = 40, .mean_under_way_ = 40});
+    }
+    report(order.back(), {});
+    auto const second = send(syn(1, 1));
+    REQUIRE(second.target_->record_.name_ != first.target_->record_.name_);
+    auto const asked = send(packet(1)).questions_;
+    REQUIRE(asked.size() >= 2);
+    std::vector<forward_target*> const syns{second.target_, first.target_};
+    CHECK(std::vector(asked.begin(), asked.begin() + 2) == syns);
+}
+
+// A balancer that was late itself took a live target for silent, and others
+// had declared it dead.
+TEST_CASE_FIXTURE(search_play,
+                  "a target that is silent and declared dead isn't asked")
+{
+    auto owner = add_target("one");
+    add_target("two");
+    owner.state_ = member_state::dead;
+    directory_.apply(owner);
+    directory_.sent(*directory_.find(owner.target_), now_);
+    now_ += 400ms;
+    CHECK(send(packet(1)).questions_.size() == 2);
+    answer(packet(1), "two", flow_holding::not_held);
+    CHECK(answer(packet(1), "one", flow_holding::held).step_ ==
+          forward_step::send);
+}
--- /dev/null
+++ b/test/unit/forwarding_fixture.hpp
@@ -0,0 +1,109 @@
+// A balancer's decisions on virtual time: targets of one service, packets from
+// callers and what agents answer.
+#pragma once
+
+#include <daisytrail/flow_forwarder.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace daisytrail::test
+{
+
+inline constexpr endpoint vip{0x0A000001, 443};
+inline constexpr std::string_view service_name = "org/orders";
+
+struct forwarding_fixture
+{
+    forwarding_fixture()
+    {
+        organisation_template organisation{"org", {}, {}};
+        organisation.routes_.push_back(
+            {"main", vip, {{hash_name(service_name), 1}}});
+        directory_.apply(organisation, 1);
+        flow_forwarder_settings settings;
+        settings.failure_domain_ = "a";
+        forwarder_ = std::make_unique<flow_forwarder>(
+            directory_, settings, now_ - std::chrono::minutes(1));
+    }
+
+    target_record add_target(std::string const& name,
+                             member_state state = member_state::ready,
+                             bool reports = true)
+    {
+        target_record record;
+        record.name_ = name;
+        record.target_ = hash_name(name);
+        record.service_ = hash_name(service_name);
+        record.failure_domain_ = "a";
+        record.slots_ = 4;
+        record.state_ = state;
+        record.version_ = {1, ++sequence_};
+        directory_.apply(record);
+        if (reports)
+        {
+            report(name, {});
+        }
+        return record;
+    }
+
+    void report(std::string const& name, backend_load load)
+    {
+        load.accepts_ = true;
+        directory_.heard(hash_name(name), load, now_);
+    }
+
+    flow_packet packet(std::uint16_t port) const
+    {
+        flow_packet result;
+        result.source_ = {0x64000001, port};
+        result.destination_ = vip;
+        result.ack_ = true;
+        result.payload_bytes_ = 100;
+        return result;
+    }
+
+    flow_packet syn(std::uint16_t port, std::uint8_t copy = 0) const
+    {
+        auto result = packet(port);
+        result.syn_ = true;
+        result.ack_ = false;
+        result.payload_bytes_ = 0;
+        result.syn_copy_ = copy;
+        return result;
+    }
+
+    forward_action send(flow_packet const& value)
+    {
+        return forwarder_->on_packet(value, now_);
+    }
+
+    forward_action give_back(flow_packet const& value, forward_target* from,
+                             return_reason reason = return_reason::not_held)
+    {
+        directory_.heard(from->record_.target_, {.accepts_ = true}, now_);
+        return forwarder_->on_returned(value, from->record_.target_, reason,
+                                       now_);
+    }
+
+    forward_action answer(flow_packet const& value, std::string const& name,
+                          flow_holding holding)
+    {
+        report(name, {});
+        return forwarder_->on_owner_answer(value.flow_from_caller(),
+                                           hash_name(name), holding, now_);
+    }
+
+    forward_action overdue(flow_packet const& value)
+    {
+        return forwarder_->on_overdue(value.flow_from_caller(), now_);
+    }
+
+    time_point now_{std::chrono::hours(1)};
+    std::uint64_t sequence_ = 0;
+    forward_directory directory_;
+    std::unique_ptr<flow_forwarder> forwarder_;
+};
+
+} // namespace daisytrail::test
