A search's questions go to each agent together, and so do the answers

After a change of the fabric's hash every open flow of a failure domain is searched at once, and each flow cost a datagram for each agent and one back: small balancers and agents read their input late, and answers came late and in one go.

Cause: owner questions and answers named one flow each. Now a balancer gathers the questions of one turn of the event loop and sends each agent a list of up to 64 flows; a full one goes out at once, the rest at the turn's end, to the likeliest owners first. The agent answers a list with a list. A datagram stays below 1,200 bytes. A single question or answer is a list of one.

The list takes the place of the single flow in RelayHead, so that heads of packets don't grow. The two forms don't pass for each other: either side refuses the other's as malformed, and a question without an answer never denies.

--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace daisytrail
 {
@@ -20,7 +21,7 @@
     returned, // agent to balancer: the packet isn't for this backend server
     question, // balancer to agent: asks for a report
     report,   // agent to balancer: load and state alone
-    owner_question, // balancer to agent: does the backend server hold the flow?
+    owner_question, // balancer to agent: does the backend server hold them?
     owner_answer,   // agent to balancer
     count
 };
@@ -86,6 +87,14 @@
     bool operator==(backend_load const&) const = default;
 };
 
+struct asked_flow
+{
+    flow_key flow_;
+    flow_holding holding_ = flow_holding::unsure; // told by answers only
+
+    bool operator==(asked_flow const&) const = default;
+};
+
 struct relay_message
 {
     relay_kind kind_ = relay_kind::packet;
@@ -99,14 +108,16 @@
     // With `packet`: the balancer doesn't know whether this target holds the
     // flow and wants to hear if it does.
     bool asks_owner_ = false;
-    // With `owner_question` and `owner_answer` only.
-    flow_key flow_;
-    flow_holding holding_ = flow_holding::unsure; // with `owner_answer` only
+    // One to max_asked_flows with `owner_question` and `owner_answer`, none
+    // with the others.
+    std::vector<asked_flow> asked_ = {};
 
     bool operator==(relay_message const&) const = default;
 };
 
-inline constexpr std::size_t max_relay_head_bytes = 128;
+// In one datagram, which stays below the data that a packet may carry.
+inline constexpr std::size_t max_asked_flows = 64;
+inline constexpr std::size_t max_relay_head_bytes = 1'200;
 
 // Encodes the head into a buffer of max_relay_head_bytes; returns its size.
 std::size_t encode_relay_head(relay_message const& message,
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -2,6 +2,7 @@
 #include "forward/agent_relay.hpp"
 
 #include <random>
+#include <utility>
 
 namespace daisytrail
 {
@@ -22,6 +23,8 @@
 constexpr std::chrono::milliseconds first_probe_wait{250};
 constexpr std::chrono::milliseconds most_probe_wait{2'000};
 
+static_assert(max_relay_head_bytes <= udp_sender::header_capacity);
+
 time_point current_time()
 {
     return std::chrono::steady_clock::now();
@@ -148,10 +151,13 @@
         message.target_ == target_ && message.service_ == service_;
     if (message.kind_ == relay_kind::owner_question)
     {
-        send_owner_answer(message.flow_, message.target_,
-                          is_mine ? holding(message.flow_)
-                                  : flow_holding::not_held,
-                          balancer, now);
+        auto flows = message.asked_;
+        for (auto& each : flows)
+        {
+            each.holding_ =
+                is_mine ? holding(each.flow_) : flow_holding::not_held;
+        }
+        send_owner_answers(std::move(flows), message.target_, balancer, now);
     }
     else if (is_mine)
     {
@@ -322,11 +328,17 @@
 void agent_relay::send_owner_answer(flow_key const& flow, target_id target,
                                     flow_holding holding,
                                     endpoint const& balancer, time_point now)
+{
+    send_owner_answers({{flow, holding}}, target, balancer, now);
+}
+
+void agent_relay::send_owner_answers(std::vector<asked_flow> flows,
+                                     target_id target, endpoint const& balancer,
+                                     time_point now)
 {
     auto message = make_message(relay_kind::owner_answer, now);
     message.target_ = target;
-    message.flow_ = flow;
-    message.holding_ = holding;
+    message.asked_ = std::move(flows);
     auto const head_bytes = encode_relay_head(message, balancers_.head());
     balancers_.add(balancer, head_bytes, {});
 }
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -17,6 +17,7 @@
 #include <array>
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace daisytrail
 {
@@ -89,6 +90,8 @@
     void send_owner_answer(flow_key const& flow, target_id target,
                            flow_holding holding, endpoint const& balancer,
                            time_point now);
+    void send_owner_answers(std::vector<asked_flow> flows, target_id target,
+                            endpoint const& balancer, time_point now);
     void answer_question(relay_message const& message, endpoint const& balancer,
                          time_point now);
     flow_holding holding(flow_key const& flow) const;
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -2,6 +2,7 @@
 #include "forward/balancer_relay.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace daisytrail
 {
@@ -15,6 +16,8 @@
 // Questions in one tick.
 constexpr int questions_per_tick = 8;
 
+static_assert(max_relay_head_bytes <= udp_sender::header_capacity);
+
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(forward_step::count)>
     step_names{"send", "reset", "drop", "hold"};
@@ -69,10 +72,10 @@
 {
     callers_.start([this](std::span<std::byte> datagram, endpoint const&)
                    { on_caller_datagram(datagram); },
-                   [this] { flush(); });
+                   [this] { end_turn(); });
     agents_.start([this](std::span<std::byte> datagram, endpoint const&)
                   { on_agent_datagram(datagram); },
-                  [this] { flush(); });
+                  [this] { end_turn(); });
 }
 
 void balancer_relay::stop()
@@ -81,6 +84,17 @@
     agents_.stop();
 }
 
+void balancer_relay::end_turn()
+{
+    for (auto const* const target : question_order_)
+    {
+        send_questions(*target, questions_[target]);
+    }
+    question_order_.clear();
+    questions_.clear();
+    flush();
+}
+
 void balancer_relay::flush()
 {
     refused_ += callers_.flush() + agents_.flush();
@@ -150,10 +164,18 @@
     }
     if (message.kind_ == relay_kind::owner_answer)
     {
-        note_owner_answer(message, now);
-        carry_on(message.flow_,
-                 core_.on_owner_answer(message.flow_, message.target_,
-                                       message.holding_, now),
+        take_answers(message, now);
+    }
+}
+
+void balancer_relay::take_answers(relay_message const& message, time_point now)
+{
+    for (auto const& answer : message.asked_)
+    {
+        note_owner_answer(message.target_, answer, now);
+        carry_on(answer.flow_,
+                 core_.on_owner_answer(answer.flow_, message.target_,
+                                       answer.holding_, now),
                  now);
     }
 }
@@ -246,15 +268,35 @@
 {
     for (auto const* const target : action.questions_)
     {
-        relay_message message;
-        message.kind_ = relay_kind::owner_question;
-        message.service_ = target->record_.service_;
-        message.target_ = target->record_.target_;
-        message.revision_ = directory_.newest_revision();
-        message.flow_ = flow;
-        auto const head_bytes = encode_relay_head(message, agents_.head());
-        agents_.add(target->record_.tunnel_, head_bytes, {});
+        auto const [at, is_first] = questions_.try_emplace(target);
+        if (is_first)
+        {
+            question_order_.push_back(target);
+        }
+        auto& flows = at->second;
+        flows.push_back({flow});
+        if (flows.size() == max_asked_flows)
+        {
+            send_questions(*target, flows);
+        }
+    }
+}
+
+void balancer_relay::send_questions(forward_target const& target,
+                                    std::vector<asked_flow>& flows)
+{
+    if (flows.empty())
+    {
+        return;
     }
+    relay_message message;
+    message.kind_ = relay_kind::owner_question;
+    message.service_ = target.record_.service_;
+    message.target_ = target.record_.target_;
+    message.revision_ = directory_.newest_revision();
+    message.asked_ = std::exchange(flows, {});
+    auto const head_bytes = encode_relay_head(message, agents_.head());
+    agents_.add(target.record_.tunnel_, head_bytes, {});
 }
 
 void balancer_relay::send(forward_action const& action,
@@ -309,19 +351,19 @@
     log_event(log_level::info, "flow", line);
 }
 
-void balancer_relay::note_owner_answer(relay_message const& message,
+void balancer_relay::note_owner_answer(target_id by, asked_flow const& answer,
                                        time_point now)
 {
     if (!log_.admit(now))
     {
         return;
     }
-    auto const* const target = directory_.find(message.target_);
+    auto const* const target = directory_.find(by);
     log_event(log_level::info, "owner_answer",
-              {{"flow", flow_name(message.flow_)},
+              {{"flow", flow_name(answer.flow_)},
                {"target", target == nullptr ? "not known any more"
                                             : target->record_.name_},
-               {"holding", to_string(message.holding_)}});
+               {"holding", to_string(answer.holding_)}});
 }
 
 void balancer_relay::ask(forward_target& target, time_point now)
@@ -355,7 +397,7 @@
             ++questions;
         }
     }
-    flush();
+    end_turn();
 }
 
 } // namespace daisytrail
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -14,6 +14,7 @@
 
 #include <array>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace daisytrail
@@ -41,9 +42,13 @@
                    std::span<std::byte const> bytes, time_point now);
     void send(forward_action const& action, std::span<std::byte const> bytes);
     void reset(flow_packet const& packet);
-    void note_owner_answer(relay_message const& message, time_point now);
+    void take_answers(relay_message const& message, time_point now);
+    void note_owner_answer(target_id by, asked_flow const& answer,
+                           time_point now);
     void ask(forward_target& target, time_point now);
     void ask_owners(flow_key const& flow, forward_action const& action);
+    void send_questions(forward_target const& target,
+                        std::vector<asked_flow>& flows);
     void carry_on(flow_key const& flow, forward_action const& action,
                   time_point now);
     void send_kept(forward_action const& action,
@@ -51,6 +56,7 @@
     void continue_searches(time_point now);
     void note(forward_action const& action, flow_packet const& packet,
               time_point now);
+    void end_turn();
     void flush();
 
     forward_balancer_settings settings_;
@@ -64,6 +70,11 @@
     std::array<std::array<std::byte, max_flow_packet_bytes>, batch_size>
         resets_{}; // written resets of a batch
     std::size_t reset_count_ = 0;
+    // Owner questions of this turn of the event loop, and whom they are for in
+    // the order of the searches: the likeliest owners first.
+    std::unordered_map<forward_target const*, std::vector<asked_flow>>
+        questions_;
+    std::vector<forward_target const*> question_order_;
     std::uint64_t& received_;
     std::uint64_t& malformed_;
     std::uint64_t& returned_;
--- a/src/net/udp_batch.hpp
+++ b/src/net/udp_batch.hpp
@@ -62,7 +62,7 @@
 class udp_sender
 {
 public:
-    static constexpr std::size_t header_capacity = 256;
+    static constexpr std::size_t header_capacity = 1'200;
 
     explicit udp_sender(int socket);
     udp_sender(udp_sender const&) = delete;
--- a/src/rpc/forward.capnp
+++ b/src/rpc/forward.capnp
@@ -14,15 +14,16 @@
   accepts @5 :Bool;
   load @6 :LoadReport;
   asksOwner @7 :Bool;
-  flow @8 :FlowName;
-  holding @9 :UInt8;
+  flows @8 :List(AskedFlow);
 }
 
-struct FlowName {
+# A flow whose owner is searched; agents answer with its holding.
+struct AskedFlow {
   callerAddress @0 :UInt32;
   callerPort @1 :UInt16;
   vipPort @2 :UInt16;
   vipAddress @3 :UInt32;
+  holding @4 :UInt8;
 }
 
 # What an agent tells of its backend server.
--- a/src/rpc/relay_message.cpp
+++ b/src/rpc/relay_message.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstring>
+#include <utility>
 
 namespace daisytrail
 {
@@ -21,6 +22,13 @@
 constexpr std::uint64_t traversal_limit_words =
     max_relay_head_bytes / word_bytes;
 constexpr int nesting_limit = 3;
+// Room for a head without flows, and for each flow.
+constexpr std::size_t plain_head_words = 16;
+constexpr std::size_t flow_words = 2;
+constexpr std::size_t scratch_words =
+    plain_head_words + flow_words * max_asked_flows;
+static_assert(segment_table_bytes + scratch_words * word_bytes <=
+              max_relay_head_bytes);
 constexpr double milli = 1'000.0;
 
 bool has_load(relay_kind kind)
@@ -28,24 +36,56 @@
     return kind == relay_kind::returned || kind == relay_kind::report;
 }
 
-bool has_flow(relay_kind kind)
+bool asks_flows(relay_kind kind)
 {
     return kind == relay_kind::owner_question ||
            kind == relay_kind::owner_answer;
 }
 
-void write_flow(wire::FlowName::Builder to, flow_key const& from)
+void write_flow(wire::AskedFlow::Builder to, asked_flow const& from)
 {
-    to.setCallerAddress(from.caller_.address_);
-    to.setCallerPort(from.caller_.port_);
-    to.setVipAddress(from.vip_.address_);
-    to.setVipPort(from.vip_.port_);
+    to.setCallerAddress(from.flow_.caller_.address_);
+    to.setCallerPort(from.flow_.caller_.port_);
+    to.setVipAddress(from.flow_.vip_.address_);
+    to.setVipPort(from.flow_.vip_.port_);
+    to.setHolding(static_cast<std::uint8_t>(from.holding_));
 }
 
-flow_key read_flow(wire::FlowName::Reader const& from)
+asked_flow read_flow(wire::AskedFlow::Reader const& from)
 {
-    return {{from.getCallerAddress(), from.getCallerPort()},
-            {from.getVipAddress(), from.getVipPort()}};
+    return {{{from.getCallerAddress(), from.getCallerPort()},
+             {from.getVipAddress(), from.getVipPort()}},
+            static_cast<flow_holding>(from.getHolding())};
+}
+
+void write_flows(wire::RelayHead::Builder root,
+                 std::vector<asked_flow> const& flows)
+{
+    auto list = root.initFlows(static_cast<unsigned>(flows.size()));
+    for (unsigned i = 0; i < list.size(); ++i)
+    {
+        write_flow(list[i], flows[i]);
+    }
+}
+
+// False if the list is too long or out of place.
+bool read_flows(wire::RelayHead::Reader const& root, relay_message& to)
+{
+    auto const list = root.getFlows();
+    bool const fits = asks_flows(to.kind_)
+                          ? list.size() > 0 && list.size() <= max_asked_flows
+                          : list.size() == 0;
+    if (!fits)
+    {
+        return false;
+    }
+    to.asked_.reserve(list.size());
+    for (auto const each : list)
+    {
+        to.asked_.push_back(read_flow(each));
+    }
+    return std::ranges::all_of(to.asked_, [](asked_flow const& each)
+                               { return each.holding_ < flow_holding::count; });
 }
 
 void write_load(wire::LoadReport::Builder to, backend_load const& from)
@@ -69,11 +109,6 @@
     result.kind_ = static_cast<relay_kind>(root.getKind());
     result.reason_ = static_cast<return_reason>(root.getReason());
     result.asks_owner_ = root.getAsksOwner();
-    result.holding_ = static_cast<flow_holding>(root.getHolding());
-    if (has_flow(result.kind_))
-    {
-        result.flow_ = read_flow(root.getFlow());
-    }
     auto const load = root.getLoad();
     result.load_.under_way_ = load.getUnderWay();
     result.load_.mean_under_way_ = load.getMeanUnderWayMilli() / milli;
@@ -91,9 +126,10 @@
 std::size_t encode_relay_head(relay_message const& message,
                               std::span<std::byte> buffer)
 {
-    capnp::word scratch[max_relay_head_bytes / word_bytes] = {};
-    capnp::MallocMessageBuilder builder(
-        kj::arrayPtr(scratch, std::size(scratch)));
+    capnp::word scratch[scratch_words];
+    auto const words = plain_head_words + flow_words * message.asked_.size();
+    std::memset(scratch, 0, words * word_bytes);
+    capnp::MallocMessageBuilder builder(kj::arrayPtr(scratch, words));
     auto root = builder.initRoot<wire::RelayHead>();
     root.setService(message.service_);
     root.setTarget(message.target_);
@@ -102,10 +138,9 @@
     root.setReason(static_cast<std::uint8_t>(message.reason_));
     root.setAccepts(message.load_.accepts_);
     root.setAsksOwner(message.asks_owner_);
-    root.setHolding(static_cast<std::uint8_t>(message.holding_));
-    if (has_flow(message.kind_))
+    if (asks_flows(message.kind_))
     {
-        write_flow(root.initFlow(), message.flow_);
+        write_flows(root, message.asked_);
     }
     if (has_load(message.kind_))
     {
@@ -143,15 +178,17 @@
     {
         capnp::SegmentArrayMessageReader reader(
             kj::arrayPtr(segments, 1), {traversal_limit_words, nesting_limit});
-        auto const message = read_head(reader.getRoot<wire::RelayHead>());
+        auto const root = reader.getRoot<wire::RelayHead>();
+        auto message = read_head(root);
         if (message.kind_ >= relay_kind::count ||
             message.reason_ >= return_reason::count ||
-            message.holding_ >= flow_holding::count)
+            !read_flows(root, message))
         {
             return std::nullopt;
         }
         return relay_reading{
-            message, datagram.subspan(segment_table_bytes + segment_bytes)};
+            std::move(message),
+            datagram.subspan(segment_table_bytes + segment_bytes)};
     }
     catch (kj::Exception const&)
     {
--- /dev/null
+++ b/test/unit/owner_questions_test.cpp
@@ -0,0 +1,306 @@
+// Questions about the owners of flows, as a balancer's and an agent's sockets
+// show them.
+#include "forward/agent_relay.hpp"
+#include "forward/balancer_relay.hpp"
+#include "support/plain_format.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstring>
+
+using namespace daisytrail;
+using namespace daisytrail::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+constexpr endpoint vip{0x0A000001, 443};
+constexpr ipv4 caller_address = 0x0A000002;
+constexpr std::size_t max_question_bytes = 1'200;
+
+endpoint free_endpoint()
+{
+    asio::io_context io;
+    udp::socket const socket(
+        io, udp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return {asio::ip::address_v4::loopback().to_uint(),
+            socket.local_endpoint().port()};
+}
+
+udp::endpoint to_udp(endpoint const& value)
+{
+    return {asio::ip::address_v4(value.address_), value.port_};
+}
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+flow_key flow_of(std::uint16_t port)
+{
+    return {{caller_address, port}, vip};
+}
+
+// The other end of a relay: reads what came, decoded.
+class other_end
+{
+public:
+    other_end() : socket_(io_, to_udp(at_))
+    {
+        socket_.non_blocking(true);
+    }
+
+    // Datagrams of one kind that wait here.
+    std::vector<relay_message> read(relay_kind kind)
+    {
+        std::vector<relay_message> result;
+        boost::system::error_code code;
+        for (;;)
+        {
+            udp::endpoint from;
+            auto const size =
+                socket_.receive_from(asio::buffer(buffer_), from, 0, code);
+            if (code)
+            {
+                return result;
+            }
+            auto const reading = decode_relay(std::span(buffer_).first(size));
+            REQUIRE(reading);
+            if (reading->message_.kind_ == kind)
+            {
+                longest_ = std::max(longest_, size);
+                result.push_back(reading->message_);
+            }
+        }
+    }
+
+    void send(endpoint const& to, relay_message const& message)
+    {
+        alignas(8) std::array<std::byte, max_relay_head_bytes> buffer{};
+        auto const size = encode_relay_head(message, buffer);
+        socket_.send_to(asio::buffer(buffer.data(), size), to_udp(to));
+    }
+
+    endpoint at_ = free_endpoint();
+    std::size_t longest_ = 0; // of those that read() returned
+
+private:
+    asio::io_context io_;
+    udp::socket socket_;
+    alignas(8) std::array<std::byte, 2'048> buffer_{};
+};
+
+// A balancer that knows none of the flows whose packets come to it.
+struct searching_fixture
+{
+    searching_fixture() : callers_(io_, udp::v4())
+    {
+        organisation_template organisation{"org", {}, {}};
+        organisation.routes_.push_back(
+            {"main", vip, {{hash_name("org/orders"), 1}}});
+        directory_.apply(organisation, 1);
+        directory_.apply(record("one", one_));
+        directory_.apply(record("two", two_));
+        settings_.balancer_.common_.failure_domain_ = "a";
+        settings_.balancer_.data_ = free_endpoint();
+        settings_.relay_ = free_endpoint();
+        settings_.caller_port_ = free_endpoint().port_;
+        balancer_ = std::make_unique<balancer_relay>(io_, settings_, format_,
+                                                     directory_, metrics_);
+        balancer_->start();
+    }
+
+    static target_record record(std::string const& name, other_end const& agent)
+    {
+        target_record result;
+        result.name_ = name;
+        result.target_ = hash_name(name);
+        result.service_ = hash_name("org/orders");
+        result.failure_domain_ = "a";
+        result.tunnel_ = agent.at_;
+        result.slots_ = 4;
+        result.state_ = member_state::ready;
+        return result;
+    }
+
+    // A packet of each of `count` open flows.
+    void call(std::uint16_t count)
+    {
+        for (std::uint16_t port = 1; port <= count; ++port)
+        {
+            flow_packet packet;
+            packet.source_ = flow_of(port).caller_;
+            packet.destination_ = vip;
+            packet.ack_ = true;
+            callers_.send_to(asio::buffer(plain_format::write(packet)),
+                             to_udp(settings_.balancer_.data_));
+        }
+        run();
+    }
+
+    // Handles all that has come.
+    void run()
+    {
+        while (io_.poll() > 0)
+        {
+        }
+    }
+
+    asio::io_context io_;
+    udp::socket callers_;
+    plain_format format_;
+    other_end one_;
+    other_end two_;
+    metrics metrics_;
+    forward_directory directory_;
+    forward_balancer_settings settings_;
+    std::unique_ptr<balancer_relay> balancer_;
+};
+
+} // namespace
+
+// After a change of the fabric's hash each flow of a failure domain is
+// searched.
+TEST_CASE_FIXTURE(searching_fixture,
+                  "each searched flow cost a datagram for each agent")
+{
+    constexpr std::uint16_t flows = 150;
+    constexpr std::size_t datagrams = 3; // of up to 64 flows
+    call(flows);
+    CHECK(one_.read(relay_kind::owner_question).size() == datagrams);
+    CHECK(two_.read(relay_kind::owner_question).size() == datagrams);
+    // Repeats in one turn.
+    balancer_->tick(current_time() + 1s);
+    CHECK(one_.read(relay_kind::owner_question).size() == datagrams);
+    CHECK(two_.read(relay_kind::owner_question).size() == datagrams);
+    CHECK(one_.longest_ <= max_question_bytes);
+}
+
+TEST_CASE_FIXTURE(searching_fixture,
+                  "flows that were asked for together are all answered")
+{
+    constexpr std::uint16_t flows = 150;
+    call(flows);
+    std::size_t asked = 0;
+    for (auto answer : one_.read(relay_kind::owner_question))
+    {
+        asked += answer.asked_.size();
+        answer.kind_ = relay_kind::owner_answer;
+        for (auto& each : answer.asked_)
+        {
+            bool const is_odd = each.flow_.caller_.port_ % 2 == 1;
+            each.holding_ =
+                is_odd ? flow_holding::held : flow_holding::not_held;
+        }
+        one_.send(settings_.relay_, answer);
+    }
+    CHECK(asked == flows);
+    run();
+    CHECK(one_.read(relay_kind::packet).size() == flows / 2);
+    for (auto answer : two_.read(relay_kind::owner_question))
+    {
+        answer.kind_ = relay_kind::owner_answer;
+        for (auto& each : answer.asked_)
+        {
+            each.holding_ = flow_holding::held;
+        }
+        two_.send(settings_.relay_, answer);
+    }
+    run();
+    CHECK(one_.read(relay_kind::packet).empty());
+    CHECK(two_.read(relay_kind::packet).size() == flows / 2);
+}
+
+TEST_CASE("an agent answered flows that were asked for together one by one")
+{
+    asio::io_context io;
+    plain_format const format;
+    metrics counters;
+    other_end balancer;
+    backend_life life("orders");
+    forward_agent_settings settings;
+    settings.agent_.common_.name_ = "one";
+    settings.agent_.organisation_ = "org";
+    settings.agent_.service_ = "orders";
+    settings.agent_.tunnel_ = free_endpoint();
+    settings.outbound_ = free_endpoint();
+    agent_relay agent(io, settings, format, life, counters);
+    agent.on_new_run(true);
+    agent.start();
+    relay_message question;
+    question.kind_ = relay_kind::owner_question;
+    question.service_ = hash_name("org/orders");
+    question.target_ = hash_name("one");
+    for (std::uint16_t port = 1; port <= max_asked_flows; ++port)
+    {
+        question.asked_.push_back({flow_of(port)});
+    }
+    balancer.send(settings.agent_.tunnel_, question);
+    while (io.poll() > 0)
+    {
+    }
+    auto const answers = balancer.read(relay_kind::owner_answer);
+    REQUIRE(answers.size() == 1);
+    for (auto& each : question.asked_)
+    {
+        each.holding_ = flow_holding::not_held;
+    }
+    CHECK(answers[0].asked_ == question.asked_);
+    CHECK(balancer.longest_ <= max_question_bytes);
+}
+
+TEST_CASE("a list of flows that is out of place or malformed is refused")
+{
+    constexpr std::size_t kind_at = 40;
+    constexpr std::size_t flows_pointer_at = 56;
+    constexpr std::size_t flows_tag_at = 64;
+    constexpr std::size_t holding_at = flows_tag_at + 8 + 12;
+    relay_message message;
+    message.kind_ = relay_kind::owner_answer;
+    message.asked_.push_back({flow_of(1)});
+    alignas(8) std::array<std::byte, max_relay_head_bytes> whole{};
+    auto const size = encode_relay_head(message, whole);
+    auto const decodes = [size](std::span<std::byte const> bytes)
+    {
+        return decode_relay(bytes.first(size)).has_value();
+    };
+    REQUIRE(decodes(whole));
+    SUBCASE("with a kind that has none")
+    {
+        whole[kind_at] = std::byte{0};
+        CHECK_FALSE(decodes(whole));
+    }
+    SUBCASE("an unknown holding")
+    {
+        whole[holding_at] = static_cast<std::byte>(flow_holding::count);
+        CHECK_FALSE(decodes(whole));
+    }
+    SUBCASE("no list")
+    {
+        std::memset(&whole[flows_pointer_at], 0, 8);
+        CHECK_FALSE(decodes(whole));
+    }
+    SUBCASE("many flows of no bytes")
+    {
+        // A list pointer with no words, and a tag of elements without fields.
+        std::uint32_t const tag[2] = {(max_asked_flows + 1) << 2U, 0};
+        std::uint32_t const no_words = 7;
+        std::memcpy(&whole[flows_tag_at], tag, sizeof(tag));
+        std::memcpy(&whole[flows_pointer_at + 4], &no_words, sizeof(no_words));
+        CHECK_FALSE(decodes(whole));
+    }
+    SUBCASE("a single flow in the place of a list")
+    {
+        // A struct pointer of two words, as before there were lists.
+        std::uint32_t const pointer[2] = {0, 2};
+        std::memcpy(&whole[flows_pointer_at], pointer, sizeof(pointer));
+        CHECK_FALSE(decodes(whole));
+    }
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -443,8 +443,8 @@
     message.service_ = 1;
     message.target_ = 2;
     message.revision_ = 3;
-    message.flow_ = {{4, 5}, {6, 7}};
-    message.holding_ = flow_holding::not_held;
+    message.asked_.push_back({{{4, 5}, {6, 7}}, flow_holding::not_held});
+    message.asked_.push_back({{{8, 9}, {10, 11}}, flow_holding::held});
     alignas(8) std::array<std::byte, max_relay_head_bytes> buffer{};
     auto const size = encode_relay_head(message, buffer);
     auto const reading = decode_relay(std::span(buffer).first(size));
