Routine lines leave room for the lines of resets

Whoever traced a reset found no line of it: the balancer that wrote it had suppressed 1,500 to 2,500 lines about flows in that second.

Cause: a search writes a line for each agent that denies, and all lines share 100 a second. Now denials, which are routine, aren't written one by one, and a quarter of the burst (50 of 200 lines) is kept for resets and missing owners. Both stay within the same budget.

--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -328,7 +328,9 @@
 void balancer_relay::note(forward_action const& action,
                           flow_packet const& packet, time_point now)
 {
-    if (!log_.admit(now))
+    bool const is_vital = action.step_ == forward_step::reset ||
+                          action.cause_ == forward_cause::owner_missing;
+    if (!log_.admit(now, is_vital ? line_rank::vital : line_rank::routine))
     {
         return;
     }
@@ -354,7 +356,7 @@
 void balancer_relay::note_owner_answer(target_id by, asked_flow const& answer,
                                        time_point now)
 {
-    if (!log_.admit(now))
+    if (answer.holding_ == flow_holding::not_held || !log_.admit(now))
     {
         return;
     }
--- a/src/forward/decision_log.cpp
+++ b/src/forward/decision_log.cpp
@@ -12,16 +12,18 @@
 
 constexpr double lines_per_second = 100;
 constexpr double burst_lines = 200;
+constexpr double vital_lines = 50; // of the burst, kept from routine lines
 constexpr std::chrono::seconds report_interval{1};
 
 } // namespace
 
-bool decision_log::admit(time_point now)
+bool decision_log::admit(time_point now, line_rank rank)
 {
     auto const passed = std::chrono::duration<double>(now - filled_).count();
     tokens_ = std::min(burst_lines, tokens_ + passed * lines_per_second);
     filled_ = now;
-    if (tokens_ < 1)
+    double const kept = rank == line_rank::vital ? 0 : vital_lines;
+    if (tokens_ < kept + 1)
     {
         ++suppressed_;
         return false;
--- a/src/forward/decision_log.hpp
+++ b/src/forward/decision_log.hpp
@@ -14,11 +14,17 @@
 namespace daisytrail
 {
 
+enum class line_rank : std::uint8_t
+{
+    routine,
+    vital // may also use what routine lines leave
+};
+
 class decision_log
 {
 public:
     // True if a line may be written now; otherwise it counts as suppressed.
-    bool admit(time_point now);
+    bool admit(time_point now, line_rank rank = line_rank::routine);
 
     // Reports the lines that were suppressed, at most once a second.
     void report_suppressed(time_point now);
