A backend server that a SYN's copy went to gets no packet of a flow opened elsewhere

Callers saw an open flow reset, or its packets swallowed, a moment after a copy of its SYN had gone to a second backend server.

Cause: the second one's agent compared the caller's acknowledgement with the SYN+ACK that it had seen from its backend server. A packet that overtook that SYN+ACK was passed on, and the backend server answered a foreign acknowledgement with a reset, which the agent forwarded. To a balancer that had offered the packet the agent even told that the flow was held, since a reset counted as an answer. A SYN+ACK that was repeated on an open flow made the flow one of another backend server, and of two SYN+ACKs only the last counted.

Now an agent keeps for each flow whether it is half open or open. All that the backend server sends comes by here, so while no SYN+ACK was forwarded the caller can't have acknowledged one: the packet is returned as not held, and a question is answered so. Only if the run began before this process, and only copies of the SYN were seen, may a former process have forwarded it: then the packet is returned without an answer until the backend server repeats its SYN+ACK, for a second at most. The caller's first packet that acknowledges any of the SYN+ACKs opens the flow; then it is held, and a SYN+ACK changes nothing any more. A reset of a flow that is half open, or that was only offered, doesn't reach the caller; the balancer that offered the packet hears that it isn't held.

The test "what the backend server holds is known from its start on" wanted `unsure` after a SYN alone. That was too weak: nothing was forwarded that the caller could have acknowledged. It now wants `not_held` there and `unsure` after the SYN+ACK.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace daisytrail
 {
@@ -26,6 +27,8 @@
     duration failure_memory_ = std::chrono::seconds(4);
     // A SYN is answered at once by a backend server that runs.
     duration syn_silence_ = std::chrono::milliseconds(150);
+    // A SYN's copy that brings no SYN+ACK for this long was for an open flow.
+    duration syn_answer_time_ = std::chrono::seconds(1);
     duration data_silence_ = std::chrono::seconds(1);
     // After this long and this many SYNs without any packet from it, it holds
     // no flows that anyone waits for.
@@ -45,9 +48,20 @@
     }
 
     // True if the caller's packet belongs to a flow that it opened with another
-    // backend server: both answered its SYN, and it acknowledges the other's.
+    // backend server: what it acknowledges isn't a SYN+ACK from here.
     bool is_opened_elsewhere(flow_packet const& packet) const;
 
+    // True if an earlier process of the agent may have passed the SYN+ACK that
+    // the packet acknowledges: the backend server soon repeats it.
+    bool is_undecided(flow_packet const& packet, time_point now) const;
+
+    // True if the backend server has been offered the flow and the caller
+    // hasn't acknowledged that here.
+    bool is_half_open(flow_key const& key) const
+    {
+        return find_half_open(key) != nullptr;
+    }
+
     // Whether the backend server holds the flow, as far as packets have shown.
     flow_holding holding(flow_key const& key) const;
 
@@ -94,16 +108,25 @@
     backend_load report(time_point now);
 
 private:
+    enum class flow_state : std::uint8_t
+    {
+        unclear,   // first seen in its midst
+        half_open, // from its SYN on; not acknowledged by the caller
+        open       // acknowledged by the caller, or served
+    };
+
     struct flow
     {
+        flow_state state_ = flow_state::unclear;
+        // An earlier process may have passed a SYN+ACK of a half-open flow.
+        bool may_be_older_ = false;
+        // Sequence numbers of the SYN+ACKs of a half-open flow.
+        std::vector<std::uint32_t> offered_;
+        time_point opened_{};             // when the first SYN was passed
         std::uint32_t next_sequence_ = 0; // after the caller's last data
         bool has_data_ = false;
-        bool is_answered_ = false; // by more than a SYN+ACK
         bool awaits_answer_ = false;
         bool caller_finished_ = false; // sent a FIN
-        // Sequence number of the backend server's SYN+ACK, until the caller has
-        // acknowledged it.
-        std::optional<std::uint32_t> unacknowledged_syn_;
         bool backend_finished_ = false;
         bool has_failed_ = false; // counted as failed already
         time_point asked_{};      // meaningful while awaits_answer_
@@ -114,7 +137,13 @@
 
     using flow_map = std::unordered_map<flow_key, flow, flow_hash>;
 
+    static bool acknowledges(flow_packet const& packet, flow const& value);
+    flow const* find_half_open(flow_key const& key) const;
+    void begin(flow& value, bool may_be_older, time_point now);
+    void note_offer(flow_packet const& packet, time_point now);
+    void note_acknowledgement(flow& value, flow_packet const& packet);
     flow_map::iterator find_or_add(flow_packet const& packet, time_point now);
+    flow_map::iterator add(flow_key const& key);
     flow_map::iterator erase(flow_map::iterator at);
     void answered(time_point now);
     void end_request(flow& value);
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -39,16 +39,56 @@
 {
 }
 
+bool backend_observer::acknowledges(flow_packet const& packet,
+                                    flow const& value)
+{
+    return std::ranges::any_of(value.offered_,
+                               [&packet](std::uint32_t offered) {
+                                   return packet.acknowledgement_ - offered <=
+                                          max_unacknowledged_bytes;
+                               });
+}
+
+backend_observer::flow const*
+backend_observer::find_half_open(flow_key const& key) const
+{
+    auto const found = flows_.find(key);
+    bool const is_half_open =
+        found != flows_.end() && found->second.state_ == flow_state::half_open;
+    return is_half_open ? &found->second : nullptr;
+}
+
+// A caller can't acknowledge a SYN+ACK that hasn't passed by here.
 bool backend_observer::is_opened_elsewhere(flow_packet const& packet) const
 {
-    auto const found = flows_.find(packet.flow_from_caller());
-    return found != flows_.end() && found->second.unacknowledged_syn_ &&
-           !packet.opens_flow() && !packet.reset_ &&
-           packet.acknowledgement_ - *found->second.unacknowledged_syn_ >
-               max_unacknowledged_bytes;
+    if (packet.opens_flow() || packet.reset_)
+    {
+        return false;
+    }
+    auto const* const value = find_half_open(packet.flow_from_caller());
+    if (value == nullptr)
+    {
+        return false;
+    }
+    bool const all_seen = !value->offered_.empty() || !value->may_be_older_;
+    return all_seen && !acknowledges(packet, *value);
 }
 
-// A flow without an answer may have been opened with another backend server.
+bool backend_observer::is_undecided(flow_packet const& packet,
+                                    time_point now) const
+{
+    if (packet.opens_flow() || packet.reset_)
+    {
+        return false;
+    }
+    auto const* const value = find_half_open(packet.flow_from_caller());
+    return value != nullptr && value->may_be_older_ &&
+           value->offered_.empty() &&
+           now < value->opened_ + settings_.syn_answer_time_;
+}
+
+// The caller may acknowledge a SYN+ACK from here, or that of another backend
+// server: its packet tells.
 flow_holding backend_observer::holding(flow_key const& key) const
 {
     auto const found = flows_.find(key);
@@ -56,8 +96,59 @@
     {
         return is_complete_ ? flow_holding::not_held : flow_holding::unsure;
     }
-    return found->second.is_answered_ ? flow_holding::held
-                                      : flow_holding::unsure;
+    auto const& value = found->second;
+    if (value.state_ == flow_state::open)
+    {
+        return flow_holding::held;
+    }
+    bool const cannot_be_open = value.state_ == flow_state::half_open &&
+                                value.offered_.empty() && !value.may_be_older_;
+    return cannot_be_open ? flow_holding::not_held : flow_holding::unsure;
+}
+
+// The first SYN is sent once; a copy may follow one that an earlier process
+// passed.
+void backend_observer::begin(flow& value, bool may_be_older, time_point now)
+{
+    value.state_ = flow_state::half_open;
+    value.may_be_older_ = may_be_older && !is_complete_;
+    value.opened_ = now;
+}
+
+void backend_observer::note_offer(flow_packet const& packet, time_point now)
+{
+    auto const key = packet.flow_from_backend();
+    auto found = flows_.find(key);
+    if (found == flows_.end())
+    {
+        found = add(key);
+        if (found == flows_.end())
+        {
+            return;
+        }
+        begin(found->second, true, now);
+    }
+    auto& value = found->second;
+    value.seen_ = now;
+    bool const is_new = value.state_ == flow_state::half_open &&
+                        std::ranges::find(value.offered_, packet.sequence_) ==
+                            value.offered_.end();
+    if (is_new)
+    {
+        value.offered_.push_back(packet.sequence_);
+    }
+}
+
+void backend_observer::note_acknowledgement(flow& value,
+                                            flow_packet const& packet)
+{
+    if (value.state_ != flow_state::half_open || packet.reset_)
+    {
+        return;
+    }
+    value.state_ =
+        acknowledges(packet, value) ? flow_state::open : flow_state::unclear;
+    value.offered_ = {};
 }
 
 void backend_observer::on_caller_packet(flow_packet const& packet,
@@ -75,9 +166,13 @@
         return;
     }
     auto& value = found->second;
-    if (!packet.opens_flow())
+    if (packet.opens_flow())
+    {
+        value.may_be_older_ = value.may_be_older_ && packet.syn_copy_ > 0;
+    }
+    else
     {
-        value.unacknowledged_syn_.reset();
+        note_acknowledgement(value, packet);
     }
     value.caller_finished_ = value.caller_finished_ || packet.fin_;
     bool const has_closed =
@@ -122,6 +217,11 @@
 {
     smooth(now);
     answered(now);
+    if (packet.syn_)
+    {
+        note_offer(packet, now);
+        return std::nullopt;
+    }
     auto const found = flows_.find(packet.flow_from_backend());
     if (found == flows_.end())
     {
@@ -129,12 +229,14 @@
     }
     auto& value = found->second;
     value.seen_ = now;
-    if (packet.syn_)
+    bool const is_refused =
+        packet.reset_ && value.state_ == flow_state::half_open;
+    if (is_refused)
     {
-        value.unacknowledged_syn_ = packet.sequence_;
         return std::nullopt;
     }
-    value.is_answered_ = true;
+    value.state_ = flow_state::open;
+    value.offered_ = {};
     std::optional<duration> took;
     if (packet.payload_bytes_ > 0 && value.awaits_answer_)
     {
@@ -180,12 +282,11 @@
         (packet.payload_bytes_ > 0 || packet.opens_flow()) && !packet.reset_;
     if (found == flows_.end() && is_worth_adding)
     {
-        if (flows_.size() >= settings_.max_flows_)
+        found = add(key);
+        if (found != flows_.end() && packet.opens_flow())
         {
-            is_complete_ = false;
-            return found;
+            begin(found->second, packet.syn_copy_ > 0, now);
         }
-        found = flows_.emplace(key, flow{}).first;
     }
     if (found != flows_.end())
     {
@@ -194,6 +295,16 @@
     return found;
 }
 
+backend_observer::flow_map::iterator backend_observer::add(flow_key const& key)
+{
+    if (flows_.size() >= settings_.max_flows_)
+    {
+        is_complete_ = false;
+        return flows_.end();
+    }
+    return flows_.emplace(key, flow{}).first;
+}
+
 backend_observer::flow_map::iterator
 backend_observer::erase(flow_map::iterator at)
 {
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -44,6 +44,7 @@
       malformed_(counters.counter("daisytrail_packets_malformed_total")),
       refused_(counters.counter("daisytrail_packets_refused_total")),
       lost_paths_(counters.counter("daisytrail_return_path_lost_total")),
+      withheld_(counters.counter("daisytrail_resets_withheld_total")),
       response_time_(counters.latency("daisytrail_response_seconds"))
 {
     counters.gauge("daisytrail_requests_under_way", [this]
@@ -126,11 +127,11 @@
     auto const reason = refusal(message, *packet, now);
     if (reason == return_reason::none)
     {
+        pass_in(*packet, bytes, from, now);
         if (message.asks_owner_)
         {
             note_owner_question(packet->flow_from_caller(), from, now);
         }
-        pass_in(*packet, bytes, from, now);
     }
     else
     {
@@ -186,8 +187,9 @@
         {
             return return_reason::not_held;
         }
-        return observer_.is_stopped(now) ? return_reason::no_answer
-                                         : return_reason::none;
+        bool const cannot_tell =
+            observer_.is_undecided(packet, now) || observer_.is_stopped(now);
+        return cannot_tell ? return_reason::no_answer : return_reason::none;
     }
     if (life_.phase() == backend_phase::unknown)
     {
@@ -254,6 +256,11 @@
         }
         return;
     }
+    if (is_foreign_reset(*packet))
+    {
+        withhold(*packet, now);
+        return;
+    }
     tell_owner(*packet, now);
     if (auto const took = observer_.on_backend_packet(*packet, now))
     {
@@ -265,6 +272,34 @@
                  datagram);
 }
 
+// The backend server resets a flow that wasn't shown to be open here: it may be
+// open at another one. The caller isn't told, but whoever asked is.
+bool agent_relay::is_foreign_reset(flow_packet const& packet) const
+{
+    auto const flow = packet.flow_from_backend();
+    return packet.reset_ &&
+           (observer_.is_half_open(flow) || owner_questions_.contains(flow));
+}
+
+void agent_relay::withhold(flow_packet const& packet, time_point now)
+{
+    ++withheld_;
+    observer_.on_backend_packet(packet, now);
+    auto const found = owner_questions_.find(packet.flow_from_backend());
+    if (found != owner_questions_.end())
+    {
+        send_owner_answer(found->first, target_, flow_holding::not_held,
+                          found->second.balancer_, now);
+        owner_questions_.erase(found);
+    }
+    if (log_.admit(now))
+    {
+        log_event(log_level::info, "reset_withheld",
+                  {{"flow", flow_name(packet.flow_from_backend())},
+                   {"run", life_.last().id_}});
+    }
+}
+
 // The balancer that asked last is told: the caller's packets come through it.
 void agent_relay::note_owner_question(flow_key const& flow,
                                       endpoint const& balancer, time_point now)
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -83,6 +83,8 @@
                  endpoint const& balancer, time_point now);
     void note_owner_question(flow_key const& flow, endpoint const& balancer,
                              time_point now);
+    bool is_foreign_reset(flow_packet const& packet) const;
+    void withhold(flow_packet const& packet, time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
     void tell_owners(time_point now);
     // `target` is the one that was asked, whose address may be another's now.
@@ -126,6 +128,7 @@
     std::uint64_t& malformed_;
     std::uint64_t& refused_;
     std::uint64_t& lost_paths_;
+    std::uint64_t& withheld_;
     histogram& response_time_;
     std::array<std::uint64_t*, static_cast<std::size_t>(return_reason::count)>
         returned_{};
--- /dev/null
+++ b/test/unit/agent_relay_test.cpp
@@ -0,0 +1,292 @@
+// What an agent passes, returns and tells of flows that its backend server may
+// not hold, on loopback sockets.
+#include "forward/agent_relay.hpp"
+#include "support/plain_format.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace daisytrail;
+using namespace daisytrail::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+constexpr endpoint vip{0x0A000001, 443};
+
+time_point current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// A socket that is read when the test asks for it.
+class probe_socket
+{
+public:
+    explicit probe_socket(asio::io_context& io)
+        : socket_(io, udp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        socket_.non_blocking(true);
+    }
+
+    endpoint at() const
+    {
+        return {asio::ip::address_v4::loopback().to_uint(),
+                socket_.local_endpoint().port()};
+    }
+
+    void send(endpoint const& to, std::span<std::byte const> bytes)
+    {
+        socket_.send_to(
+            asio::buffer(bytes.data(), bytes.size()),
+            udp::endpoint(asio::ip::address_v4(to.address_), to.port_));
+    }
+
+    std::vector<std::vector<std::byte>> receive()
+    {
+        std::vector<std::vector<std::byte>> result;
+        for (;;)
+        {
+            std::vector<std::byte> bytes(2'048);
+            boost::system::error_code code;
+            auto const size = socket_.receive(asio::buffer(bytes), 0, code);
+            if (code)
+            {
+                return result;
+            }
+            bytes.resize(size);
+            result.push_back(bytes);
+        }
+    }
+
+private:
+    udp::socket socket_;
+};
+
+struct agent_fixture
+{
+    agent_fixture() : balancer_(io_), backend_(io_), caller_(io_)
+    {
+        settings_.agent_.common_.name_ = "one";
+        settings_.agent_.organisation_ = "org";
+        settings_.agent_.service_ = "orders";
+        settings_.agent_.tunnel_ = probe_socket(io_).at();
+        settings_.outbound_ = probe_socket(io_).at();
+        settings_.backend_ = backend_.at();
+        settings_.caller_port_ = caller_.at().port_;
+        relay_ = std::make_unique<agent_relay>(io_, settings_, format_, life_,
+                                               metrics_);
+        relay_->start();
+    }
+
+    void announce(bool is_complete = true)
+    {
+        backend_announcement value;
+        value.id_ = "run";
+        value.service_ = "orders";
+        value.sequence_ = 1;
+        life_.on_announcement(value, current_time());
+        relay_->on_new_run(is_complete);
+    }
+
+    flow_packet packet(std::uint32_t acknowledgement = 0) const
+    {
+        flow_packet result;
+        result.source_ = {caller_.at().address_, 40'001};
+        result.destination_ = vip;
+        result.ack_ = true;
+        result.acknowledgement_ = acknowledgement;
+        result.payload_bytes_ = 10;
+        return result;
+    }
+
+    flow_packet syn(std::uint8_t copy = 0) const
+    {
+        auto result = packet();
+        result.syn_ = true;
+        result.ack_ = false;
+        result.payload_bytes_ = 0;
+        result.syn_copy_ = copy;
+        return result;
+    }
+
+    flow_packet answer(std::uint32_t sequence) const
+    {
+        flow_packet result;
+        result.source_ = vip;
+        result.destination_ = packet().source_;
+        result.ack_ = true;
+        result.sequence_ = sequence;
+        return result;
+    }
+
+    flow_packet syn_answer(std::uint32_t sequence) const
+    {
+        auto result = answer(sequence);
+        result.syn_ = true;
+        return result;
+    }
+
+    flow_packet backend_reset() const
+    {
+        auto result = answer(1);
+        result.reset_ = true;
+        return result;
+    }
+
+    void from_balancer(flow_packet const& value, bool asks_owner = false)
+    {
+        relay_message message;
+        message.kind_ = relay_kind::packet;
+        message.service_ = hash_name("org/orders");
+        message.target_ = hash_name("one");
+        message.asks_owner_ = asks_owner;
+        send(message, plain_format::write(value));
+    }
+
+    void send(relay_message const& message, std::vector<std::byte> const& bytes)
+    {
+        std::vector<std::byte> datagram(max_relay_head_bytes);
+        datagram.resize(encode_relay_head(message, datagram));
+        datagram.insert(datagram.end(), bytes.begin(), bytes.end());
+        balancer_.send(settings_.agent_.tunnel_, datagram);
+        run();
+    }
+
+    void from_backend(flow_packet const& value)
+    {
+        backend_.send(settings_.outbound_, plain_format::write(value));
+        run();
+    }
+
+    void run(std::chrono::milliseconds time = 5ms)
+    {
+        io_.run_for(time);
+        io_.restart();
+    }
+
+    // Messages to the balancer since the last call.
+    std::vector<relay_message> told()
+    {
+        std::vector<relay_message> result;
+        for (auto const& bytes : balancer_.receive())
+        {
+            alignas(8) std::array<std::byte, 2'048> buffer{};
+            std::ranges::copy(bytes, buffer.begin());
+            auto const reading =
+                decode_relay(std::span(buffer).first(bytes.size()));
+            if (reading->message_.kind_ != relay_kind::report)
+            {
+                result.push_back(reading->message_);
+            }
+        }
+        return result;
+    }
+
+    // Packets that came to the backend server or the caller.
+    static std::vector<flow_packet> packets(probe_socket& at)
+    {
+        std::vector<flow_packet> result;
+        for (auto const& bytes : at.receive())
+        {
+            result.push_back(*plain_format().read(bytes));
+        }
+        return result;
+    }
+
+    asio::io_context io_;
+    plain_format format_;
+    probe_socket balancer_;
+    probe_socket backend_;
+    probe_socket caller_;
+    metrics metrics_;
+    forward_agent_settings settings_;
+    backend_life life_{"orders"};
+    std::unique_ptr<agent_relay> relay_;
+};
+
+} // namespace
+
+// A copy of the SYN went to a second backend server. The caller's next packet
+// overtook that one's SYN+ACK there, and its reset hit the caller's open flow.
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a packet that overtakes the SYN+ACK isn't passed to a "
+                  "backend server that a copy of the SYN went to")
+{
+    announce();
+    from_balancer(syn(1));
+    from_balancer(packet(700'000));
+    auto const passed = packets(backend_);
+    REQUIRE(passed.size() == 1);
+    CHECK(passed[0].opens_flow());
+    auto const answers = told();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].reason_ == return_reason::not_held);
+}
+
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a restarted agent neither passes nor denies a packet that "
+                  "overtakes the SYN+ACK of a copy")
+{
+    announce(false);
+    from_balancer(syn(1));
+    from_balancer(packet(5'001));
+    CHECK(packets(backend_).size() == 1);
+    auto answers = told();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].reason_ == return_reason::no_answer);
+    from_backend(syn_answer(5'000));
+    from_balancer(packet(5'001));
+    CHECK(packets(backend_).size() == 1);
+    CHECK(told().empty());
+}
+
+// A half-open flow is reset by a backend server that gives it up, or that got a
+// packet of the flow that the caller opened elsewhere.
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a backend server's reset of a flow that the caller opened "
+                  "elsewhere doesn't reach the caller")
+{
+    announce();
+    from_balancer(syn(1));
+    from_backend(syn_answer(5'000));
+    from_backend(backend_reset());
+    auto const seen = packets(caller_);
+    REQUIRE(seen.size() == 1);
+    CHECK(seen[0].syn_);
+}
+
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a backend server that resets an offered packet isn't told "
+                  "to hold the flow")
+{
+    announce(false);
+    from_balancer(packet(700'000), true);
+    from_backend(backend_reset());
+    CHECK(packets(caller_).empty());
+    auto const answers = told();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].kind_ == relay_kind::owner_answer);
+    CHECK(answers[0].holding_ == flow_holding::not_held);
+}
+
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a backend server's reset of a flow that is open there "
+                  "reaches the caller")
+{
+    announce();
+    from_balancer(syn());
+    from_backend(syn_answer(5'000));
+    from_balancer(packet(5'001));
+    from_backend(backend_reset());
+    auto const seen = packets(caller_);
+    REQUIRE(seen.size() == 2);
+    CHECK(seen[1].reset_);
+}
--- a/test/unit/backend_observer_test.cpp
+++ b/test/unit/backend_observer_test.cpp
@@ -43,6 +43,21 @@
         return packet;
     }
 
+    flow_packet offer(std::uint16_t port, std::uint32_t sequence) const
+    {
+        auto packet = answer(port, 0);
+        packet.syn_ = true;
+        packet.sequence_ = sequence;
+        return packet;
+    }
+
+    flow_packet acknowledging(std::uint16_t port, std::uint32_t offered) const
+    {
+        auto packet = request(port, 100);
+        packet.acknowledgement_ = offered + 1;
+        return packet;
+    }
+
     time_point now_{1h};
     backend_observer observer_;
 };
@@ -140,6 +155,9 @@
     observer_.on_new_run(true);
     CHECK(observer_.holding(flow) == flow_holding::not_held);
     observer_.on_caller_packet(syn(1), now_);
+    // The caller can't acknowledge a SYN+ACK that it doesn't have.
+    CHECK(observer_.holding(flow) == flow_holding::not_held);
+    observer_.on_backend_packet(offer(1, 5'000), now_);
     CHECK(observer_.holding(flow) == flow_holding::unsure);
     observer_.on_caller_packet(request(1, 100), now_);
     observer_.on_backend_packet(answer(1, 100), now_);
@@ -270,3 +288,82 @@
     packet.acknowledgement_ = 700'000;
     CHECK_FALSE(observer_.is_opened_elsewhere(packet));
 }
+
+TEST_CASE_FIXTURE(observer_fixture,
+                  "a caller that acknowledges before any SYN+ACK from here has "
+                  "opened the flow elsewhere")
+{
+    auto copy = syn(1);
+    copy.syn_copy_ = 1;
+    auto const packet = acknowledging(1, 5'000);
+    SUBCASE("if all of the run's packets were seen")
+    {
+        observer_.on_new_run(true);
+        observer_.on_caller_packet(copy, now_);
+        CHECK(observer_.is_opened_elsewhere(packet));
+        CHECK(observer_.holding(copy.flow_from_caller()) ==
+              flow_holding::not_held);
+    }
+    SUBCASE("or the first SYN was")
+    {
+        observer_.on_caller_packet(copy, now_);
+        observer_.on_caller_packet(syn(1), now_);
+        CHECK(observer_.is_opened_elsewhere(packet));
+    }
+    SUBCASE("but an earlier process may have passed the SYN+ACK")
+    {
+        observer_.on_caller_packet(copy, now_);
+        CHECK_FALSE(observer_.is_opened_elsewhere(packet));
+        CHECK(observer_.is_undecided(packet, now_ + 500ms));
+        CHECK(observer_.holding(copy.flow_from_caller()) ==
+              flow_holding::unsure);
+        SUBCASE("which is repeated")
+        {
+            observer_.on_backend_packet(offer(1, 5'000), now_);
+            CHECK_FALSE(observer_.is_undecided(packet, now_));
+            CHECK_FALSE(observer_.is_opened_elsewhere(packet));
+            CHECK(observer_.is_opened_elsewhere(acknowledging(1, 900'000)));
+        }
+        SUBCASE("or isn't, since the flow is open")
+        {
+            CHECK_FALSE(observer_.is_undecided(packet, now_ + 2s));
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(observer_fixture,
+                  "a caller may acknowledge any of several SYN+ACKs")
+{
+    observer_.on_caller_packet(syn(1), now_);
+    observer_.on_backend_packet(offer(1, 5'000), now_);
+    observer_.on_backend_packet(offer(1, 900'000), now_);
+    CHECK_FALSE(observer_.is_opened_elsewhere(acknowledging(1, 5'000)));
+    CHECK_FALSE(observer_.is_opened_elsewhere(acknowledging(1, 900'000)));
+    CHECK(observer_.is_opened_elsewhere(acknowledging(1, 2'000'000)));
+}
+
+// An open flow whose SYN+ACK was repeated counted as opened elsewhere.
+TEST_CASE_FIXTURE(observer_fixture,
+                  "a late copy of the SYN doesn't make an open flow one of "
+                  "another backend server")
+{
+    observer_.on_caller_packet(syn(1), now_);
+    observer_.on_backend_packet(offer(1, 5'000), now_);
+    observer_.on_caller_packet(acknowledging(1, 5'000), now_);
+    auto copy = syn(1);
+    copy.syn_copy_ = 1;
+    observer_.on_caller_packet(copy, now_ + 100ms);
+    observer_.on_backend_packet(offer(1, 5'000), now_ + 101ms);
+    CHECK_FALSE(observer_.is_opened_elsewhere(acknowledging(1, 105'000)));
+    CHECK(observer_.holding(copy.flow_from_caller()) == flow_holding::held);
+}
+
+TEST_CASE_FIXTURE(observer_fixture,
+                  "a SYN that is returned doesn't hide that its copy is taken")
+{
+    observer_.on_new_run(true);
+    observer_.on_caller_packet(syn(1), now_);
+    observer_.on_returned(syn(1), now_);
+    observer_.on_backend_packet(offer(1, 5'000), now_);
+    CHECK(observer_.holding(syn(1).flow_from_caller()) == flow_holding::unsure);
+}
