A flow is told to be held only after all was read that could deny it

Callers' packets were sent for seconds to a backend server that didn't hold their flow.

Cause: an agent that can't tell passes the offered packet and told `held` 30 ms later if anything of its backend server had been read since. On an agent that is late that proves nothing: what it read may have been sent before the packet, and the returned packet may still wait in the socket. The flow then settled there.

Now a small core (owner_claims) judges it without sockets. The port tells since when its socket is known to have been empty; what is read later was sent later. A claim is answered after the backend server has sent something since the packet went to it, and the socket was found empty at least 30 ms after that was read. The agent reads that socket right after it has sent offered packets and at each tick while claims wait, so a late tick reads before it judges. Claims are forgotten one by one, the oldest first, in place of all at 10,000, and all when the backend server starts again.

Evidence: on "a flow whose packet comes back late isn't told to be held" and "a packet that came back before the agent's tick isn't held" fail, the agent tells held in both.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -81,12 +81,6 @@
     // True if it doesn't answer, so that new flows should go elsewhere.
     bool is_dark(time_point now) const;
 
-    // When the backend server last sent anything.
-    time_point heard() const
-    {
-        return heard_;
-    }
-
     // True if it has not answered SYNs for so long that it must have stopped.
     bool is_stopped(time_point now) const;
 
@@ -145,7 +139,7 @@
     flow_map::iterator find_or_add(flow_packet const& packet, time_point now);
     flow_map::iterator add(flow_key const& key);
     flow_map::iterator erase(flow_map::iterator at);
-    void answered(time_point now);
+    void answered();
     void end_request(flow& value);
     void smooth(time_point now);
     void note_answer(flow& value, double took);
@@ -163,7 +157,6 @@
     double service_seconds_ = 0; // smoothed; 0 before the first answer
     time_point smoothed_{};
     time_point swept_{};
-    time_point heard_{};
     // First SYN or data since the backend server last sent anything.
     std::optional<time_point> syn_unanswered_;
     std::uint32_t syns_unanswered_ = 0;
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -216,7 +216,7 @@
 backend_observer::on_backend_packet(flow_packet const& packet, time_point now)
 {
     smooth(now);
-    answered(now);
+    answered();
     if (packet.syn_)
     {
         note_offer(packet, now);
@@ -264,7 +264,7 @@
 void backend_observer::on_returned(flow_packet const& packet, time_point now)
 {
     smooth(now);
-    answered(now);
+    answered();
     auto const found = flows_.find(packet.flow_from_caller());
     if (found != flows_.end())
     {
@@ -313,9 +313,8 @@
     return flows_.erase(at);
 }
 
-void backend_observer::answered(time_point now)
+void backend_observer::answered()
 {
-    heard_ = now;
     syn_unanswered_.reset();
     syns_unanswered_ = 0;
     data_unanswered_.reset();
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -12,10 +12,6 @@
 constexpr std::chrono::milliseconds report_interval{100};
 // A backend server that runs has announced itself by then.
 constexpr std::chrono::milliseconds announcement_time{2'500};
-// Time within which a backend server has returned what it doesn't hold.
-constexpr std::chrono::milliseconds return_time{30};
-// Flows whose owner is asked for at the same time.
-constexpr std::size_t max_owner_questions = 10'000;
 // A balancer that sent nothing for this long gets no reports unasked.
 constexpr std::chrono::seconds correspondent_time{3};
 // A backend server that doesn't answer gets single SYNs, ever more rarely.
@@ -63,10 +59,19 @@
 {
     balancers_.start([this](std::span<std::byte> datagram, endpoint const& from)
                      { on_balancer_datagram(datagram, from); },
-                     [this] { flush(); });
+                     [this]
+                     {
+                         flush();
+                         begin_claims();
+                     });
     backend_.start([this](std::span<std::byte> datagram, endpoint const& from)
                    { on_backend_datagram(datagram, from); },
-                   [this] { flush(); });
+                   [this]
+                   {
+                       claims_.on_emptied(backend_.emptied());
+                       tell_owners(current_time());
+                       flush();
+                   });
 }
 
 void agent_relay::stop()
@@ -94,6 +99,7 @@
 void agent_relay::on_new_run(bool is_complete)
 {
     observer_.on_new_run(is_complete);
+    claims_.clear();
     probe_wait_ = first_probe_wait;
 }
 
@@ -130,7 +136,7 @@
         pass_in(*packet, bytes, from, now);
         if (message.asks_owner_)
         {
-            note_owner_question(packet->flow_from_caller(), from, now);
+            note_claim(packet->flow_from_caller(), from, now);
         }
     }
     else
@@ -240,9 +246,10 @@
         ++malformed_;
         return;
     }
+    claims_.on_heard(now);
     if (packet->returned_)
     {
-        owner_questions_.erase(packet->flow_from_caller());
+        claims_.take(packet->flow_from_caller());
         observer_.on_returned(*packet, now);
         if (auto const balancer = paths_.find(packet->mark_))
         {
@@ -278,79 +285,75 @@
 {
     auto const flow = packet.flow_from_backend();
     return packet.reset_ &&
-           (observer_.is_half_open(flow) || owner_questions_.contains(flow));
+           (observer_.is_half_open(flow) || claims_.contains(flow));
 }
 
 void agent_relay::withhold(flow_packet const& packet, time_point now)
 {
     ++withheld_;
     observer_.on_backend_packet(packet, now);
-    auto const found = owner_questions_.find(packet.flow_from_backend());
-    if (found != owner_questions_.end())
+    auto const flow = packet.flow_from_backend();
+    if (auto const balancer = claims_.take(flow))
     {
-        send_owner_answer(found->first, target_, flow_holding::not_held,
-                          found->second.balancer_, now);
-        owner_questions_.erase(found);
+        send_owner_answer(flow, target_, flow_holding::not_held, *balancer,
+                          now);
     }
     if (log_.admit(now))
     {
         log_event(log_level::info, "reset_withheld",
-                  {{"flow", flow_name(packet.flow_from_backend())},
-                   {"run", life_.last().id_}});
+                  {{"flow", flow_name(flow)}, {"run", life_.last().id_}});
     }
 }
 
 // The balancer that asked last is told: the caller's packets come through it.
-void agent_relay::note_owner_question(flow_key const& flow,
-                                      endpoint const& balancer, time_point now)
+void agent_relay::note_claim(flow_key const& flow, endpoint const& balancer,
+                             time_point now)
 {
     if (observer_.holding(flow) == flow_holding::held)
     {
         send_owner_answer(flow, target_, flow_holding::held, balancer, now);
         return;
     }
-    if (owner_questions_.size() < max_owner_questions)
+    claims_.add(flow, balancer);
+}
+
+// What the backend server sent before it got the packets tells nothing about
+// them, so it is read now.
+void agent_relay::begin_claims()
+{
+    if (claims_.has_unsent())
     {
-        owner_questions_[flow] = {balancer, now};
+        claims_.on_sent(current_time());
+        backend_.read();
     }
 }
 
 // A SYN+ACK may belong to a flow that another backend server has opened.
 void agent_relay::tell_owner(flow_packet const& packet, time_point now)
 {
-    if (owner_questions_.empty() || packet.syn_)
+    if (claims_.empty() || packet.syn_)
     {
         return;
     }
-    auto const found = owner_questions_.find(packet.flow_from_backend());
-    if (found == owner_questions_.end())
+    auto const flow = packet.flow_from_backend();
+    if (auto const balancer = claims_.take(flow))
     {
-        return;
+        send_owner_answer(flow, target_, flow_holding::held, *balancer, now);
     }
-    send_owner_answer(found->first, target_, flow_holding::held,
-                      found->second.balancer_, now);
-    owner_questions_.erase(found);
 }
 
-// A backend server returns what it doesn't hold at once, but may take long to
-// answer what it holds.
 void agent_relay::tell_owners(time_point now)
 {
     bool const can_tell =
         life_.phase() != backend_phase::unknown && !observer_.is_dark(now);
-    for (auto at = owner_questions_.begin();
-         can_tell && at != owner_questions_.end();)
+    if (!can_tell)
     {
-        auto const passed = at->second.passed_;
-        bool const has_stopped = observer_.heard() < passed;
-        if (now < passed + return_time || has_stopped)
-        {
-            ++at;
-            continue;
-        }
-        send_owner_answer(at->first, target_, flow_holding::held,
-                          at->second.balancer_, now);
-        at = owner_questions_.erase(at);
+        return;
+    }
+    for (auto const& claim : claims_.take_held())
+    {
+        send_owner_answer(claim.flow_, target_, flow_holding::held,
+                          claim.balancer_, now);
     }
 }
 
@@ -396,11 +399,6 @@
             send_report(balancer, now);
         }
     }
-    if (owner_questions_.size() == max_owner_questions)
-    {
-        // Most are of flows that their callers have left.
-        owner_questions_.clear();
-    }
     std::erase_if(correspondents_, [now](auto const& entry)
                   { return now > entry.second.heard_ + correspondent_time; });
 }
@@ -419,7 +417,11 @@
 {
     observer_.tick(now);
     watch_darkness(now);
-    tell_owners(now);
+    claims_.tick(now);
+    if (!claims_.empty())
+    {
+        backend_.read();
+    }
     if (now >= reported_ + report_interval)
     {
         send_reports(now);
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -9,6 +9,7 @@
 
 #include <daisytrail/backend_life.hpp>
 #include <daisytrail/backend_observer.hpp>
+#include <daisytrail/owner_claims.hpp>
 #include <daisytrail/packet_format.hpp>
 #include <daisytrail/relay_message.hpp>
 #include <daisytrail/return_paths.hpp>
@@ -16,7 +17,6 @@
 
 #include <array>
 #include <map>
-#include <unordered_map>
 
 namespace daisytrail
 {
@@ -66,13 +66,6 @@
         bool wants_report_ = false;
     };
 
-    // A balancer wants to hear whether the backend server holds a flow.
-    struct owner_question
-    {
-        endpoint balancer_;
-        time_point passed_{}; // when its packet went to the backend server
-    };
-
     void on_balancer_datagram(std::span<std::byte> datagram,
                               endpoint const& from);
     void on_backend_datagram(std::span<std::byte> datagram,
@@ -81,8 +74,9 @@
                           flow_packet const& packet, time_point now);
     void pass_in(flow_packet const& packet, std::span<std::byte> bytes,
                  endpoint const& balancer, time_point now);
-    void note_owner_question(flow_key const& flow, endpoint const& balancer,
-                             time_point now);
+    void note_claim(flow_key const& flow, endpoint const& balancer,
+                    time_point now);
+    void begin_claims();
     bool is_foreign_reset(flow_packet const& packet) const;
     void withhold(flow_packet const& packet, time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
@@ -117,7 +111,7 @@
     datagram_port backend_;
     decision_log log_;
     std::map<endpoint, correspondent> correspondents_;
-    std::unordered_map<flow_key, owner_question, flow_hash> owner_questions_;
+    owner_claims claims_;
     time_point reported_{};
     time_point next_probe_{}; // when a silent backend server gets a SYN again
     duration probe_wait_{};   // until the probe after that
--- a/src/forward/datagram_port.cpp
+++ b/src/forward/datagram_port.cpp
@@ -55,8 +55,9 @@
 
 void datagram_port::read()
 {
-    for (int turn = 0; turn < batches_per_turn; ++turn)
+    for (int turn = 0; socket_.is_open() && turn < batches_per_turn; ++turn)
     {
+        auto const began = std::chrono::steady_clock::now();
         auto const count = receiver_.receive();
         for (std::size_t i = 0; i < count; ++i)
         {
@@ -65,8 +66,13 @@
                 on_datagram_(receiver_.datagram(i), receiver_.sender(i));
             }
         }
+        bool const is_empty = count < batch_size;
+        if (is_empty)
+        {
+            emptied_ = began;
+        }
         after_batch_();
-        if (count < batch_size)
+        if (is_empty)
         {
             return;
         }
--- a/src/forward/datagram_port.hpp
+++ b/src/forward/datagram_port.hpp
@@ -30,6 +30,15 @@
     void start(handler on_datagram, std::function<void()> after_batch);
     void stop();
 
+    // Reads and handles what has come.
+    void read();
+
+    // All that had come by then was read and handled.
+    time_point emptied() const
+    {
+        return emptied_;
+    }
+
     // Room for the head of the next datagram.
     std::span<std::byte> head();
 
@@ -42,13 +51,13 @@
 
 private:
     void wait();
-    void read();
 
     boost::asio::ip::udp::socket socket_;
     udp_receiver receiver_;
     udp_sender sender_;
     handler on_datagram_;
     std::function<void()> after_batch_;
+    time_point emptied_{};
     std::size_t refused_ = 0; // of batches that were sent before flush()
 };
 
--- a/test/unit/agent_relay_test.cpp
+++ b/test/unit/agent_relay_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <thread>
 #include <vector>
 
 using namespace daisytrail;
@@ -134,6 +135,14 @@
         return result;
     }
 
+    // On another flow.
+    flow_packet other_answer() const
+    {
+        auto result = answer(0);
+        result.destination_.port_ += 1;
+        return result;
+    }
+
     flow_packet backend_reset() const
     {
         auto result = answer(1);
@@ -142,6 +151,13 @@
     }
 
     void from_balancer(flow_packet const& value, bool asks_owner = false)
+    {
+        queue(value, asks_owner);
+        run();
+    }
+
+    // Sends a packet that the agent doesn't read yet.
+    void queue(flow_packet const& value, bool asks_owner)
     {
         relay_message message;
         message.kind_ = relay_kind::packet;
@@ -157,7 +173,6 @@
         datagram.resize(encode_relay_head(message, datagram));
         datagram.insert(datagram.end(), bytes.begin(), bytes.end());
         balancer_.send(settings_.agent_.tunnel_, datagram);
-        run();
     }
 
     void from_backend(flow_packet const& value)
@@ -170,6 +185,9 @@
     {
         io_.run_for(time);
         io_.restart();
+        // At least once, however late the test runs.
+        io_.poll();
+        io_.restart();
     }
 
     // Messages to the balancer since the last call.
@@ -290,3 +308,57 @@
     REQUIRE(seen.size() == 2);
     CHECK(seen[1].reset_);
 }
+
+// The agent told so 30 ms after the packet, whatever it had read since. The
+// flow settled at a backend server that doesn't hold it.
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a flow whose packet comes back late isn't told to be held")
+{
+    announce(false);
+    // Sent before the packet was passed, read after.
+    queue(packet(), true);
+    backend_.send(settings_.outbound_, plain_format::write(other_answer()));
+    run();
+    auto returned = packets(backend_).at(0);
+    returned.returned_ = true;
+    for (int i = 0; i < 4; ++i)
+    {
+        run(50ms);
+        relay_->tick(current_time());
+    }
+    CHECK(told().empty());
+    from_backend(returned);
+    auto const answers = told();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].reason_ == return_reason::not_held);
+}
+
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a packet that came back before the agent's tick isn't held")
+{
+    announce(false);
+    from_balancer(packet(), true);
+    auto returned = packets(backend_).at(0);
+    returned.returned_ = true;
+    from_backend(other_answer());
+    std::this_thread::sleep_for(100ms);
+    backend_.send(settings_.outbound_, plain_format::write(returned));
+    relay_->tick(current_time());
+    run();
+    auto const answers = told();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].reason_ == return_reason::not_held);
+}
+
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a flow whose packet doesn't come back is told to be held")
+{
+    announce(false);
+    from_balancer(packet(), true);
+    from_backend(other_answer());
+    run(50ms);
+    relay_->tick(current_time());
+    auto const answers = told();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].holding_ == flow_holding::held);
+}
