Only proof denies a flow: an agent that can't tell no longer gets it reset

Callers' open flows were reset while their backend server stood still for a moment, or while its agent was short of processor time.

Cause: a balancer took every returned packet as a denial, whatever its reason, and a search of which all targets had denied ends in a reset. But an agent also returned packets of open flows when its backend server had left three SYNs unanswered for 1.2 s, and when no announcement of it had been read 2.5 s after the agent's start; an agent at the address of another target denied for that.

Now a table (denies) says which reasons are a proof: `not_held` alone, that is what the backend server returned or said of its own end, and what the caller opened elsewhere. For the others the search goes on, and the target comes again with the next overdue one, so a packet that is returned at once isn't sent at once. `other_target` counts for a target that was declared dead: neither its process nor its address is left. Agents pass the packets of known flows to a silent backend server, and return those that are only offered with `no_answer`; before its first announcement they pass them. Their decisions are in a core file without sockets (backend_gate). Callers whose backend server crashed hear of it with its next run, or when its agent is declared dead.

What this costs in reset callers' time after crashes wasn't measured.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -173,6 +173,7 @@
     void add_questions(forward_action& action,
                        std::vector<target_id> const& targets, time_point now);
     forward_action give_up(flow& value, time_point now);
+    bool has_been_replaced(target_id target, return_reason reason) const;
     void settle(flow& value, target_id owner);
     std::vector<target_id> next_questions(owner_search& search, time_point now);
     std::vector<target_id> search_order(flow const& value,
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -50,10 +50,27 @@
     other_target,  // the head names another target or service
     not_accepting, // the backend server drains or its agent stops
     not_announced, // the agent started and hasn't heard the backend server yet
-    no_answer,     // the backend server has stopped answering
+    no_answer,     // the backend server doesn't answer, or not yet
     count
 };
 
+// Which reasons prove that the backend server doesn't hold the packet's flow.
+inline constexpr std::array<bool,
+                            static_cast<std::size_t>(return_reason::count)>
+    return_reason_denials{
+        false, // none
+        true,  // not_held
+        false, // other_target: the addressee may be elsewhere
+        false, // not_accepting
+        false, // not_announced: it may have run for long
+        false, // no_answer: it may stand still, or the agent may be late
+    };
+
+constexpr bool denies(return_reason reason)
+{
+    return return_reason_denials[static_cast<std::size_t>(reason)];
+}
+
 // True if the same target may take the flow a moment later.
 constexpr bool is_passing(return_reason reason)
 {
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -259,14 +259,31 @@
     {
         return send(*value, forward_cause::search_goes_on, now);
     }
-    if (value->search_)
+    bool const is_searched = value->search_ != nullptr;
+    if (!is_searched)
+    {
+        value->search_ = std::make_unique<owner_search>();
+    }
+    if (denies(reason) || has_been_replaced(from, reason))
     {
         value->search_->on_returned(from);
-        return search(*value, forward_cause::search_goes_on, now);
     }
-    value->search_ = std::make_unique<owner_search>();
-    value->search_->on_returned(from);
-    return begin_search(*value, forward_cause::search_goes_on, now);
+    else
+    {
+        value->search_->on_answer(from, flow_holding::unsure);
+    }
+    return is_searched
+               ? search(*value, forward_cause::search_goes_on, now)
+               : begin_search(*value, forward_cause::search_goes_on, now);
+}
+
+// A target that was declared dead and whose address is another's is no more.
+bool flow_forwarder::has_been_replaced(target_id target,
+                                       return_reason reason) const
+{
+    auto const* const held = directory_.find(target);
+    return reason == return_reason::other_target && held != nullptr &&
+           !may_own_flows(held->record_.state_);
 }
 
 forward_action flow_forwarder::on_owner_answer(flow_key const& key,
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -10,13 +10,8 @@
 {
 
 constexpr std::chrono::milliseconds report_interval{100};
-// A backend server that runs has announced itself by then.
-constexpr std::chrono::milliseconds announcement_time{2'500};
 // A balancer that sent nothing for this long gets no reports unasked.
 constexpr std::chrono::seconds correspondent_time{3};
-// A backend server that doesn't answer gets single SYNs, ever more rarely.
-constexpr std::chrono::milliseconds first_probe_wait{250};
-constexpr std::chrono::milliseconds most_probe_wait{2'000};
 
 time_point current_time()
 {
@@ -33,7 +28,7 @@
       service_(hash_name(settings.agent_.organisation_ + "/" +
                          settings.agent_.service_)),
       target_(hash_name(settings.agent_.common_.name_)),
-      paths_(std::random_device{}()), started_(current_time()),
+      gate_(life_, observer_, current_time()), paths_(std::random_device{}()),
       balancers_(io, settings.agent_.tunnel_), backend_(io, settings.outbound_),
       passed_(counters.counter("daisytrail_packets_passed_total")),
       answered_(counters.counter("daisytrail_packets_answered_total")),
@@ -69,7 +64,7 @@
                    [this]
                    {
                        claims_.on_emptied(backend_.emptied());
-                       tell_owners(current_time());
+                       tell_owners();
                        flush();
                    });
 }
@@ -82,7 +77,7 @@
 
 void agent_relay::set_stopping()
 {
-    stopping_ = true;
+    gate_.set_stopping();
 }
 
 void agent_relay::flush()
@@ -92,15 +87,14 @@
 
 bool agent_relay::accepts_flows(time_point now) const
 {
-    return life_.phase() == backend_phase::ready && !stopping_ &&
-           (!observer_.is_dark(now) || now >= next_probe_);
+    return gate_.accepts_flows(now);
 }
 
 void agent_relay::on_new_run(bool is_complete)
 {
     observer_.on_new_run(is_complete);
     claims_.clear();
-    probe_wait_ = first_probe_wait;
+    gate_.on_new_run();
 }
 
 void agent_relay::on_balancer_datagram(std::span<std::byte> datagram,
@@ -157,7 +151,7 @@
     {
         send_owner_answer(message.flow_, message.target_,
                           is_mine ? holding(message.flow_)
-                                  : flow_holding::not_held,
+                                  : flow_holding::unsure,
                           balancer, now);
     }
     else if (is_mine)
@@ -177,41 +171,8 @@
 {
     bool const is_mine =
         message.target_ == target_ && message.service_ == service_;
-    if (!is_mine)
-    {
-        return return_reason::other_target;
-    }
-    bool const never_came = life_.phase() == backend_phase::unknown &&
-                            now > started_ + announcement_time;
-    if (life_.phase() == backend_phase::gone || never_came)
-    {
-        return return_reason::not_held;
-    }
-    if (!packet.opens_flow())
-    {
-        if (observer_.is_opened_elsewhere(packet))
-        {
-            return return_reason::not_held;
-        }
-        bool const cannot_tell =
-            observer_.is_undecided(packet, now) || observer_.is_stopped(now);
-        return cannot_tell ? return_reason::no_answer : return_reason::none;
-    }
-    if (life_.phase() == backend_phase::unknown)
-    {
-        return return_reason::not_announced;
-    }
-    if (!accepts_flows(now))
-    {
-        return observer_.is_dark(now) ? return_reason::no_answer
-                                      : return_reason::not_accepting;
-    }
-    if (observer_.is_dark(now))
-    {
-        next_probe_ = now + probe_wait_;
-        probe_wait_ = std::min<duration>(2 * probe_wait_, most_probe_wait);
-    }
-    return return_reason::none;
+    return is_mine ? gate_.refusal(packet, message.asks_owner_, now)
+                   : return_reason::other_target;
 }
 
 void agent_relay::pass_in(flow_packet const& packet, std::span<std::byte> bytes,
@@ -342,11 +303,14 @@
     }
 }
 
-void agent_relay::tell_owners(time_point now)
+void agent_relay::tell_owners()
 {
-    bool const can_tell =
-        life_.phase() != backend_phase::unknown && !observer_.is_dark(now);
-    if (!can_tell)
+    if (claims_.empty() || life_.phase() == backend_phase::unknown)
+    {
+        return;
+    }
+    auto const now = current_time();
+    if (observer_.is_dark(now))
     {
         return;
     }
@@ -432,14 +396,11 @@
 
 void agent_relay::watch_darkness(time_point now)
 {
-    bool const dark = observer_.is_dark(now);
-    if (dark == dark_)
+    if (!gate_.watch_darkness(now))
     {
         return;
     }
-    dark_ = dark;
-    probe_wait_ = first_probe_wait;
-    next_probe_ = now + first_probe_wait;
+    bool const dark = gate_.is_dark();
     log_event(dark ? log_level::warning : log_level::info,
               dark ? "backend_silent" : "backend_answers",
               {{"under_way", observer_.under_way()},
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -7,6 +7,7 @@
 #include "forward/decision_log.hpp"
 #include "net/metrics.hpp"
 
+#include <daisytrail/backend_gate.hpp>
 #include <daisytrail/backend_life.hpp>
 #include <daisytrail/backend_observer.hpp>
 #include <daisytrail/owner_claims.hpp>
@@ -80,7 +81,7 @@
     bool is_foreign_reset(flow_packet const& packet) const;
     void withhold(flow_packet const& packet, time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
-    void tell_owners(time_point now);
+    void tell_owners();
     // `target` is the one that was asked, whose address may be another's now.
     void send_owner_answer(flow_key const& flow, target_id target,
                            flow_holding holding, endpoint const& balancer,
@@ -105,18 +106,14 @@
     service_id service_;
     target_id target_;
     backend_observer observer_;
+    backend_gate gate_;
     return_paths paths_;
-    time_point started_;
     datagram_port balancers_;
     datagram_port backend_;
     decision_log log_;
     std::map<endpoint, correspondent> correspondents_;
     owner_claims claims_;
     time_point reported_{};
-    time_point next_probe_{}; // when a silent backend server gets a SYN again
-    duration probe_wait_{};   // until the probe after that
-    bool stopping_ = false;
-    bool dark_ = false;
     std::uint64_t& passed_;
     std::uint64_t& answered_;
     std::uint64_t& malformed_;
--- /dev/null
+++ b/test/unit/flow_denials_test.cpp
@@ -0,0 +1,121 @@
+// Tests of which returned packets a balancer takes as a denial of the flow.
+#include <daisytrail/flow_forwarder.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr endpoint vip{0x0A000001, 443};
+constexpr std::string_view service_name = "org/orders";
+
+struct denials_fixture
+{
+    denials_fixture()
+    {
+        organisation_template organisation{"org", {}, {}};
+        organisation.routes_.push_back(
+            {"main", vip, {{hash_name(service_name), 1}}});
+        directory_.apply(organisation, 1);
+        record_.name_ = "one";
+        record_.target_ = hash_name("one");
+        record_.service_ = hash_name(service_name);
+        record_.state_ = member_state::ready;
+        record_.version_ = {1, 1};
+        directory_.apply(record_);
+        directory_.heard(record_.target_, {.accepts_ = true}, now_);
+    }
+
+    void declare_dead()
+    {
+        record_.state_ = member_state::dead;
+        record_.version_.sequence_ += 1;
+        directory_.apply(record_);
+    }
+
+    flow_packet packet(bool syn = false) const
+    {
+        flow_packet result;
+        result.source_ = {0x64000001, 1};
+        result.destination_ = vip;
+        result.syn_ = syn;
+        result.ack_ = !syn;
+        return result;
+    }
+
+    forward_action give_back(return_reason reason)
+    {
+        return forwarder_.on_returned(packet(), record_.target_, reason, now_);
+    }
+
+    forward_action answer(flow_holding holding)
+    {
+        return forwarder_.on_owner_answer(packet().flow_from_caller(),
+                                          record_.target_, holding, now_);
+    }
+
+    time_point now_{1h};
+    target_record record_;
+    forward_directory directory_;
+    flow_forwarder forwarder_{directory_, {}, now_ - 1min};
+};
+
+} // namespace
+
+// A backend server that stood still for 1.2 s, or whose first announcement its
+// agent read late, lost its open flows.
+TEST_CASE_FIXTURE(denials_fixture,
+                  "an agent that can't tell doesn't deny a flow")
+{
+    forwarder_.on_packet(packet(true), now_);
+    forwarder_.on_packet(packet(), now_);
+    for (auto const reason :
+         {return_reason::no_answer, return_reason::not_announced,
+          return_reason::not_accepting, return_reason::other_target})
+    {
+        CHECK(give_back(reason).step_ != forward_step::reset);
+    }
+    now_ += 1s;
+    forwarder_.on_overdue(packet().flow_from_caller(), now_);
+    CHECK(answer(flow_holding::held).step_ == forward_step::send);
+}
+
+TEST_CASE_FIXTURE(denials_fixture, "a returned packet denies the flow")
+{
+    forwarder_.on_packet(packet(true), now_);
+    CHECK(give_back(return_reason::not_held).step_ == forward_step::reset);
+}
+
+TEST_CASE_FIXTURE(denials_fixture,
+                  "a dead target whose address is another's holds nothing")
+{
+    forwarder_.on_packet(packet(true), now_);
+    declare_dead();
+    CHECK(give_back(return_reason::other_target).step_ == forward_step::reset);
+}
+
+// A packet that is returned at once mustn't be sent again at once.
+TEST_CASE_FIXTURE(denials_fixture,
+                  "a target that can't tell is offered the packet ever more "
+                  "rarely")
+{
+    forwarder_.on_packet(packet(), now_);
+    CHECK(answer(flow_holding::unsure).step_ == forward_step::send);
+    int offers = 0;
+    for (int i = 0; i < 300; ++i, now_ += 10ms)
+    {
+        auto const again = give_back(return_reason::no_answer).step_;
+        offers += again == forward_step::send ? 1 : 0;
+        if (!forwarder_.overdue_searches(now_).empty())
+        {
+            auto const action =
+                forwarder_.on_overdue(packet().flow_from_caller(), now_);
+            offers += action.step_ == forward_step::send ? 1 : 0;
+        }
+    }
+    CHECK(offers >= 3);
+    CHECK(offers <= 8);
+}
