An agent doesn't forget a flow that its backend server may still hold

An agent that has seen all packets of its backend server denies what isn't in its table. It dropped flows from that table without proof that they had ended, so a search for one of them ended in a reset of the caller:

- when a copy of the SYN of an open flow came back, as from a full backend server;
- on a caller's reset, which may be forged: only the backend server can check it;
- when both ends had sent a FIN, though the backend server may not have got the caller's yet, or may repeat its own;
- when a flow was idle for 70 s, where the product lets one idle for 5 minutes;
- a flow that it learnt of only by the backend server's packets wasn't in the table at all.

Now only the backend server's word ends a flow at once: its reset, or a packet other than a SYN that it returned. After a caller's reset, a closed flow (for 5 s) and another SYN with the same addresses the agent can't tell, and the packet itself does. Entries live for 310 s when idle. Data of the backend server makes a flow known; an acknowledgement alone doesn't, it may be for the end of a former flow.

Of 4,096 return paths one was overwritten after that many packets, 2 s at 2,000 packets a second, and what the backend server returned later was lost, so nobody heard the denial. There are 16,384 now.

Evidence: on these tests fail: "a copy of the SYN that is returned doesn't end the flow", "a returned copy doesn't hide that the SYN was answered", "a SYN with the addresses of an open flow doesn't end it", "a caller's reset doesn't prove the flow's end", "a flow that both ends closed is known for a while", "a flow that was idle for minutes is held", "an agent learns flows from its backend server's data", "return paths last for seconds of packets". All pass now.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -19,7 +19,10 @@
 struct backend_observer_settings
 {
     std::size_t max_flows_ = 20'000; // more are passed but not observed
-    duration flow_idle_ = std::chrono::seconds(70); // longer than a flow lives
+    // Longer than an idle flow is kept by either end.
+    duration flow_idle_ = std::chrono::seconds(310);
+    // Until the backend server has the end of a flow that both ends closed.
+    duration ended_memory_ = std::chrono::seconds(5);
     duration request_timeout_ = std::chrono::seconds(10); // no longer counted
     duration smoothing_ = std::chrono::seconds(1); // of requests under way
     // A request without an answer for this long counts as failed.
@@ -116,7 +119,11 @@
         bool may_be_older_ = false;
         // Sequence numbers of the SYN+ACKs of a half-open flow.
         std::vector<std::uint32_t> offered_;
-        time_point opened_{};             // when the first SYN was passed
+        time_point opened_{}; // when the first SYN was passed
+        std::optional<std::uint32_t> syn_sequence_; // empty if not seen
+        // Both ends closed the flow or the caller reset it, but the backend
+        // server may not have heard of it.
+        bool has_ended_ = false;
         std::uint32_t next_sequence_ = 0; // after the caller's last data
         bool has_data_ = false;
         bool awaits_answer_ = false;
@@ -134,6 +141,8 @@
     static bool acknowledges(flow_packet const& packet, flow const& value);
     flow const* find_half_open(flow_key const& key) const;
     void begin(flow& value, bool may_be_older, time_point now);
+    void note_syn(flow& value, flow_packet const& packet, time_point now);
+    void close(flow& value);
     void note_offer(flow_packet const& packet, time_point now);
     void note_acknowledgement(flow& value, flow_packet const& packet);
     flow_map::iterator find_or_add(flow_packet const& packet, time_point now);
--- a/include/daisytrail/return_paths.hpp
+++ b/include/daisytrail/return_paths.hpp
@@ -14,9 +14,11 @@
 class return_paths
 {
 public:
-    // `first_mark` should differ at each start of the process.
+    // `first_mark` should differ at each start of the process. Load pattern:
+    // thousands of packets a second, of which a slow backend server returns
+    // some a few seconds later.
     explicit return_paths(std::uint32_t first_mark,
-                          std::size_t capacity = 4'096)
+                          std::size_t capacity = 16'384)
         : next_(first_mark), entries_(capacity)
     {
     }
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -97,6 +97,10 @@
         return is_complete_ ? flow_holding::not_held : flow_holding::unsure;
     }
     auto const& value = found->second;
+    if (value.has_ended_)
+    {
+        return flow_holding::unsure;
+    }
     if (value.state_ == flow_state::open)
     {
         return flow_holding::held;
@@ -115,6 +119,38 @@
     value.opened_ = now;
 }
 
+// Another SYN of the same addresses is a new flow's if the former has ended. If
+// not, it may be forged, and which flow the backend server holds isn't known.
+void backend_observer::note_syn(flow& value, flow_packet const& packet,
+                                time_point now)
+{
+    bool const is_copy =
+        value.syn_sequence_.value_or(packet.sequence_) == packet.sequence_;
+    bool const has_closed = value.has_ended_ && value.backend_finished_;
+    if (!is_copy && has_closed)
+    {
+        value = {};
+        value.seen_ = now;
+        begin(value, packet.syn_copy_ > 0, now);
+    }
+    else if (!is_copy)
+    {
+        value.state_ = flow_state::unclear;
+        value.offered_ = {};
+    }
+    value.syn_sequence_ = packet.sequence_;
+    value.may_be_older_ = value.may_be_older_ && packet.syn_copy_ > 0;
+}
+
+// The backend server may still wait for the caller's last packet.
+void backend_observer::close(flow& value)
+{
+    end_request(value);
+    open_flows_ -= value.has_data_ ? 1 : 0;
+    value.has_data_ = false;
+    value.has_ended_ = true;
+}
+
 void backend_observer::note_offer(flow_packet const& packet, time_point now)
 {
     auto const key = packet.flow_from_backend();
@@ -168,7 +204,7 @@
     auto& value = found->second;
     if (packet.opens_flow())
     {
-        value.may_be_older_ = value.may_be_older_ && packet.syn_copy_ > 0;
+        note_syn(value, packet, now);
     }
     else
     {
@@ -180,13 +216,14 @@
                           value.caller_finished_ && value.backend_finished_);
     if (has_closed)
     {
-        erase(found);
+        close(value);
         return;
     }
     if (packet.payload_bytes_ == 0)
     {
         return;
     }
+    value.has_ended_ = false;
     if (!data_unanswered_)
     {
         data_unanswered_ = now;
@@ -222,7 +259,12 @@
         note_offer(packet, now);
         return std::nullopt;
     }
-    auto const found = flows_.find(packet.flow_from_backend());
+    auto const key = packet.flow_from_backend();
+    auto found = flows_.find(key);
+    if (found == flows_.end() && packet.payload_bytes_ > 0)
+    {
+        found = add(key);
+    }
     if (found == flows_.end())
     {
         return std::nullopt;
@@ -247,8 +289,7 @@
     value.backend_finished_ = value.backend_finished_ || packet.fin_;
     if (value.backend_finished_ && value.caller_finished_)
     {
-        erase(found);
-        return took;
+        close(value);
     }
     if (packet.reset_)
     {
@@ -266,7 +307,15 @@
     smooth(now);
     answered();
     auto const found = flows_.find(packet.flow_from_caller());
-    if (found != flows_.end())
+    if (found == flows_.end())
+    {
+        return;
+    }
+    auto const& value = found->second;
+    bool const is_other_syn =
+        packet.opens_flow() &&
+        (value.state_ != flow_state::half_open || !value.offered_.empty());
+    if (!is_other_syn)
     {
         erase(found);
     }
@@ -286,6 +335,7 @@
         if (found != flows_.end() && packet.opens_flow())
         {
             begin(found->second, packet.syn_copy_ > 0, now);
+            found->second.syn_sequence_ = packet.sequence_;
         }
     }
     if (found != flows_.end())
@@ -378,7 +428,10 @@
     for (auto at = flows_.begin(); at != flows_.end();)
     {
         auto& value = at->second;
-        bool const is_idle = now > value.seen_ + settings_.flow_idle_;
+        bool const is_closed = value.has_ended_ && value.backend_finished_;
+        auto const memory =
+            is_closed ? settings_.ended_memory_ : settings_.flow_idle_;
+        bool const is_idle = now > value.seen_ + memory;
         if (value.awaits_answer_ && now > value.asked_ + settings_.hang_time_)
         {
             note_outcome(value, true);
--- a/test/unit/backend_observer_test.cpp
+++ b/test/unit/backend_observer_test.cpp
@@ -218,6 +218,19 @@
     CHECK(life.phase() == backend_phase::unknown);
 }
 
+// A backend server that answered a second late returned packets whose balancers
+// were forgotten by then.
+TEST_CASE("return paths last for seconds of packets")
+{
+    return_paths paths(7);
+    auto const first = paths.add({1, 1});
+    for (int i = 0; i < 16'000; ++i)
+    {
+        paths.add({1, 2});
+    }
+    CHECK(paths.find(first) == endpoint{1, 1});
+}
+
 TEST_CASE("return paths know only marks that weren't overwritten")
 {
     return_paths paths(7, 4);
--- /dev/null
+++ b/test/unit/held_flows_test.cpp
@@ -0,0 +1,191 @@
+// Tests of what an agent says of flows that its backend server may still hold.
+#include <daisytrail/backend_observer.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// An agent that has seen all packets of its backend server, and a flow that is
+// open there.
+struct held_fixture
+{
+    held_fixture()
+    {
+        observer_.on_new_run(true);
+        observer_.on_caller_packet(syn(), now_);
+        observer_.on_backend_packet(offer(), now_);
+        observer_.on_caller_packet(packet(), now_);
+    }
+
+    flow_packet packet(std::uint32_t sequence = 100,
+                       std::size_t bytes = 10) const
+    {
+        flow_packet result;
+        result.source_ = {1, 40'001};
+        result.destination_ = {2, 443};
+        result.ack_ = true;
+        result.sequence_ = sequence;
+        result.acknowledgement_ = 5'001;
+        result.payload_bytes_ = bytes;
+        return result;
+    }
+
+    flow_packet syn(std::uint8_t copy = 0) const
+    {
+        auto result = packet(99, 0);
+        result.syn_ = true;
+        result.ack_ = false;
+        result.syn_copy_ = copy;
+        return result;
+    }
+
+    flow_packet answer(std::size_t bytes = 10) const
+    {
+        flow_packet result;
+        result.source_ = {2, 443};
+        result.destination_ = {1, 40'001};
+        result.ack_ = true;
+        result.sequence_ = 5'001;
+        result.payload_bytes_ = bytes;
+        return result;
+    }
+
+    flow_packet offer() const
+    {
+        auto result = answer(0);
+        result.syn_ = true;
+        result.sequence_ = 5'000;
+        return result;
+    }
+
+    void pass(duration time)
+    {
+        for (auto const end = now_ + time; now_ < end;)
+        {
+            now_ += 1s;
+            observer_.tick(now_);
+        }
+    }
+
+    flow_holding holding() const
+    {
+        return observer_.holding(packet().flow_from_caller());
+    }
+
+    time_point now_{1h};
+    backend_observer observer_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(held_fixture, "a flow that the caller acknowledged is held")
+{
+    CHECK(holding() == flow_holding::held);
+}
+
+// The backend server was full when a late copy of the SYN came.
+TEST_CASE_FIXTURE(held_fixture,
+                  "a copy of the SYN that is returned doesn't end the flow")
+{
+    observer_.on_caller_packet(syn(1), now_);
+    observer_.on_returned(syn(1), now_);
+    CHECK(holding() == flow_holding::held);
+}
+
+TEST_CASE_FIXTURE(held_fixture,
+                  "a returned copy doesn't hide that the SYN was answered")
+{
+    observer_.on_new_run(true);
+    observer_.on_caller_packet(syn(), now_);
+    observer_.on_backend_packet(offer(), now_);
+    observer_.on_returned(syn(1), now_);
+    CHECK(holding() == flow_holding::unsure);
+}
+
+TEST_CASE_FIXTURE(held_fixture,
+                  "a SYN with the addresses of an open flow doesn't end it")
+{
+    auto forged = syn();
+    forged.sequence_ = 7'777;
+    observer_.on_caller_packet(forged, now_);
+    observer_.on_returned(forged, now_);
+    CHECK(holding() == flow_holding::unsure);
+    CHECK_FALSE(observer_.is_opened_elsewhere(packet()));
+}
+
+// The reset may be forged: the backend server checks it, the agent can't.
+TEST_CASE_FIXTURE(held_fixture, "a caller's reset doesn't prove the flow's end")
+{
+    auto reset = packet(100, 0);
+    reset.reset_ = true;
+    observer_.on_caller_packet(reset, now_);
+    CHECK(holding() == flow_holding::unsure);
+    CHECK(observer_.open_flows() == 0);
+    CHECK(observer_.under_way() == 0);
+    pass(60s);
+    CHECK(holding() == flow_holding::unsure);
+    observer_.on_caller_packet(packet(200), now_);
+    CHECK(holding() == flow_holding::held);
+}
+
+TEST_CASE_FIXTURE(held_fixture, "a backend server's reset ends the flow")
+{
+    auto reset = answer(0);
+    reset.reset_ = true;
+    observer_.on_backend_packet(reset, now_);
+    CHECK(holding() == flow_holding::not_held);
+}
+
+// The last packets were lost on their way; what the ends sent again was reset.
+TEST_CASE_FIXTURE(held_fixture,
+                  "a flow that both ends closed is known for a while")
+{
+    auto end = answer();
+    end.fin_ = true;
+    observer_.on_backend_packet(end, now_);
+    auto last = packet(110, 0);
+    last.fin_ = true;
+    observer_.on_caller_packet(last, now_);
+    CHECK(holding() == flow_holding::unsure);
+    CHECK(observer_.open_flows() == 0);
+    pass(7s);
+    CHECK(holding() == flow_holding::not_held);
+}
+
+TEST_CASE_FIXTURE(held_fixture, "addresses of a closed flow may be used again")
+{
+    auto end = answer();
+    end.fin_ = true;
+    observer_.on_backend_packet(end, now_);
+    auto last = packet(110, 0);
+    last.fin_ = true;
+    observer_.on_caller_packet(last, now_);
+    auto next = syn();
+    next.sequence_ = 7'777;
+    observer_.on_caller_packet(next, now_);
+    CHECK(holding() == flow_holding::not_held);
+    CHECK(observer_.is_opened_elsewhere(packet()));
+}
+
+// The balancer forgets an idle flow after a minute and searches it.
+TEST_CASE_FIXTURE(held_fixture, "a flow that was idle for minutes is held")
+{
+    pass(290s);
+    CHECK(holding() == flow_holding::held);
+}
+
+TEST_CASE_FIXTURE(held_fixture,
+                  "an agent learns flows from its backend server's data")
+{
+    observer_.on_new_run(false);
+    CHECK(holding() == flow_holding::unsure);
+    // It may acknowledge the end of a flow that it has forgotten.
+    observer_.on_backend_packet(answer(0), now_);
+    CHECK(holding() == flow_holding::unsure);
+    observer_.on_backend_packet(answer(), now_);
+    CHECK(holding() == flow_holding::held);
+}
