An agent that outlives its backend server's run can tell what the next one holds

Every search offered its packets to the backend servers whose agents couldn't tell, which held up the questions to the others and cost callers seconds.

Cause: an agent could tell only if its first announcement ever was the first of a run. So after its backend server was released or crashed and the next one started beside the same agent, it couldn't tell for the whole of that run, though each packet had passed by it; nor could it after its own restart, for the rest of the run. A run that began under the id of the former one wasn't noticed at all: flows of the former run still counted as held.

Now the run is counted by id and start (backend_life). After a backend server that drained or had ended, nothing of the next run can have passed before its first announcement, so the agent can tell from then on. After one that was ready, SYNs may have gone to the next run already: flows that were seen can't be told, all others aren't held.

The tests of the next run call what is new there (on_restart, run_count) and don't build on. That agents now tell more often in a fleet wasn't measured.

--- a/include/daisytrail/backend_life.hpp
+++ b/include/daisytrail/backend_life.hpp
@@ -81,6 +81,12 @@
         return phase_;
     }
 
+    // Runs that announced themselves.
+    std::uint64_t run_count() const
+    {
+        return run_count_;
+    }
+
     // Percent of its full speed; less while it warms up.
     std::uint16_t speed_share(time_point now) const;
 
@@ -93,6 +99,7 @@
     std::string service_;
     backend_phase phase_ = backend_phase::unknown;
     backend_announcement last_; // meaningful unless phase_ is unknown
+    std::uint64_t run_count_ = 0;
     time_point warm_at_{};
 };
 
--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -91,6 +91,9 @@
     // With `is_complete`, all that it holds has come by here.
     void on_new_run(bool is_complete);
 
+    // The same, but since its start it may have taken flows that came by here.
+    void on_restart();
+
     std::uint32_t under_way() const
     {
         return under_way_;
@@ -149,6 +152,8 @@
     flow_map::iterator add(flow_key const& key);
     flow_map::iterator erase(flow_map::iterator at);
     void answered();
+    void watch(time_point now);
+    void forget_load();
     void end_request(flow& value);
     void smooth(time_point now);
     void note_answer(flow& value, double took);
@@ -158,6 +163,8 @@
     flow_map flows_;
     // flows_ has all that the backend server may hold.
     bool is_complete_ = false;
+    // Since when all of its packets were noted; empty until the next tick.
+    std::optional<time_point> watched_since_;
     std::uint32_t open_flows_ = 0; // flows with data
     std::uint32_t slots_ = 1;
     std::uint32_t under_way_ = 0; // flows that await an answer
--- a/src/core/backend_life.cpp
+++ b/src/core/backend_life.cpp
@@ -37,6 +37,7 @@
         return announcement_outcome::after_draining;
     }
     last_ = value;
+    run_count_ += same_run ? 0 : 1;
     if (!(same_run && phase_ == backend_phase::gone))
     {
         phase_ = value.phase_;
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -350,6 +350,7 @@
     if (flows_.size() >= settings_.max_flows_)
     {
         is_complete_ = false;
+        watched_since_.reset();
         return flows_.end();
     }
     return flows_.emplace(key, flow{}).first;
@@ -425,6 +426,7 @@
     }
     swept_ = now;
     smooth(now);
+    watch(now);
     for (auto at = flows_.begin(); at != flows_.end();)
     {
         auto& value = at->second;
@@ -458,10 +460,38 @@
            now > *syn_unanswered_ + settings_.stopped_silence_;
 }
 
+// What has been idle for longer than that is held by neither end.
+void backend_observer::watch(time_point now)
+{
+    watched_since_ = watched_since_.value_or(now);
+    is_complete_ = is_complete_ || now > *watched_since_ + settings_.flow_idle_;
+}
+
 void backend_observer::on_new_run(bool is_complete)
 {
     is_complete_ = is_complete;
+    watched_since_.reset();
     flows_.clear();
+    forget_load();
+}
+
+void backend_observer::on_restart()
+{
+    is_complete_ = flows_.size() < settings_.max_flows_;
+    for (auto& [key, value] : flows_)
+    {
+        end_request(value);
+        value.has_data_ = false;
+        if (value.state_ == flow_state::open)
+        {
+            value.state_ = flow_state::unclear;
+        }
+    }
+    forget_load();
+}
+
+void backend_observer::forget_load()
+{
     open_flows_ = 0;
     under_way_ = 0;
     failure_share_ = 0;
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -97,6 +97,13 @@
     gate_.on_new_run();
 }
 
+void agent_relay::on_restart()
+{
+    observer_.on_restart();
+    claims_.clear();
+    gate_.on_new_run();
+}
+
 void agent_relay::on_balancer_datagram(std::span<std::byte> datagram,
                                        endpoint const& from)
 {
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -40,6 +40,9 @@
     // has passed on all packets of the run.
     void on_new_run(bool is_complete);
 
+    // The same, but the run may have begun while packets were passed to it.
+    void on_restart();
+
     void tick(time_point now);
 
     // Tells balancers that sent packets lately about a change at once.
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -88,15 +88,14 @@
 forward_agent::on_announcement(backend_announcement const& value)
 {
     auto const before = life_.phase();
-    auto const previous_run = life_.last().id_;
+    auto const runs_before = life_.run_count();
     auto const outcome = life_.on_announcement(value, current_time());
+    bool const is_new_run = runs_before != life_.run_count();
     bool const is_news = outcome != announcement_outcome::accepted ||
-                         before != life_.phase() || previous_run != value.id_;
-    if (previous_run != value.id_ && outcome == announcement_outcome::accepted)
+                         before != life_.phase() || is_new_run;
+    if (is_new_run)
     {
-        // Until its first announcement a run gets no new flows from here.
-        relay_.on_new_run(before == backend_phase::unknown &&
-                          value.sequence_ == first_announcement);
+        begin_run(before, value.sequence_);
     }
     relay_.set_slots(life_.last().slots_);
     if (is_news)
@@ -115,6 +114,20 @@
     return outcome;
 }
 
+// A backend server that was ready may have been followed by the new run some
+// time ago. Otherwise a run gets no new flows before its first announcement.
+void forward_agent::begin_run(backend_phase before, std::uint64_t sequence)
+{
+    if (before == backend_phase::ready)
+    {
+        relay_.on_restart();
+        return;
+    }
+    bool const was_here_before =
+        before != backend_phase::unknown || sequence == first_announcement;
+    relay_.on_new_run(was_here_before);
+}
+
 void forward_agent::on_backend_end(std::string const& id)
 {
     bool const is_current = life_.on_end(id);
--- a/src/forward/forward_agent.hpp
+++ b/src/forward/forward_agent.hpp
@@ -46,6 +46,7 @@
 
 private:
     void add_pages();
+    void begin_run(backend_phase before, std::uint64_t sequence);
     void wait_for_signal();
     void on_signal(int signal);
     void on_tick();
--- a/test/unit/held_flows_test.cpp
+++ b/test/unit/held_flows_test.cpp
@@ -1,4 +1,5 @@
 // Tests of what an agent says of flows that its backend server may still hold.
+#include <daisytrail/backend_life.hpp>
 #include <daisytrail/backend_observer.hpp>
 
 #include <doctest/doctest.h>
@@ -189,3 +190,87 @@
     observer_.on_backend_packet(answer(), now_);
     CHECK(holding() == flow_holding::held);
 }
+
+// After a restart the agent couldn't tell for the rest of the run, and every
+// search of other flows offered it packets.
+TEST_CASE_FIXTURE(held_fixture,
+                  "an agent that has watched for longer than a flow may be "
+                  "idle knows all flows")
+{
+    observer_.on_new_run(false);
+    observer_.on_caller_packet(packet(), now_);
+    observer_.on_backend_packet(answer(), now_);
+    flow_key const other{{1, 2}, {2, 443}};
+    pass(300s);
+    CHECK(observer_.holding(other) == flow_holding::unsure);
+    observer_.on_caller_packet(packet(200), now_);
+    pass(20s);
+    CHECK(observer_.holding(other) == flow_holding::not_held);
+    CHECK(holding() == flow_holding::held);
+}
+
+TEST_CASE("an agent that had no room for a flow can't tell for a while")
+{
+    backend_observer observer({.max_flows_ = 1});
+    time_point now{1h};
+    observer.on_new_run(true);
+    flow_packet packet;
+    packet.payload_bytes_ = 1;
+    for (std::uint16_t port = 1; port < 3; ++port)
+    {
+        packet.source_ = {1, port};
+        observer.on_caller_packet(packet, now);
+    }
+    CHECK(observer.holding(packet.flow_from_caller()) == flow_holding::unsure);
+    observer.tick(now);
+    now += 300s;
+    observer.tick(now);
+    CHECK(observer.holding(packet.flow_from_caller()) == flow_holding::unsure);
+    now += 20s;
+    observer.tick(now);
+    CHECK(observer.holding(packet.flow_from_caller()) ==
+          flow_holding::not_held);
+}
+
+// A backend server had crashed and started again, and its agent, which had seen
+// all of that, offered every searched flow's packets to it.
+TEST_CASE_FIXTURE(held_fixture,
+                  "an agent that outlives its backend server knows what the "
+                  "next run holds")
+{
+    observer_.on_caller_packet(packet(200), now_);
+    CHECK(observer_.under_way() == 1);
+    observer_.on_restart();
+    CHECK(observer_.under_way() == 0);
+    CHECK(observer_.open_flows() == 0);
+    // It may have been opened with the next run before that announced itself.
+    CHECK(holding() == flow_holding::unsure);
+    flow_key const other{{1, 2}, {2, 443}};
+    CHECK(observer_.holding(other) == flow_holding::not_held);
+    observer_.on_returned(packet(), now_);
+    CHECK(holding() == flow_holding::not_held);
+}
+
+// Its former run's flows counted as held.
+TEST_CASE("a backend server that starts again under its id has a new run")
+{
+    backend_life life("orders");
+    backend_announcement value;
+    value.id_ = "a";
+    value.service_ = "orders";
+    value.started_ = 10;
+    value.sequence_ = 3;
+    life.on_announcement(value, time_point{1h});
+    auto const first = life.run_count();
+    value.sequence_ = 4;
+    life.on_announcement(value, time_point{1h});
+    CHECK(life.run_count() == first);
+    value.started_ = 20;
+    value.sequence_ = 1;
+    life.on_announcement(value, time_point{1h});
+    CHECK(life.run_count() == first + 1);
+    value.started_ = 10;
+    value.sequence_ = 9;
+    life.on_announcement(value, time_point{1h});
+    CHECK(life.run_count() == first + 1);
+}
