--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -11,17 +11,8 @@
 {
 
 constexpr std::chrono::milliseconds report_interval{100};
-// A backend server that runs has announced itself by then.
-constexpr std::chrono::milliseconds announcement_time{2'500};
-// Time within which a backend server has returned what it doesn't hold.
-constexpr std::chrono::milliseconds return_time{30};
-// Flows whose owner is asked for at the same time.
-constexpr std::size_t max_owner_questions = 10'000;
 // A balancer that sent nothing for this long gets no reports unasked.
 constexpr std::chrono::seconds correspondent_time{3};
-// A backend server that doesn't answer gets single SYNs, ever more rarely.
-constexpr std::chrono::milliseconds first_probe_wait{250};
-constexpr std::chrono::milliseconds most_probe_wait{2'000};
 
 static_assert(max_relay_head_bytes <= udp_sender::header_capacity);
 
@@ -40,13 +31,14 @@
       service_(hash_name(settings.agent_.organisation_ + "/" +
                          settings.agent_.service_)),
       target_(hash_name(settings.agent_.common_.name_)),
-      paths_(std::random_device{}()), started_(current_time()),
+      gate_(life_, observer_, current_time()), paths_(std::random_device{}()),
       balancers_(io, settings.agent_.tunnel_), backend_(io, settings.outbound_),
       passed_(counters.counter("daisytrail_packets_passed_total")),
       answered_(counters.counter("daisytrail_packets_answered_total")),
       malformed_(counters.counter("daisytrail_packets_malformed_total")),
       refused_(counters.counter("daisytrail_packets_refused_total")),
       lost_paths_(counters.counter("daisytrail_return_path_lost_total")),
+      withheld_(counters.counter("daisytrail_resets_withheld_total")),
       response_time_(counters.latency("daisytrail_response_seconds"))
 {
     counters.gauge("daisytrail_requests_under_way", [this]
@@ -65,10 +57,19 @@
 {
     balancers_.start([this](std::span<std::byte> datagram, endpoint const& from)
                      { on_balancer_datagram(datagram, from); },
-                     [this] { flush(); });
+                     [this]
+                     {
+                         flush();
+                         begin_claims();
+                     });
     backend_.start([this](std::span<std::byte> datagram, endpoint const& from)
                    { on_backend_datagram(datagram, from); },
-                   [this] { flush(); });
+                   [this]
+                   {
+                       claims_.on_emptied(backend_.emptied());
+                       tell_owners();
+                       flush();
+                   });
 }
 
 void agent_relay::stop()
@@ -79,7 +80,7 @@
 
 void agent_relay::set_stopping()
 {
-    stopping_ = true;
+    gate_.set_stopping();
 }
 
 void agent_relay::flush()
@@ -89,14 +90,21 @@
 
 bool agent_relay::accepts_flows(time_point now) const
 {
-    return life_.phase() == backend_phase::ready && !stopping_ &&
-           (!observer_.is_dark(now) || now >= next_probe_);
+    return gate_.accepts_flows(now);
 }
 
 void agent_relay::on_new_run(bool is_complete)
 {
     observer_.on_new_run(is_complete);
-    probe_wait_ = first_probe_wait;
+    claims_.clear();
+    gate_.on_new_run();
+}
+
+void agent_relay::on_restart()
+{
+    observer_.on_restart();
+    claims_.clear();
+    gate_.on_new_run();
 }
 
 void agent_relay::on_balancer_datagram(std::span<std::byte> datagram,
@@ -129,11 +137,11 @@
     auto const reason = refusal(message, *packet, now);
     if (reason == return_reason::none)
     {
+        pass_in(*packet, bytes, from, now);
         if (message.asks_owner_)
         {
-            note_owner_question(packet->flow_from_caller(), from, now);
+            note_claim(packet->flow_from_caller(), from, now);
         }
-        pass_in(*packet, bytes, from, now);
     }
     else
     {
@@ -155,7 +163,7 @@
         for (auto& each : flows)
         {
             each.holding_ =
-                is_mine ? holding(each.flow_) : flow_holding::not_held;
+                is_mine ? holding(each.flow_) : flow_holding::unsure;
         }
         send_owner_answers(std::move(flows), message.target_, balancer, now);
     }
@@ -176,40 +184,8 @@
 {
     bool const is_mine =
         message.target_ == target_ && message.service_ == service_;
-    if (!is_mine)
-    {
-        return return_reason::other_target;
-    }
-    bool const never_came = life_.phase() == backend_phase::unknown &&
-                            now > started_ + announcement_time;
-    if (life_.phase() == backend_phase::gone || never_came)
-    {
-        return return_reason::not_held;
-    }
-    if (!packet.opens_flow())
-    {
-        if (observer_.is_opened_elsewhere(packet))
-        {
-            return return_reason::not_held;
-        }
-        return observer_.is_stopped(now) ? return_reason::no_answer
-                                         : return_reason::none;
-    }
-    if (life_.phase() == backend_phase::unknown)
-    {
-        return return_reason::not_announced;
-    }
-    if (!accepts_flows(now))
-    {
-        return observer_.is_dark(now) ? return_reason::no_answer
-                                      : return_reason::not_accepting;
-    }
-    if (observer_.is_dark(now))
-    {
-        next_probe_ = now + probe_wait_;
-        probe_wait_ = std::min<duration>(2 * probe_wait_, most_probe_wait);
-    }
-    return return_reason::none;
+    return is_mine ? gate_.refusal(packet, message.asks_owner_, now)
+                   : return_reason::other_target;
 }
 
 void agent_relay::pass_in(flow_packet const& packet, std::span<std::byte> bytes,
@@ -244,9 +220,10 @@
         ++malformed_;
         return;
     }
+    claims_.on_heard(now);
     if (packet->returned_)
     {
-        owner_questions_.erase(packet->flow_from_caller());
+        claims_.take(packet->flow_from_caller());
         observer_.on_returned(*packet, now);
         if (auto const balancer = paths_.find(packet->mark_))
         {
@@ -260,6 +237,11 @@
         }
         return;
     }
+    if (is_foreign_reset(*packet))
+    {
+        withhold(*packet, now);
+        return;
+    }
     tell_owner(*packet, now);
     if (auto const took = observer_.on_backend_packet(*packet, now))
     {
@@ -271,57 +253,84 @@
                  datagram);
 }
 
+// The backend server resets a flow that wasn't shown to be open here: it may be
+// open at another one. The caller isn't told, but whoever asked is.
+bool agent_relay::is_foreign_reset(flow_packet const& packet) const
+{
+    auto const flow = packet.flow_from_backend();
+    return packet.reset_ &&
+           (observer_.is_half_open(flow) || claims_.contains(flow));
+}
+
+void agent_relay::withhold(flow_packet const& packet, time_point now)
+{
+    ++withheld_;
+    observer_.on_backend_packet(packet, now);
+    auto const flow = packet.flow_from_backend();
+    if (auto const balancer = claims_.take(flow))
+    {
+        send_owner_answer(flow, target_, flow_holding::not_held, *balancer,
+                          now);
+    }
+    if (log_.admit(now))
+    {
+        log_event(log_level::info, "reset_withheld",
+                  {{"flow", flow_name(flow)}, {"run", life_.last().id_}});
+    }
+}
+
 // The balancer that asked last is told: the caller's packets come through it.
-void agent_relay::note_owner_question(flow_key const& flow,
-                                      endpoint const& balancer, time_point now)
+void agent_relay::note_claim(flow_key const& flow, endpoint const& balancer,
+                             time_point now)
 {
     if (observer_.holding(flow) == flow_holding::held)
     {
         send_owner_answer(flow, target_, flow_holding::held, balancer, now);
         return;
     }
-    if (owner_questions_.size() < max_owner_questions)
+    claims_.add(flow, balancer);
+}
+
+// What the backend server sent before it got the packets tells nothing about
+// them, so it is read now.
+void agent_relay::begin_claims()
+{
+    if (claims_.has_unsent())
     {
-        owner_questions_[flow] = {balancer, now};
+        claims_.on_sent(current_time());
+        backend_.read();
     }
 }
 
 // A SYN+ACK may belong to a flow that another backend server has opened.
 void agent_relay::tell_owner(flow_packet const& packet, time_point now)
 {
-    if (owner_questions_.empty() || packet.syn_)
+    if (claims_.empty() || packet.syn_)
     {
         return;
     }
-    auto const found = owner_questions_.find(packet.flow_from_backend());
-    if (found == owner_questions_.end())
+    auto const flow = packet.flow_from_backend();
+    if (auto const balancer = claims_.take(flow))
     {
-        return;
+        send_owner_answer(flow, target_, flow_holding::held, *balancer, now);
     }
-    send_owner_answer(found->first, target_, flow_holding::held,
-                      found->second.balancer_, now);
-    owner_questions_.erase(found);
 }
 
-// A backend server returns what it doesn't hold at once, but may take long to
-// answer what it holds.
-void agent_relay::tell_owners(time_point now)
+void agent_relay::tell_owners()
 {
-    bool const can_tell =
-        life_.phase() != backend_phase::unknown && !observer_.is_dark(now);
-    for (auto at = owner_questions_.begin();
-         can_tell && at != owner_questions_.end();)
+    if (claims_.empty() || life_.phase() == backend_phase::unknown)
     {
-        auto const passed = at->second.passed_;
-        bool const has_stopped = observer_.heard() < passed;
-        if (now < passed + return_time || has_stopped)
-        {
-            ++at;
-            continue;
-        }
-        send_owner_answer(at->first, target_, flow_holding::held,
-                          at->second.balancer_, now);
-        at = owner_questions_.erase(at);
+        return;
+    }
+    auto const now = current_time();
+    if (observer_.is_dark(now))
+    {
+        return;
+    }
+    for (auto const& claim : claims_.take_held())
+    {
+        send_owner_answer(claim.flow_, target_, flow_holding::held,
+                          claim.balancer_, now);
     }
 }
 
@@ -373,11 +382,6 @@
             send_report(balancer, now);
         }
     }
-    if (owner_questions_.size() == max_owner_questions)
-    {
-        // Most are of flows that their callers have left.
-        owner_questions_.clear();
-    }
     std::erase_if(correspondents_, [now](auto const& entry)
                   { return now > entry.second.heard_ + correspondent_time; });
 }
@@ -396,7 +400,11 @@
 {
     observer_.tick(now);
     watch_darkness(now);
-    tell_owners(now);
+    claims_.tick(now);
+    if (!claims_.empty())
+    {
+        backend_.read();
+    }
     if (now >= reported_ + report_interval)
     {
         send_reports(now);
@@ -407,14 +415,11 @@
 
 void agent_relay::watch_darkness(time_point now)
 {
-    bool const dark = observer_.is_dark(now);
-    if (dark == dark_)
+    if (!gate_.watch_darkness(now))
     {
         return;
     }
-    dark_ = dark;
-    probe_wait_ = first_probe_wait;
-    next_probe_ = now + first_probe_wait;
+    bool const dark = gate_.is_dark();
     log_event(dark ? log_level::warning : log_level::info,
               dark ? "backend_silent" : "backend_answers",
               {{"under_way", observer_.under_way()},
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -7,8 +7,10 @@
 #include "forward/decision_log.hpp"
 #include "net/metrics.hpp"
 
+#include <daisytrail/backend_gate.hpp>
 #include <daisytrail/backend_life.hpp>
 #include <daisytrail/backend_observer.hpp>
+#include <daisytrail/owner_claims.hpp>
 #include <daisytrail/packet_format.hpp>
 #include <daisytrail/relay_message.hpp>
 #include <daisytrail/return_paths.hpp>
@@ -16,7 +18,6 @@
 
 #include <array>
 #include <map>
-#include <unordered_map>
 #include <vector>
 
 namespace daisytrail
@@ -40,6 +41,9 @@
     // has passed on all packets of the run.
     void on_new_run(bool is_complete);
 
+    // The same, but the run may have begun while packets were passed to it.
+    void on_restart();
+
     void tick(time_point now);
 
     // Tells balancers that sent packets lately about a change at once.
@@ -67,13 +71,6 @@
         bool wants_report_ = false;
     };
 
-    // A balancer wants to hear whether the backend server holds a flow.
-    struct owner_question
-    {
-        endpoint balancer_;
-        time_point passed_{}; // when its packet went to the backend server
-    };
-
     void on_balancer_datagram(std::span<std::byte> datagram,
                               endpoint const& from);
     void on_backend_datagram(std::span<std::byte> datagram,
@@ -82,10 +79,13 @@
                           flow_packet const& packet, time_point now);
     void pass_in(flow_packet const& packet, std::span<std::byte> bytes,
                  endpoint const& balancer, time_point now);
-    void note_owner_question(flow_key const& flow, endpoint const& balancer,
-                             time_point now);
+    void note_claim(flow_key const& flow, endpoint const& balancer,
+                    time_point now);
+    void begin_claims();
+    bool is_foreign_reset(flow_packet const& packet) const;
+    void withhold(flow_packet const& packet, time_point now);
     void tell_owner(flow_packet const& packet, time_point now);
-    void tell_owners(time_point now);
+    void tell_owners();
     // `target` is the one that was asked, whose address may be another's now.
     void send_owner_answer(flow_key const& flow, target_id target,
                            flow_holding holding, endpoint const& balancer,
@@ -112,23 +112,20 @@
     service_id service_;
     target_id target_;
     backend_observer observer_;
+    backend_gate gate_;
     return_paths paths_;
-    time_point started_;
     datagram_port balancers_;
     datagram_port backend_;
     decision_log log_;
     std::map<endpoint, correspondent> correspondents_;
-    std::unordered_map<flow_key, owner_question, flow_hash> owner_questions_;
+    owner_claims claims_;
     time_point reported_{};
-    time_point next_probe_{}; // when a silent backend server gets a SYN again
-    duration probe_wait_{};   // until the probe after that
-    bool stopping_ = false;
-    bool dark_ = false;
     std::uint64_t& passed_;
     std::uint64_t& answered_;
     std::uint64_t& malformed_;
     std::uint64_t& refused_;
     std::uint64_t& lost_paths_;
+    std::uint64_t& withheld_;
     histogram& response_time_;
     std::array<std::uint64_t*, static_cast<std::size_t>(return_reason::count)>
         returned_{};
