--- a/test/unit/agent_relay_test.cpp
+++ b/test/unit/agent_relay_test.cpp
@@ -292,7 +292,7 @@
     auto const answers = told();
     REQUIRE(answers.size() == 1);
     CHECK(answers[0].kind_ == relay_kind::owner_answer);
-    CHECK(answers[0].holding_ == flow_holding::not_held);
+    CHECK(answers[0].asked_.at(0).holding_ == flow_holding::not_held);
 }
 
 TEST_CASE_FIXTURE(agent_fixture,
@@ -360,5 +360,5 @@
     relay_->tick(current_time());
     auto const answers = told();
     REQUIRE(answers.size() == 1);
-    CHECK(answers[0].holding_ == flow_holding::held);
+    CHECK(answers[0].asked_.at(0).holding_ == flow_holding::held);
 }
