Absence from what a balancer knows is taken for proof: open flows are reset

Its list of targets had been frozen for five seconds.

Cause: a search ended in a reset once every known target had denied, however old the knowledge was. The time for learning after a start doesn't cover a balancer that falls behind later.

Change: forward_directory notes when the last complete comparison of the targets with other balancers was asked for (confirm_view). A search that has run out of candidates may reset only if that was no earlier than its own begin. Until then its packets are held (owner_missing), targets that have become known are asked, and flow_forwarder::wants_view() tells that a comparison is wanted; the wish lapses a second after the last search that had it. Such searches go on at the next tick after a confirmation, without waiting for their patience. The same holds for offers: while the owner may be missing among the candidates, two packets at most are sent to targets that can't tell. The learning time stays: at a restart of all balancers at once their views confirm each other while none of them has met the listed targets.

The other half, the comparison itself, belongs to membership; without it no flow of unknown owner is reset.

The fixture of the present cases confirms the view before each decision, as with other balancers that have nothing to add; they keep their expectations.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -50,7 +50,7 @@
     no_route,        // no route has this VIP
     no_target,       // no target takes new flows
     nobody_holds,    // no target holds the flow
-    owner_missing,   // not every target is known yet, or the caller has left
+    owner_missing,   // a target may be unknown here, or the caller has left
     other_searches,  // the flow is being searched already
     not_yet,         // a target may take the flow soon; a copy will come
     not_from_caller, // a packet that only a backend server sends
@@ -129,6 +129,10 @@
     // Takes such a search on; the action is for the packets that are kept.
     forward_action on_overdue(flow_key const& key, time_point now);
 
+    // True while a search has run out of candidates and waits until other
+    // balancers have confirmed the targets (forward_directory::confirm_view).
+    bool wants_view(time_point now) const;
+
     bool is_searching(flow_key const& key) const
     {
         return searches_.contains(key);
@@ -161,6 +165,7 @@
         std::vector<target_id> spare_returns_;
         std::unique_ptr<owner_search> search_; // while the owner isn't known
         std::size_t searched_of_ = 0; // targets known when search_ last grew
+        bool waits_for_view_ = false; // search_ has run out of candidates
     };
 
     using flow_list = std::list<flow>;
@@ -180,6 +185,7 @@
     void add_questions(forward_action& action,
                        std::vector<target_id> const& targets, time_point now);
     forward_action give_up(flow& value, time_point now);
+    bool knows_all(owner_search const& search) const;
     void settle(flow& value, target_id owner);
     void add_offers(forward_action& action,
                     std::vector<target_id> const& targets, time_point now);
@@ -205,6 +211,9 @@
     flow_list flows_;                            // least recently used first
     std::unordered_map<flow_key, flow_list::iterator, flow_hash> index_;
     std::set<flow_key> searches_; // flows that are being searched
+    // Begin of the latest search that waits for the view, and when it last did.
+    time_point view_wanted_{};
+    time_point view_wish_{};
 };
 
 } // namespace daisytrail
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -54,6 +54,16 @@
     // True once expect() was called and each of its targets is known.
     bool has_met_all() const;
 
+    // A comparison of the targets with other balancers is complete: all that
+    // they knew when it was asked for is known here.
+    void confirm_view(time_point asked);
+
+    // When the latest complete comparison was asked for; empty if never.
+    std::optional<time_point> view_confirmed() const
+    {
+        return view_confirmed_;
+    }
+
     // Notes a datagram from a target's agent.
     void heard(target_id target, backend_load const& load, time_point now);
 
@@ -113,6 +123,7 @@
     revision newest_ = 0;
     bool has_list_ = false;           // expect() was called
     std::vector<target_id> expected_; // that aren't known yet
+    std::optional<time_point> view_confirmed_;
 };
 
 } // namespace daisytrail
--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -71,9 +71,10 @@
     std::vector<target_id> next_questions(time_point now);
 
     // Targets that can't tell and are to be offered the packet now. Only a
-    // silent one may owe an answer by then.
-    std::vector<target_id> next_offers(time_point now,
-                                       target_test const& is_silent);
+    // silent one may owe an answer by then. With `knows_all`, no target is
+    // missing among the candidates.
+    std::vector<target_id>
+    next_offers(time_point now, target_test const& is_silent, bool knows_all);
 
 private:
     enum class state : std::uint8_t
@@ -96,7 +97,7 @@
     candidate* find(target_id target);
     bool has(state wanted) const;
     bool is_awaited(candidate const& each, target_test const& is_silent) const;
-    std::size_t offer_limit() const;
+    std::size_t open_offers() const;
 
     time_point began_;
     std::vector<candidate> candidates_;
@@ -113,8 +114,8 @@
     static constexpr std::chrono::milliseconds most_patience{600};
     // Targets that have the packet at the same time.
     static constexpr std::size_t max_offers = 8;
-    // Packets that are sent before every candidate has answered: what reaches
-    // other backend servers while the owner is silent disturbs its caller.
+    // Packets that are sent before every candidate has answered, or while the
+    // owner may be missing among them.
     static constexpr std::size_t early_offers = 2;
 };
 
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -7,6 +7,14 @@
 namespace daisytrail
 {
 
+namespace
+{
+
+// A search that waits for the view looks again within this time, or has ended.
+constexpr std::chrono::seconds view_wish_time{1};
+
+} // namespace
+
 flow_forwarder::flow_forwarder(forward_directory& directory,
                                flow_forwarder_settings settings, time_point now)
     : directory_(directory), settings_(std::move(settings)), started_(now),
@@ -65,8 +73,9 @@
     std::vector<flow_key> result;
     for (auto const& key : searches_)
     {
-        auto const& search = *index_.at(key)->search_;
-        if (search.is_overdue(now))
+        auto const& value = *index_.at(key);
+        bool const may_end = value.waits_for_view_ && knows_all(*value.search_);
+        if (may_end || value.search_->is_overdue(now))
         {
             result.push_back(key);
         }
@@ -464,10 +473,33 @@
     {
         return directory_.find(id)->is_silent(now);
     };
-    add_offers(action, search.next_offers(now, is_silent), now);
+    add_offers(action, search.next_offers(now, is_silent, knows_all(search)),
+               now);
+    value.waits_for_view_ =
+        !knows_all(search) && !search.is_asking() && !search.is_offering();
+    if (value.waits_for_view_)
+    {
+        view_wanted_ = std::max(view_wanted_, search.began());
+        view_wish_ = now;
+    }
     return search.has_ended() ? give_up(value, now) : action;
 }
 
+// What this balancer doesn't know of isn't there only if others have confirmed
+// it since the search began.
+bool flow_forwarder::knows_all(owner_search const& search) const
+{
+    auto const confirmed = directory_.view_confirmed();
+    return confirmed && *confirmed >= search.began();
+}
+
+bool flow_forwarder::wants_view(time_point now) const
+{
+    auto const confirmed = directory_.view_confirmed();
+    bool const is_confirmed = confirmed && *confirmed >= view_wanted_;
+    return !is_confirmed && now <= view_wish_ + view_wish_time;
+}
+
 void flow_forwarder::add_questions(forward_action& action,
                                    std::vector<target_id> const& targets,
                                    time_point now)
@@ -503,7 +535,9 @@
 // holds which isn't known yet.
 forward_action flow_forwarder::give_up(flow& value, time_point now)
 {
-    if (is_learning_for_resets(now))
+    bool const is_proved =
+        knows_all(*value.search_) && !is_learning_for_resets(now);
+    if (!is_proved)
     {
         return {forward_step::hold, forward_cause::owner_missing, nullptr};
     }
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -48,6 +48,11 @@
     return has_list_ && expected_.empty();
 }
 
+void forward_directory::confirm_view(time_point asked)
+{
+    view_confirmed_ = std::max(asked, view_confirmed_.value_or(asked));
+}
+
 void forward_directory::rebuild_members()
 {
     members_.clear();
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -167,21 +167,15 @@
            (each.state_ == state::asked && !is_silent(each.target_));
 }
 
-// Once each candidate has answered, the owner is among those that get the
-// packet.
-std::size_t owner_search::offer_limit() const
+std::size_t owner_search::open_offers() const
 {
-    if (is_asking())
-    {
-        return early_offers_left_;
-    }
-    auto const open = static_cast<std::size_t>(
+    return static_cast<std::size_t>(
         std::ranges::count(candidates_, state::offered, &candidate::state_));
-    return max_offers - std::min(open, max_offers);
 }
 
 std::vector<target_id> owner_search::next_offers(time_point now,
-                                                 target_test const& is_silent)
+                                                 target_test const& is_silent,
+                                                 bool knows_all)
 {
     bool awaits_any = false;
     bool awaits_preferred = false;
@@ -203,8 +197,12 @@
     }
     // One that let a packet pass in silence comes after the others.
     std::ranges::stable_sort(ready, {}, &candidate::offered_);
-    ready.resize(std::min(ready.size(), offer_limit()));
-    early_offers_left_ -= is_asking() ? ready.size() : 0;
+    // Otherwise the owner may be one that doesn't get the packet.
+    bool const is_owner_among = knows_all && !is_asking();
+    auto const open = std::min(open_offers(), max_offers);
+    auto const limit = is_owner_among ? max_offers - open : early_offers_left_;
+    ready.resize(std::min(ready.size(), limit));
+    early_offers_left_ -= is_owner_among ? 0 : ready.size();
     std::vector<target_id> result;
     for (auto* const each : ready)
     {
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -33,6 +33,11 @@
     // Asks silent targets and those with an old report.
     void tick(time_point now);
 
+    bool wants_view(time_point now) const
+    {
+        return core_.wants_view(now);
+    }
+
 private:
     void on_caller_datagram(std::span<std::byte> datagram);
     void on_agent_datagram(std::span<std::byte> datagram);
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -122,6 +122,7 @@
             {
                 continue;
             }
+            confirm();
             forwarder_->tick(now_);
             for (auto const& key : forwarder_->overdue_searches(now_))
             {
@@ -272,6 +273,82 @@
     CHECK(std::vector(asked.begin(), asked.begin() + 2) == syns);
 }
 
+// Regression: FLOW, a balancer that was cut off asked all targets that it knew
+// and reset a flow of one that had joined meanwhile (issue 19).
+TEST_CASE_FIXTURE(search_play,
+                  "a flow is reset since its target isn't known here yet")
+{
+    confirms_ = false;
+    add_target("one");
+    directory_.confirm_view(now_ - 1ms);
+    send(packet(1));
+    CHECK_FALSE(forwarder_->wants_view(now_));
+    auto const nobody = answer(packet(1), "one", flow_holding::not_held);
+    CHECK(nobody.step_ == forward_step::hold);
+    CHECK(nobody.cause_ == forward_cause::owner_missing);
+    CHECK(forwarder_->wants_view(now_));
+    now_ += 700ms;
+    CHECK(overdue(packet(1)).step_ == forward_step::hold);
+    add_target("late");
+    directory_.confirm_view(now_);
+    CHECK(forwarder_->overdue_searches(now_).size() == 1);
+    auto const more = overdue(packet(1));
+    REQUIRE(more.questions_.size() == 1);
+    CHECK(more.questions_[0]->record_.name_ == "late");
+    CHECK(answer(packet(1), "late", flow_holding::held).step_ ==
+          forward_step::send);
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "callers of lost flows wait though the view is confirmed")
+{
+    confirms_ = false;
+    add_target("one");
+    send(packet(1));
+    now_ += 10ms;
+    auto const asked = now_;
+    answer(packet(1), "one", flow_holding::not_held);
+    now_ += 10ms;
+    CHECK(forwarder_->overdue_searches(now_).empty());
+    directory_.confirm_view(asked);
+    CHECK_FALSE(forwarder_->wants_view(now_));
+    CHECK(forwarder_->overdue_searches(now_).size() == 1);
+    CHECK(overdue(packet(1)).step_ == forward_step::reset);
+}
+
+TEST_CASE_FIXTURE(search_play, "a view is asked for though its caller has left")
+{
+    confirms_ = false;
+    add_target("one");
+    send(packet(1));
+    answer(packet(1), "one", flow_holding::not_held);
+    CHECK(forwarder_->wants_view(now_));
+    now_ += 5s;
+    CHECK(overdue(packet(1)).step_ == forward_step::drop);
+    CHECK_FALSE(forwarder_->wants_view(now_));
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "packets are sent around though the owner isn't known here")
+{
+    confirms_ = false;
+    auto const order = add_ranked(6);
+    for (auto const& name : order)
+    {
+        parts_[name] = {flow_holding::unsure, 5ms, 50ms};
+    }
+    take(send(packet(1)));
+    play(1s);
+    CHECK(strays_ <= 2);
+    CHECK_FALSE(was_reset_);
+    CHECK(forwarder_->wants_view(now_));
+    parts_["late"] = {flow_holding::held, 5ms, 0ms, true};
+    add_target("late");
+    confirms_ = true;
+    play(200ms);
+    CHECK(found_ == "late");
+}
+
 // A balancer that was late itself took a live target for silent, and others
 // had declared it dead.
 TEST_CASE_FIXTURE(search_play,
--- a/test/unit/forwarding_fixture.hpp
+++ b/test/unit/forwarding_fixture.hpp
@@ -74,14 +74,25 @@
         return result;
     }
 
+    // Other balancers have nothing to add to the targets known here.
+    void confirm()
+    {
+        if (confirms_)
+        {
+            directory_.confirm_view(now_);
+        }
+    }
+
     forward_action send(flow_packet const& value)
     {
+        confirm();
         return forwarder_->on_packet(value, now_);
     }
 
     forward_action give_back(flow_packet const& value, forward_target* from,
                              return_reason reason = return_reason::not_held)
     {
+        confirm();
         directory_.heard(from->record_.target_, {.accepts_ = true}, now_);
         return forwarder_->on_returned(value, from->record_.target_, reason,
                                        now_);
@@ -90,6 +101,7 @@
     forward_action answer(flow_packet const& value, std::string const& name,
                           flow_holding holding)
     {
+        confirm();
         report(name, {});
         return forwarder_->on_owner_answer(value.flow_from_caller(),
                                            hash_name(name), holding, now_);
@@ -97,11 +109,13 @@
 
     forward_action overdue(flow_packet const& value)
     {
+        confirm();
         return forwarder_->on_overdue(value.flow_from_caller(), now_);
     }
 
     time_point now_{std::chrono::hours(1)};
     std::uint64_t sequence_ = 0;
+    bool confirms_ = true; // the view, before each decision
     forward_directory directory_;
     std::unique_ptr<flow_forwarder> forwarder_;
 };
--- a/test/unit/owner_search_test.cpp
+++ b/test/unit/owner_search_test.cpp
@@ -35,11 +35,14 @@
         }
     }
 
-    std::vector<target_id> offer(std::vector<target_id> const& silent = {})
+    std::vector<target_id> offer(std::vector<target_id> const& silent = {},
+                                 bool knows_all = true)
     {
         return search_.next_offers(
-            now_, [&](target_id id)
-            { return std::ranges::find(silent, id) != silent.end(); });
+            now_,
+            [&](target_id id)
+            { return std::ranges::find(silent, id) != silent.end(); },
+            knows_all);
     }
 
     time_point now_{1h};
@@ -82,9 +85,9 @@
     {
         return false;
     };
-    CHECK(search.next_offers(now_, none).empty());
+    CHECK(search.next_offers(now_, none, true).empty());
     search.on_answer(3, flow_holding::unsure);
-    CHECK(search.next_offers(now_, none) == std::vector<target_id>{7, 3});
+    CHECK(search.next_offers(now_, none, true) == std::vector<target_id>{7, 3});
     CHECK(search.next_questions(now_).empty());
     CHECK(search.next_questions(now_ + 51ms).size() == 6);
 }
@@ -151,6 +154,17 @@
     }
 }
 
+TEST_CASE_FIXTURE(search_fixture,
+                  "three packets are sent around while the owner isn't known")
+{
+    answer_all(flow_holding::unsure);
+    CHECK(offer({}, false) == std::vector<target_id>{1, 2});
+    search_.on_returned(1);
+    search_.on_returned(2);
+    CHECK(offer({}, false).empty());
+    CHECK(offer() == std::vector<target_id>{3, 4, 5, 6, 7, 8});
+}
+
 TEST_CASE_FIXTURE(search_fixture, "more targets have the packet than allowed")
 {
     search_.extend({9, 10, 11});
