Lines about a flow tell what its search knew

Which targets had got a packet was told for one of them only.

Change: forward_action carries the search's figures when it has found the owner or nobody, and when it runs out of candidates for the first time. The `flow` line has them as known, asked, denied, unsure, search_age_ms and view_age_ms (since other balancers confirmed the targets; -1: never), and names the targets that were offered a packet. The wait itself (`hold`, `owner_missing`) gets a line and a count when it begins, not at each repetition; before it left none.

Evidence: the new case in flow_search_test states each figure for a flow that is found, held and reset; the fields didn't exist before. The lines were looked at in the output of relay_test.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -18,6 +18,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -82,6 +83,9 @@
     // Targets whose agents can't tell: each gets one of the packets that are
     // kept. Set together with `send`, with asks_owner_.
     std::vector<forward_target*> offers_ = {};
+    // Set if the search has found the owner or nobody; with `hold`, when it
+    // runs out of candidates for the first time.
+    std::optional<search_figures> search_ = {};
 };
 
 struct flow_forwarder_settings
@@ -166,6 +170,7 @@
         std::unique_ptr<owner_search> search_; // while the owner isn't known
         std::size_t searched_of_ = 0; // targets known when search_ last grew
         bool waits_for_view_ = false; // search_ has run out of candidates
+        bool has_run_out_ = false;    // it has done so before
     };
 
     using flow_list = std::list<flow>;
@@ -185,6 +190,7 @@
     void add_questions(forward_action& action,
                        std::vector<target_id> const& targets, time_point now);
     forward_action give_up(flow& value, time_point now);
+    search_figures figures(flow const& value, time_point now) const;
     bool knows_all(owner_search const& search) const;
     void settle(flow& value, target_id owner);
     void add_offers(forward_action& action,
--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -17,6 +17,16 @@
 namespace daisytrail
 {
 
+// How far a search has come.
+struct search_figures
+{
+    std::size_t known_ = 0; // targets that the balancer knows
+    std::size_t asked_ = 0;
+    std::size_t denied_ = 0;
+    std::size_t unsure_ = 0; // those that have the packet among them
+    duration age_{};
+};
+
 class owner_search
 {
 public:
@@ -53,6 +63,9 @@
     // True once every candidate has denied.
     bool has_ended() const;
 
+    // All but known_.
+    search_figures figures(time_point now) const;
+
     // True if questions are to be repeated or the next ones are due.
     bool is_overdue(time_point now) const;
 
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -310,8 +310,11 @@
     }
     if (answer == flow_holding::held)
     {
+        auto const found = figures(*value, now);
         settle(*value, by);
-        return send(*value, forward_cause::found, now);
+        auto action = send(*value, forward_cause::found, now);
+        action.search_ = found;
+        return action;
     }
     value->search_->on_answer(by, answer);
     return search(*value, forward_cause::search_goes_on, now);
@@ -423,6 +426,7 @@
     }
     value.search_->prefer(syn_targets(value));
     value.searched_of_ = 0;
+    value.has_run_out_ = false;
     extend(value, now);
     value.spare_returns_.clear();
     searches_.insert(value.key_);
@@ -537,14 +541,30 @@
 {
     bool const is_proved =
         knows_all(*value.search_) && !is_learning_for_resets(now);
+    auto const inputs = figures(value, now);
     if (!is_proved)
     {
-        return {forward_step::hold, forward_cause::owner_missing, nullptr};
+        forward_action action{forward_step::hold, forward_cause::owner_missing};
+        if (!std::exchange(value.has_run_out_, true))
+        {
+            action.search_ = inputs;
+        }
+        return action;
     }
     bool const wants_reset = !value.was_reset_;
     erase(flow_key{value.key_});
-    return {wants_reset ? forward_step::reset : forward_step::drop,
-            forward_cause::nobody_holds, nullptr};
+    forward_action action{wants_reset ? forward_step::reset
+                                      : forward_step::drop,
+                          forward_cause::nobody_holds};
+    action.search_ = inputs;
+    return action;
+}
+
+search_figures flow_forwarder::figures(flow const& value, time_point now) const
+{
+    auto result = value.search_->figures(now);
+    result.known_ = directory_.targets().size();
+    return result;
 }
 
 } // namespace daisytrail
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -99,6 +99,21 @@
                                { return each.state_ == state::denied; });
 }
 
+search_figures owner_search::figures(time_point now) const
+{
+    search_figures result;
+    result.age_ = now - began_;
+    for (auto const& each : candidates_)
+    {
+        result.asked_ += each.state_ == state::unasked ? 0 : 1;
+        result.denied_ += each.state_ == state::denied ? 1 : 0;
+        bool const is_unsure =
+            each.state_ == state::unsure || each.state_ == state::offered;
+        result.unsure_ += is_unsure ? 1 : 0;
+    }
+    return result;
+}
+
 bool owner_search::is_overdue(time_point now) const
 {
     return must_repeat(now) || (now > next_batch_ && has(state::unasked));
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -1,6 +1,8 @@
 // Sockets around the decisions of flow_forwarder.
 #include "forward/balancer_relay.hpp"
 
+#include <boost/json/array.hpp>
+
 #include <algorithm>
 
 namespace daisytrail
@@ -19,6 +21,11 @@
                      static_cast<std::size_t>(forward_step::count)>
     step_names{"send", "reset", "drop", "hold"};
 
+std::int64_t to_ms(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 time_point current_time()
 {
     return std::chrono::steady_clock::now();
@@ -165,7 +172,7 @@
     ++*actions_[{action.step_, action.cause_}];
     if (action.cause_ != forward_cause::known)
     {
-        note(action, packet, now);
+        note(action, packet.flow_from_caller(), now);
     }
     ask_owners(packet.flow_from_caller(), action);
     switch (action.step_)
@@ -196,6 +203,11 @@
                               forward_action const& action, time_point now)
 {
     ask_owners(flow, action);
+    if (action.step_ == forward_step::hold && action.search_)
+    {
+        ++*actions_[{action.step_, action.cause_}];
+        note(action, flow, now);
+    }
     auto const packets = kept_.find(flow);
     if (action.step_ == forward_step::hold || packets.empty())
     {
@@ -203,7 +215,7 @@
     }
     ++*actions_[{action.step_, action.cause_}];
     auto const latest = *format_.read(packets.back().bytes_);
-    note(action, latest, now);
+    note(action, flow, now);
     if (!action.offers_.empty())
     {
         offer(action, packets);
@@ -309,32 +321,60 @@
                  std::span(buffer).first(bytes));
 }
 
-void balancer_relay::note(forward_action const& action,
-                          flow_packet const& packet, time_point now)
+void balancer_relay::note(forward_action const& action, flow_key const& flow,
+                          time_point now)
 {
     if (!log_.admit(now))
     {
         return;
     }
     boost::json::object line{
-        {"flow", flow_name(packet.flow_from_caller())},
+        {"flow", flow_name(flow)},
         {"step", step_names[static_cast<std::size_t>(action.step_)]},
         {"cause", to_string(action.cause_)},
         {"revision", directory_.newest_revision()}};
     if (action.target_ != nullptr)
     {
         auto const& target = *action.target_;
-        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
-            now - target.reported_);
         line["target"] = target.record_.name_;
         line["incarnation"] = target.record_.version_.incarnation_;
         line["under_way"] = target.load_.under_way_;
         line["placed_since"] = target.placed_since_;
-        line["report_age_ms"] = target.has_report_ ? age.count() : -1;
+        line["report_age_ms"] =
+            target.has_report_ ? to_ms(now - target.reported_) : -1;
     }
+    add_search(line, action, now);
     log_event(log_level::info, "flow", line);
 }
 
+// What the search knew when it decided.
+void balancer_relay::add_search(boost::json::object& line,
+                                forward_action const& action,
+                                time_point now) const
+{
+    if (!action.offers_.empty())
+    {
+        boost::json::array offered;
+        for (auto const* const target : action.offers_)
+        {
+            offered.emplace_back(target->record_.name_);
+        }
+        line["offered"] = std::move(offered);
+    }
+    if (!action.search_)
+    {
+        return;
+    }
+    auto const& search = *action.search_;
+    auto const confirmed = directory_.view_confirmed();
+    line["known"] = search.known_;
+    line["asked"] = search.asked_;
+    line["denied"] = search.denied_;
+    line["unsure"] = search.unsure_;
+    line["search_age_ms"] = to_ms(search.age_);
+    line["view_age_ms"] = confirmed ? to_ms(now - *confirmed) : -1;
+}
+
 void balancer_relay::note_owner_answer(relay_message const& message,
                                        time_point now)
 {
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -57,8 +57,10 @@
     void offer(forward_action const& action,
                std::span<kept_packets::packet> packets);
     void continue_searches(time_point now);
-    void note(forward_action const& action, flow_packet const& packet,
+    void note(forward_action const& action, flow_key const& flow,
               time_point now);
+    void add_search(boost::json::object& line, forward_action const& action,
+                    time_point now) const;
     void flush();
 
     forward_balancer_settings settings_;
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -365,3 +365,41 @@
     CHECK(answer(packet(1), "one", flow_holding::held).step_ ==
           forward_step::send);
 }
+
+// The logs couldn't tell whom a search had asked before a reset (issue 19).
+TEST_CASE_FIXTURE(search_play, "a search ends without telling what it knew")
+{
+    confirms_ = false;
+    auto const order = add_ranked(3);
+    CHECK_FALSE(send(packet(1)).search_);
+    now_ += 20ms;
+    CHECK_FALSE(answer(packet(1), order[0], flow_holding::unsure).search_);
+    answer(packet(1), order[1], flow_holding::not_held);
+    SUBCASE("found")
+    {
+        auto const end = answer(packet(1), order[2], flow_holding::held);
+        REQUIRE(end.search_);
+        CHECK(end.search_->known_ == 3);
+        CHECK(end.search_->asked_ == 3);
+        CHECK(end.search_->denied_ == 1);
+        CHECK(end.search_->unsure_ == 1);
+        CHECK(end.search_->age_ == 20ms);
+    }
+    SUBCASE("held, told once, and reset")
+    {
+        answer(packet(1), order[2], flow_holding::not_held);
+        auto const wait =
+            give_back(packet(1), directory_.find(hash_name(order[0])));
+        REQUIRE(wait.search_);
+        CHECK(wait.cause_ == forward_cause::owner_missing);
+        CHECK(wait.search_->denied_ == 3);
+        now_ += 200ms;
+        CHECK_FALSE(overdue(packet(1)).search_);
+        confirms_ = true;
+        auto const end = overdue(packet(1));
+        CHECK(end.step_ == forward_step::reset);
+        REQUIRE(end.search_);
+        CHECK(end.search_->denied_ == 3);
+        CHECK(end.search_->age_ == 220ms);
+    }
+}
