A route that a balancer hasn't heard of yet costs its open flows a reset

Cause: a packet for a VIP without a route was answered by a reset, though the balancer may only be late to hear of the route: absence taken for proof, as with targets.

Change: forward_directory remembers VIPs (10,000 at most) whose route was in force here and was removed by a newer template. Open flows of these are reset at once as before; those of a VIP never heard of are dropped, and their callers send again. SYNs are reset as before: no flow is lost by it. Whether the store has confirmed the templates since isn't asked: it is known only to those balancers that watch the store, and not to the data path.

Evidence: with the rule of before the new case fails (reset in place of drop).

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -180,6 +180,7 @@
     void erase(flow_key const& key);
     void profile(flow& value, flow_packet const& packet, time_point now);
 
+    forward_action refuse_without_route(flow_packet const& packet) const;
     forward_action on_syn(flow& value, time_point now);
     forward_action open(flow& value, forward_cause cause, time_point now);
     forward_action refuse(flow& value, service_id service, time_point now);
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -7,9 +7,11 @@
 #include <daisytrail/relay_message.hpp>
 #include <daisytrail/types.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -77,6 +79,13 @@
 
     route_template const* find_route(endpoint const& vip) const;
 
+    // True if a route of the VIP was in force here and a newer template has
+    // removed it.
+    bool was_removed(endpoint const& vip) const
+    {
+        return removed_.contains(vip);
+    }
+
     // Targets of the service but those that left, in order of their
     // identifiers. One that was declared dead is among them, since it may have
     // been wrongly.
@@ -113,6 +122,10 @@
 
 private:
     void rebuild_members();
+    void note_removed(endpoint const& vip);
+
+    // Removed routes that are remembered.
+    static constexpr std::size_t max_removed = 10'000;
 
     std::unordered_map<target_id, std::unique_ptr<forward_target>> targets_;
     std::map<service_id, target_list> members_;
@@ -120,6 +133,8 @@
     std::map<std::string, std::vector<route_template>> templates_;
     // Points into templates_.
     std::map<endpoint, route_template const*> routes_;
+    std::set<endpoint> removed_;           // VIPs without a route by now
+    std::deque<endpoint> removed_in_turn_; // the same, the oldest first
     revision newest_ = 0;
     bool has_list_ = false;           // expect() was called
     std::vector<target_id> expected_; // that aren't known yet
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -203,8 +203,7 @@
     if (directory_.find_route(key.vip_) == nullptr)
     {
         erase(key);
-        return {packet.reset_ ? forward_step::drop : forward_step::reset,
-                forward_cause::no_route, nullptr};
+        return refuse_without_route(packet);
     }
     auto* value = find(key);
     if (value == nullptr)
@@ -231,6 +230,18 @@
                             : send(*value, forward_cause::known, now);
 }
 
+// An open flow whose route was never heard of may be one of a route that is
+// new: its packets come again.
+forward_action
+flow_forwarder::refuse_without_route(flow_packet const& packet) const
+{
+    bool const resets =
+        !packet.reset_ &&
+        (packet.opens_flow() || directory_.was_removed(packet.destination_));
+    return {resets ? forward_step::reset : forward_step::drop,
+            forward_cause::no_route, nullptr};
+}
+
 // A copy of the SYN tries another target if the first one was silent.
 forward_action flow_forwarder::on_syn(flow& value, time_point now)
 {
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -2,6 +2,7 @@
 #include <daisytrail/forward_directory.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace daisytrail
 {
@@ -80,7 +81,7 @@
     }
     held = at;
     newest_ = std::max(newest_, at);
-    templates_[value.name_] = value.routes_;
+    auto const former = std::exchange(templates_[value.name_], value.routes_);
     routes_.clear();
     for (auto const& [organisation, routes] : templates_)
     {
@@ -89,9 +90,29 @@
             routes_.emplace(route.vip_, &route);
         }
     }
+    for (auto const& route : former)
+    {
+        note_removed(route.vip_);
+    }
     return true;
 }
 
+// One that has come back is remembered too, but its route is found first.
+void forward_directory::note_removed(endpoint const& vip)
+{
+    bool const is_removed = !routes_.contains(vip);
+    if (!is_removed || !removed_.insert(vip).second)
+    {
+        return;
+    }
+    removed_in_turn_.push_back(vip);
+    if (removed_in_turn_.size() > max_removed)
+    {
+        removed_.erase(removed_in_turn_.front());
+        removed_in_turn_.pop_front();
+    }
+}
+
 void forward_directory::heard(target_id target, backend_load const& load,
                               time_point now)
 {
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -403,3 +403,56 @@
         CHECK(end.search_->age_ == 220ms);
     }
 }
+
+// A balancer that was late to hear of a new route reset its open flows (issue
+// 19).
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "an open flow is reset since its route isn't known here yet")
+{
+    add_target("one");
+    auto open = packet(1);
+    open.destination_.port_ = 444;
+    auto const early = send(open);
+    CHECK(early.step_ == forward_step::drop);
+    CHECK(early.cause_ == forward_cause::no_route);
+    organisation_template added{"org", {}, {}};
+    added.routes_.push_back({"main", vip, {{hash_name(service_name), 1}}});
+    added.routes_.push_back(
+        {"new", open.destination_, {{hash_name(service_name), 1}}});
+    directory_.apply(added, 2);
+    CHECK(send(open).cause_ == forward_cause::searched);
+    SUBCASE("but at once after its route was removed")
+    {
+        added.routes_.pop_back();
+        directory_.apply(added, 3);
+        CHECK(send(open).step_ == forward_step::reset);
+        CHECK(send(open).cause_ == forward_cause::no_route);
+        open.reset_ = true;
+        CHECK(send(open).step_ == forward_step::drop);
+    }
+    SUBCASE("not while another organisation's route has the VIP")
+    {
+        organisation_template other{"other", {}, {}};
+        other.routes_.push_back(added.routes_.back());
+        added.routes_.pop_back();
+        directory_.apply(other, 3);
+        directory_.apply(added, 4);
+        CHECK(send(open).step_ != forward_step::reset);
+    }
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "removed routes fill the memory")
+{
+    constexpr std::uint16_t count = 20'000;
+    organisation_template many{"many", {}, {}};
+    for (std::uint16_t port = 1; port <= count; ++port)
+    {
+        many.routes_.push_back(
+            {"r", {0x0A000002, port}, {{hash_name(service_name), 1}}});
+    }
+    directory_.apply(many, 2);
+    many.routes_.clear();
+    directory_.apply(many, 3);
+    CHECK_FALSE(directory_.was_removed({0x0A000002, 1}));
+    CHECK(directory_.was_removed({0x0A000002, count}));
+}
