An agent that has answered a search's question is taken for silent

So 350 ms after each search every agent that was asked and got no packets looked silent until a report came, which idle targets are asked for once a second: no new flows were placed there, later searches asked it last, and offers didn't wait for it.

Change: an answer ends the silence; it tells nothing of the load.

Evidence: the new case fails on the code of before.

--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -69,6 +69,9 @@
     // Notes a datagram from a target's agent.
     void heard(target_id target, backend_load const& load, time_point now);
 
+    // Notes an answer of a target's agent that tells nothing of its load.
+    void answered(target_id target);
+
     // Another target answers at this one's address.
     void displaced(target_id target, time_point now);
 
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -312,6 +312,7 @@
                                                flow_holding answer,
                                                time_point now)
 {
+    directory_.answered(by);
     auto* const value = find(key);
     bool const is_searched = value != nullptr && value->search_ != nullptr &&
                              directory_.find_route(key.vip_) != nullptr;
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -128,6 +128,14 @@
     held->placed_since_ = 0;
 }
 
+void forward_directory::answered(target_id target)
+{
+    if (auto* const held = find(target); held != nullptr)
+    {
+        held->unanswered_since_.reset();
+    }
+}
+
 void forward_directory::displaced(target_id target, time_point now)
 {
     backend_load refuses;
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -366,6 +366,26 @@
           forward_step::send);
 }
 
+// Answers to questions about flows weren't counted, so that each searched
+// target got no new flows and didn't hold up offers.
+TEST_CASE_FIXTURE(search_play, "an agent that has answered is taken for silent")
+{
+    add_target("one");
+    add_target("two");
+    send(packet(1));
+    auto const answered = [this](std::string const& name)
+    {
+        now_ += 5ms;
+        forwarder_->on_owner_answer(packet(1).flow_from_caller(),
+                                    hash_name(name), flow_holding::not_held,
+                                    now_);
+    };
+    answered("one");
+    now_ += 400ms;
+    CHECK_FALSE(directory_.find(hash_name("one"))->is_silent(now_));
+    CHECK(directory_.find(hash_name("two"))->is_silent(now_));
+}
+
 // The logs couldn't tell whom a search had asked before a reset (issue 19).
 TEST_CASE_FIXTURE(search_play, "a search ends without telling what it knew")
 {
