A target that is wrongly declared dead has no time to answer a search

Silence may be of before: a balancer that reads its input late takes a live agent for silent, and small members are declared dead though they run.

Change: such a candidate is denied only once its own question, or the one after an offer in vain, has had no answer for 350 ms, the silence after which an agent counts as unreachable.

Evidence: the new case of flow_search_test fails on the code of before (reset after 300 ms).

--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -77,7 +77,8 @@
 
     // Asks again, ever more rarely: returns the targets whose questions are
     // repeated. One that let an offered packet pass in silence is asked too.
-    std::vector<target_id> repeat(time_point now);
+    // A lost one that has had the time to answer counts as denied.
+    std::vector<target_id> repeat(time_point now, target_test const& is_lost);
 
     // The next targets to ask; empty if all were, or if these are to wait for
     // answers to the last ones.
@@ -104,6 +105,7 @@
         target_id target_ = 0;
         state state_ = state::unasked;
         bool is_preferred_ = false;
+        time_point asked_{}; // first, or again after an offer in vain
         time_point offered_{};
     };
 
@@ -125,6 +127,8 @@
     static constexpr std::chrono::milliseconds batch_patience{50};
     static constexpr std::chrono::milliseconds first_patience{150};
     static constexpr std::chrono::milliseconds most_patience{600};
+    // Time that a lost target has to answer.
+    static constexpr std::chrono::milliseconds lost_patience{350};
     // Targets that have the packet at the same time.
     static constexpr std::size_t max_offers = 8;
     // Packets that are sent before every candidate has answered, or while the
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -108,27 +108,17 @@
 std::vector<target_id> flow_forwarder::repeat_questions(flow& value,
                                                         time_point now)
 {
-    std::vector<target_id> again;
     if (!value.search_->must_repeat(now))
     {
-        return again;
+        return {};
     }
     extend(value, now);
-    for (auto const id : value.search_->repeat(now))
+    auto const is_lost = [&](target_id id)
     {
         auto const& target = *directory_.find(id);
-        bool const is_lost =
-            !may_own_flows(target.record_.state_) && target.is_silent(now);
-        if (is_lost)
-        {
-            value.search_->on_returned(id);
-        }
-        else
-        {
-            again.push_back(id);
-        }
-    }
-    return again;
+        return !may_own_flows(target.record_.state_) && target.is_silent(now);
+    };
+    return value.search_->repeat(now, is_lost);
 }
 
 placement_request
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -119,7 +119,8 @@
     return must_repeat(now) || (now > next_batch_ && has(state::unasked));
 }
 
-std::vector<target_id> owner_search::repeat(time_point now)
+std::vector<target_id> owner_search::repeat(time_point now,
+                                            target_test const& is_lost)
 {
     patience_ = std::min<duration>(2 * patience_, most_patience);
     repeat_at_ = now + patience_;
@@ -131,6 +132,14 @@
         if (was_in_vain)
         {
             each.state_ = state::asked;
+            each.asked_ = now;
+        }
+        bool const was_lost = each.state_ == state::asked &&
+                              now > each.asked_ + lost_patience &&
+                              is_lost(each.target_);
+        if (was_lost)
+        {
+            each.state_ = state::denied;
         }
         if (each.state_ == state::asked)
         {
@@ -163,6 +172,7 @@
         if (is_next)
         {
             each.state_ = state::asked;
+            each.asked_ = now;
             result.push_back(each.target_);
         }
     }
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -366,6 +366,25 @@
           forward_step::send);
 }
 
+// The answer took longer than the first patience, and the flow was reset.
+TEST_CASE_FIXTURE(search_play,
+                  "a target that is silent and declared dead has no time to "
+                  "answer")
+{
+    auto owner = add_target("one");
+    add_target("two");
+    owner.state_ = member_state::dead;
+    directory_.apply(owner);
+    directory_.sent(*directory_.find(owner.target_), now_);
+    now_ += 400ms;
+    send(packet(1));
+    answer(packet(1), "two", flow_holding::not_held);
+    now_ += 300ms;
+    CHECK(overdue(packet(1)).questions_.size() == 1);
+    CHECK(answer(packet(1), "one", flow_holding::held).step_ ==
+          forward_step::send);
+}
+
 // Answers to questions about flows weren't counted, so that each searched
 // target got no new flows and didn't hold up offers.
 TEST_CASE_FIXTURE(search_play, "an agent that has answered is taken for silent")
