--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -18,6 +18,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -50,7 +51,7 @@
     no_route,        // no route has this VIP
     no_target,       // no target takes new flows
     nobody_holds,    // no target holds the flow
-    owner_missing,   // not every target is known yet, or the caller has left
+    owner_missing,   // a target may be unknown here, or the caller has left
     other_searches,  // the flow is being searched already
     not_yet,         // a target may take the flow soon; a copy will come
     not_from_caller, // a packet that only a backend server sends
@@ -82,6 +83,9 @@
     // Targets whose agents can't tell: each gets one of the packets that are
     // kept. Set together with `send`, with asks_owner_.
     std::vector<forward_target*> offers_ = {};
+    // Set if the search has found the owner or nobody; with `hold`, when it
+    // runs out of candidates for the first time.
+    std::optional<search_figures> search_ = {};
 };
 
 struct flow_forwarder_settings
@@ -129,14 +133,15 @@
     // Takes such a search on; the action is for the packets that are kept.
     forward_action on_overdue(flow_key const& key, time_point now);
 
+    // True while a search has run out of candidates and waits until other
+    // balancers have confirmed the targets (forward_directory::confirm_view).
+    bool wants_view(time_point now) const;
+
     bool is_searching(flow_key const& key) const
     {
         return searches_.contains(key);
     }
 
-    // True while a decision waits for a confirmed view of the targets.
-    bool wants_view(time_point now) const;
-
     // Forgets idle flows.
     void tick(time_point now);
 
@@ -164,6 +169,8 @@
         std::vector<target_id> spare_returns_;
         std::unique_ptr<owner_search> search_; // while the owner isn't known
         std::size_t searched_of_ = 0; // targets known when search_ last grew
+        bool waits_for_view_ = false; // search_ has run out of candidates
+        bool has_run_out_ = false;    // it has done so before
     };
 
     using flow_list = std::list<flow>;
@@ -173,6 +180,7 @@
     void erase(flow_key const& key);
     void profile(flow& value, flow_packet const& packet, time_point now);
 
+    forward_action refuse_without_route(flow_packet const& packet) const;
     forward_action on_syn(flow& value, time_point now);
     forward_action open(flow& value, forward_cause cause, time_point now);
     forward_action refuse(flow& value, service_id service, time_point now);
@@ -184,6 +192,8 @@
                        std::vector<target_id> const& targets, time_point now);
     forward_action give_up(flow& value, time_point now);
     bool has_been_replaced(target_id target, return_reason reason) const;
+    search_figures figures(flow const& value, time_point now) const;
+    bool knows_all(owner_search const& search) const;
     void settle(flow& value, target_id owner);
     void add_offers(forward_action& action,
                     std::vector<target_id> const& targets, time_point now);
@@ -209,6 +219,9 @@
     flow_list flows_;                            // least recently used first
     std::unordered_map<flow_key, flow_list::iterator, flow_hash> index_;
     std::set<flow_key> searches_; // flows that are being searched
+    // Begin of the latest search that waits for the view, and when it last did.
+    time_point view_wanted_{};
+    time_point view_wish_{};
 };
 
 } // namespace daisytrail
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -7,9 +7,11 @@
 #include <daisytrail/relay_message.hpp>
 #include <daisytrail/types.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -54,12 +56,22 @@
     // True once expect() was called and each of its targets is known.
     bool has_met_all() const;
 
-    // Other balancers knew no target that isn't known here, as of this time.
+    // A comparison of the targets with other balancers is complete: all that
+    // they knew when it was asked for is known here.
     void confirm_view(time_point asked);
 
+    // When the latest complete comparison was asked for; empty if never.
+    std::optional<time_point> view_confirmed() const
+    {
+        return view_confirmed_;
+    }
+
     // Notes a datagram from a target's agent.
     void heard(target_id target, backend_load const& load, time_point now);
 
+    // Notes an answer of a target's agent that tells nothing of its load.
+    void answered(target_id target);
+
     // Another target answers at this one's address.
     void displaced(target_id target, time_point now);
 
@@ -70,6 +82,13 @@
 
     route_template const* find_route(endpoint const& vip) const;
 
+    // True if a route of the VIP was in force here and a newer template has
+    // removed it.
+    bool was_removed(endpoint const& vip) const
+    {
+        return removed_.contains(vip);
+    }
+
     // Targets of the service but those that left, in order of their
     // identifiers. One that was declared dead is among them, since it may have
     // been wrongly.
@@ -106,6 +125,10 @@
 
 private:
     void rebuild_members();
+    void note_removed(endpoint const& vip);
+
+    // Removed routes that are remembered.
+    static constexpr std::size_t max_removed = 10'000;
 
     std::unordered_map<target_id, std::unique_ptr<forward_target>> targets_;
     std::map<service_id, target_list> members_;
@@ -113,10 +136,12 @@
     std::map<std::string, std::vector<route_template>> templates_;
     // Points into templates_.
     std::map<endpoint, route_template const*> routes_;
+    std::set<endpoint> removed_;           // VIPs without a route by now
+    std::deque<endpoint> removed_in_turn_; // the same, the oldest first
     revision newest_ = 0;
-    std::optional<time_point> view_confirmed_;
     bool has_list_ = false;           // expect() was called
     std::vector<target_id> expected_; // that aren't known yet
+    std::optional<time_point> view_confirmed_;
 };
 
 } // namespace daisytrail
--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -17,6 +17,16 @@
 namespace daisytrail
 {
 
+// How far a search has come.
+struct search_figures
+{
+    std::size_t known_ = 0; // targets that the balancer knows
+    std::size_t asked_ = 0;
+    std::size_t denied_ = 0;
+    std::size_t unsure_ = 0; // those that have the packet among them
+    duration age_{};
+};
+
 class owner_search
 {
 public:
@@ -53,6 +63,9 @@
     // True once every candidate has denied.
     bool has_ended() const;
 
+    // All but known_.
+    search_figures figures(time_point now) const;
+
     // True if questions are to be repeated or the next ones are due.
     bool is_overdue(time_point now) const;
 
@@ -64,16 +77,18 @@
 
     // Asks again, ever more rarely: returns the targets whose questions are
     // repeated. One that let an offered packet pass in silence is asked too.
-    std::vector<target_id> repeat(time_point now);
+    // A lost one that has had the time to answer counts as denied.
+    std::vector<target_id> repeat(time_point now, target_test const& is_lost);
 
     // The next targets to ask; empty if all were, or if these are to wait for
     // answers to the last ones.
     std::vector<target_id> next_questions(time_point now);
 
     // Targets that can't tell and are to be offered the packet now. Only a
-    // silent one may owe an answer by then.
-    std::vector<target_id> next_offers(time_point now,
-                                       target_test const& is_silent);
+    // silent one may owe an answer by then. With `knows_all`, no target is
+    // missing among the candidates.
+    std::vector<target_id>
+    next_offers(time_point now, target_test const& is_silent, bool knows_all);
 
 private:
     enum class state : std::uint8_t
@@ -90,13 +105,14 @@
         target_id target_ = 0;
         state state_ = state::unasked;
         bool is_preferred_ = false;
+        time_point asked_{}; // first, or again after an offer in vain
         time_point offered_{};
     };
 
     candidate* find(target_id target);
     bool has(state wanted) const;
     bool is_awaited(candidate const& each, target_test const& is_silent) const;
-    std::size_t offer_limit() const;
+    std::size_t open_offers() const;
 
     time_point began_;
     std::vector<candidate> candidates_;
@@ -111,10 +127,12 @@
     static constexpr std::chrono::milliseconds batch_patience{50};
     static constexpr std::chrono::milliseconds first_patience{150};
     static constexpr std::chrono::milliseconds most_patience{600};
+    // Time that a lost target has to answer.
+    static constexpr std::chrono::milliseconds lost_patience{350};
     // Targets that have the packet at the same time.
     static constexpr std::size_t max_offers = 8;
-    // Packets that are sent before every candidate has answered: what reaches
-    // other backend servers while the owner is silent disturbs its caller.
+    // Packets that are sent before every candidate has answered, or while the
+    // owner may be missing among them.
     static constexpr std::size_t early_offers = 2;
 };
 
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -7,6 +7,14 @@
 namespace daisytrail
 {
 
+namespace
+{
+
+// A search that waits for the view looks again within this time, or has ended.
+constexpr std::chrono::seconds view_wish_time{1};
+
+} // namespace
+
 flow_forwarder::flow_forwarder(forward_directory& directory,
                                flow_forwarder_settings settings, time_point now)
     : directory_(directory), settings_(std::move(settings)), started_(now),
@@ -65,8 +73,9 @@
     std::vector<flow_key> result;
     for (auto const& key : searches_)
     {
-        auto const& search = *index_.at(key)->search_;
-        if (search.is_overdue(now))
+        auto const& value = *index_.at(key);
+        bool const may_end = value.waits_for_view_ && knows_all(*value.search_);
+        if (may_end || value.search_->is_overdue(now))
         {
             result.push_back(key);
         }
@@ -99,27 +108,17 @@
 std::vector<target_id> flow_forwarder::repeat_questions(flow& value,
                                                         time_point now)
 {
-    std::vector<target_id> again;
     if (!value.search_->must_repeat(now))
     {
-        return again;
+        return {};
     }
     extend(value, now);
-    for (auto const id : value.search_->repeat(now))
+    auto const is_lost = [&](target_id id)
     {
         auto const& target = *directory_.find(id);
-        bool const is_lost =
-            !may_own_flows(target.record_.state_) && target.is_silent(now);
-        if (is_lost)
-        {
-            value.search_->on_returned(id);
-        }
-        else
-        {
-            again.push_back(id);
-        }
-    }
-    return again;
+        return !may_own_flows(target.record_.state_) && target.is_silent(now);
+    };
+    return value.search_->repeat(now, is_lost);
 }
 
 placement_request
@@ -194,8 +193,7 @@
     if (directory_.find_route(key.vip_) == nullptr)
     {
         erase(key);
-        return {packet.reset_ ? forward_step::drop : forward_step::reset,
-                forward_cause::no_route, nullptr};
+        return refuse_without_route(packet);
     }
     auto* value = find(key);
     if (value == nullptr)
@@ -222,6 +220,18 @@
                             : send(*value, forward_cause::known, now);
 }
 
+// An open flow whose route was never heard of may be one of a route that is
+// new: its packets come again.
+forward_action
+flow_forwarder::refuse_without_route(flow_packet const& packet) const
+{
+    bool const resets =
+        !packet.reset_ &&
+        (packet.opens_flow() || directory_.was_removed(packet.destination_));
+    return {resets ? forward_step::reset : forward_step::drop,
+            forward_cause::no_route, nullptr};
+}
+
 // A copy of the SYN tries another target if the first one was silent.
 forward_action flow_forwarder::on_syn(flow& value, time_point now)
 {
@@ -309,6 +319,7 @@
                                                flow_holding answer,
                                                time_point now)
 {
+    directory_.answered(by);
     auto* const value = find(key);
     bool const is_searched = value != nullptr && value->search_ != nullptr &&
                              directory_.find_route(key.vip_) != nullptr;
@@ -318,8 +329,11 @@
     }
     if (answer == flow_holding::held)
     {
+        auto const found = figures(*value, now);
         settle(*value, by);
-        return send(*value, forward_cause::found, now);
+        auto action = send(*value, forward_cause::found, now);
+        action.search_ = found;
+        return action;
     }
     value->search_->on_answer(by, answer);
     return search(*value, forward_cause::search_goes_on, now);
@@ -431,6 +445,7 @@
     }
     value.search_->prefer(syn_targets(value));
     value.searched_of_ = 0;
+    value.has_run_out_ = false;
     extend(value, now);
     value.spare_returns_.clear();
     searches_.insert(value.key_);
@@ -481,10 +496,33 @@
     {
         return directory_.find(id)->is_silent(now);
     };
-    add_offers(action, search.next_offers(now, is_silent), now);
+    add_offers(action, search.next_offers(now, is_silent, knows_all(search)),
+               now);
+    value.waits_for_view_ =
+        !knows_all(search) && !search.is_asking() && !search.is_offering();
+    if (value.waits_for_view_)
+    {
+        view_wanted_ = std::max(view_wanted_, search.began());
+        view_wish_ = now;
+    }
     return search.has_ended() ? give_up(value, now) : action;
 }
 
+// What this balancer doesn't know of isn't there only if others have confirmed
+// it since the search began.
+bool flow_forwarder::knows_all(owner_search const& search) const
+{
+    auto const confirmed = directory_.view_confirmed();
+    return confirmed && *confirmed >= search.began();
+}
+
+bool flow_forwarder::wants_view(time_point now) const
+{
+    auto const confirmed = directory_.view_confirmed();
+    bool const is_confirmed = confirmed && *confirmed >= view_wanted_;
+    return !is_confirmed && now <= view_wish_ + view_wish_time;
+}
+
 void flow_forwarder::add_questions(forward_action& action,
                                    std::vector<target_id> const& targets,
                                    time_point now)
@@ -520,14 +558,32 @@
 // holds which isn't known yet.
 forward_action flow_forwarder::give_up(flow& value, time_point now)
 {
-    if (is_learning_for_resets(now))
+    bool const is_proved =
+        knows_all(*value.search_) && !is_learning_for_resets(now);
+    auto const inputs = figures(value, now);
+    if (!is_proved)
     {
-        return {forward_step::hold, forward_cause::owner_missing, nullptr};
+        forward_action action{forward_step::hold, forward_cause::owner_missing};
+        if (!std::exchange(value.has_run_out_, true))
+        {
+            action.search_ = inputs;
+        }
+        return action;
     }
     bool const wants_reset = !value.was_reset_;
     erase(flow_key{value.key_});
-    return {wants_reset ? forward_step::reset : forward_step::drop,
-            forward_cause::nobody_holds, nullptr};
+    forward_action action{wants_reset ? forward_step::reset
+                                      : forward_step::drop,
+                          forward_cause::nobody_holds};
+    action.search_ = inputs;
+    return action;
+}
+
+search_figures flow_forwarder::figures(flow const& value, time_point now) const
+{
+    auto result = value.search_->figures(now);
+    result.known_ = directory_.targets().size();
+    return result;
 }
 
 } // namespace daisytrail
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -2,6 +2,7 @@
 #include <daisytrail/forward_directory.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace daisytrail
 {
@@ -50,7 +51,7 @@
 
 void forward_directory::confirm_view(time_point asked)
 {
-    view_confirmed_ = asked;
+    view_confirmed_ = std::max(asked, view_confirmed_.value_or(asked));
 }
 
 void forward_directory::rebuild_members()
@@ -80,7 +81,7 @@
     }
     held = at;
     newest_ = std::max(newest_, at);
-    templates_[value.name_] = value.routes_;
+    auto const former = std::exchange(templates_[value.name_], value.routes_);
     routes_.clear();
     for (auto const& [organisation, routes] : templates_)
     {
@@ -89,9 +90,29 @@
             routes_.emplace(route.vip_, &route);
         }
     }
+    for (auto const& route : former)
+    {
+        note_removed(route.vip_);
+    }
     return true;
 }
 
+// One that has come back is remembered too, but its route is found first.
+void forward_directory::note_removed(endpoint const& vip)
+{
+    bool const is_removed = !routes_.contains(vip);
+    if (!is_removed || !removed_.insert(vip).second)
+    {
+        return;
+    }
+    removed_in_turn_.push_back(vip);
+    if (removed_in_turn_.size() > max_removed)
+    {
+        removed_.erase(removed_in_turn_.front());
+        removed_in_turn_.pop_front();
+    }
+}
+
 void forward_directory::heard(target_id target, backend_load const& load,
                               time_point now)
 {
@@ -107,6 +128,14 @@
     held->placed_since_ = 0;
 }
 
+void forward_directory::answered(target_id target)
+{
+    if (auto* const held = find(target); held != nullptr)
+    {
+        held->unanswered_since_.reset();
+    }
+}
+
 void forward_directory::displaced(target_id target, time_point now)
 {
     backend_load refuses;
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -99,12 +99,28 @@
                                { return each.state_ == state::denied; });
 }
 
+search_figures owner_search::figures(time_point now) const
+{
+    search_figures result;
+    result.age_ = now - began_;
+    for (auto const& each : candidates_)
+    {
+        result.asked_ += each.state_ == state::unasked ? 0 : 1;
+        result.denied_ += each.state_ == state::denied ? 1 : 0;
+        bool const is_unsure =
+            each.state_ == state::unsure || each.state_ == state::offered;
+        result.unsure_ += is_unsure ? 1 : 0;
+    }
+    return result;
+}
+
 bool owner_search::is_overdue(time_point now) const
 {
     return must_repeat(now) || (now > next_batch_ && has(state::unasked));
 }
 
-std::vector<target_id> owner_search::repeat(time_point now)
+std::vector<target_id> owner_search::repeat(time_point now,
+                                            target_test const& is_lost)
 {
     patience_ = std::min<duration>(2 * patience_, most_patience);
     repeat_at_ = now + patience_;
@@ -116,6 +132,14 @@
         if (was_in_vain)
         {
             each.state_ = state::asked;
+            each.asked_ = now;
+        }
+        bool const was_lost = each.state_ == state::asked &&
+                              now > each.asked_ + lost_patience &&
+                              is_lost(each.target_);
+        if (was_lost)
+        {
+            each.state_ = state::denied;
         }
         if (each.state_ == state::asked)
         {
@@ -148,6 +172,7 @@
         if (is_next)
         {
             each.state_ = state::asked;
+            each.asked_ = now;
             result.push_back(each.target_);
         }
     }
@@ -167,21 +192,15 @@
            (each.state_ == state::asked && !is_silent(each.target_));
 }
 
-// Once each candidate has answered, the owner is among those that get the
-// packet.
-std::size_t owner_search::offer_limit() const
+std::size_t owner_search::open_offers() const
 {
-    if (is_asking())
-    {
-        return early_offers_left_;
-    }
-    auto const open = static_cast<std::size_t>(
+    return static_cast<std::size_t>(
         std::ranges::count(candidates_, state::offered, &candidate::state_));
-    return max_offers - std::min(open, max_offers);
 }
 
 std::vector<target_id> owner_search::next_offers(time_point now,
-                                                 target_test const& is_silent)
+                                                 target_test const& is_silent,
+                                                 bool knows_all)
 {
     bool awaits_any = false;
     bool awaits_preferred = false;
@@ -203,8 +222,12 @@
     }
     // One that let a packet pass in silence comes after the others.
     std::ranges::stable_sort(ready, {}, &candidate::offered_);
-    ready.resize(std::min(ready.size(), offer_limit()));
-    early_offers_left_ -= is_asking() ? ready.size() : 0;
+    // Otherwise the owner may be one that doesn't get the packet.
+    bool const is_owner_among = knows_all && !is_asking();
+    auto const open = std::min(open_offers(), max_offers);
+    auto const limit = is_owner_among ? max_offers - open : early_offers_left_;
+    ready.resize(std::min(ready.size(), limit));
+    early_offers_left_ -= is_owner_among ? 0 : ready.size();
     std::vector<target_id> result;
     for (auto* const each : ready)
     {
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -122,6 +122,7 @@
             {
                 continue;
             }
+            confirm();
             forwarder_->tick(now_);
             for (auto const& key : forwarder_->overdue_searches(now_))
             {
@@ -272,6 +273,82 @@
     CHECK(std::vector(asked.begin(), asked.begin() + 2) == syns);
 }
 
+// Regression: FLOW, a balancer that was cut off asked all targets that it knew
+// and reset a flow of one that had joined meanwhile (issue 19).
+TEST_CASE_FIXTURE(search_play,
+                  "a flow is reset since its target isn't known here yet")
+{
+    confirms_ = false;
+    add_target("one");
+    directory_.confirm_view(now_ - 1ms);
+    send(packet(1));
+    CHECK_FALSE(forwarder_->wants_view(now_));
+    auto const nobody = answer(packet(1), "one", flow_holding::not_held);
+    CHECK(nobody.step_ == forward_step::hold);
+    CHECK(nobody.cause_ == forward_cause::owner_missing);
+    CHECK(forwarder_->wants_view(now_));
+    now_ += 700ms;
+    CHECK(overdue(packet(1)).step_ == forward_step::hold);
+    add_target("late");
+    directory_.confirm_view(now_);
+    CHECK(forwarder_->overdue_searches(now_).size() == 1);
+    auto const more = overdue(packet(1));
+    REQUIRE(more.questions_.size() == 1);
+    CHECK(more.questions_[0]->record_.name_ == "late");
+    CHECK(answer(packet(1), "late", flow_holding::held).step_ ==
+          forward_step::send);
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "callers of lost flows wait though the view is confirmed")
+{
+    confirms_ = false;
+    add_target("one");
+    send(packet(1));
+    now_ += 10ms;
+    auto const asked = now_;
+    answer(packet(1), "one", flow_holding::not_held);
+    now_ += 10ms;
+    CHECK(forwarder_->overdue_searches(now_).empty());
+    directory_.confirm_view(asked);
+    CHECK_FALSE(forwarder_->wants_view(now_));
+    CHECK(forwarder_->overdue_searches(now_).size() == 1);
+    CHECK(overdue(packet(1)).step_ == forward_step::reset);
+}
+
+TEST_CASE_FIXTURE(search_play, "a view is asked for though its caller has left")
+{
+    confirms_ = false;
+    add_target("one");
+    send(packet(1));
+    answer(packet(1), "one", flow_holding::not_held);
+    CHECK(forwarder_->wants_view(now_));
+    now_ += 5s;
+    CHECK(overdue(packet(1)).step_ == forward_step::drop);
+    CHECK_FALSE(forwarder_->wants_view(now_));
+}
+
+TEST_CASE_FIXTURE(search_play,
+                  "packets are sent around though the owner isn't known here")
+{
+    confirms_ = false;
+    auto const order = add_ranked(6);
+    for (auto const& name : order)
+    {
+        parts_[name] = {flow_holding::unsure, 5ms, 50ms};
+    }
+    take(send(packet(1)));
+    play(1s);
+    CHECK(strays_ <= 2);
+    CHECK_FALSE(was_reset_);
+    CHECK(forwarder_->wants_view(now_));
+    parts_["late"] = {flow_holding::held, 5ms, 0ms, true};
+    add_target("late");
+    confirms_ = true;
+    play(200ms);
+    CHECK(found_ == "late");
+}
+
 // A balancer that was late itself took a live target for silent, and others
 // had declared it dead.
 TEST_CASE_FIXTURE(search_play,
@@ -288,3 +365,133 @@
     CHECK(answer(packet(1), "one", flow_holding::held).step_ ==
           forward_step::send);
 }
+
+// The answer took longer than the first patience, and the flow was reset.
+TEST_CASE_FIXTURE(search_play,
+                  "a target that is silent and declared dead has no time to "
+                  "answer")
+{
+    auto owner = add_target("one");
+    add_target("two");
+    owner.state_ = member_state::dead;
+    directory_.apply(owner);
+    directory_.sent(*directory_.find(owner.target_), now_);
+    now_ += 400ms;
+    send(packet(1));
+    answer(packet(1), "two", flow_holding::not_held);
+    now_ += 300ms;
+    CHECK(overdue(packet(1)).questions_.size() == 1);
+    CHECK(answer(packet(1), "one", flow_holding::held).step_ ==
+          forward_step::send);
+}
+
+// Answers to questions about flows weren't counted, so that each searched
+// target got no new flows and didn't hold up offers.
+TEST_CASE_FIXTURE(search_play, "an agent that has answered is taken for silent")
+{
+    add_target("one");
+    add_target("two");
+    send(packet(1));
+    auto const answered = [this](std::string const& name)
+    {
+        now_ += 5ms;
+        forwarder_->on_owner_answer(packet(1).flow_from_caller(),
+                                    hash_name(name), flow_holding::not_held,
+                                    now_);
+    };
+    answered("one");
+    now_ += 400ms;
+    CHECK_FALSE(directory_.find(hash_name("one"))->is_silent(now_));
+    CHECK(directory_.find(hash_name("two"))->is_silent(now_));
+}
+
+// The logs couldn't tell whom a search had asked before a reset (issue 19).
+TEST_CASE_FIXTURE(search_play, "a search ends without telling what it knew")
+{
+    confirms_ = false;
+    auto const order = add_ranked(3);
+    CHECK_FALSE(send(packet(1)).search_);
+    now_ += 20ms;
+    CHECK_FALSE(answer(packet(1), order[0], flow_holding::unsure).search_);
+    answer(packet(1), order[1], flow_holding::not_held);
+    SUBCASE("found")
+    {
+        auto const end = answer(packet(1), order[2], flow_holding::held);
+        REQUIRE(end.search_);
+        CHECK(end.search_->known_ == 3);
+        CHECK(end.search_->asked_ == 3);
+        CHECK(end.search_->denied_ == 1);
+        CHECK(end.search_->unsure_ == 1);
+        CHECK(end.search_->age_ == 20ms);
+    }
+    SUBCASE("held, told once, and reset")
+    {
+        answer(packet(1), order[2], flow_holding::not_held);
+        auto const wait =
+            give_back(packet(1), directory_.find(hash_name(order[0])));
+        REQUIRE(wait.search_);
+        CHECK(wait.cause_ == forward_cause::owner_missing);
+        CHECK(wait.search_->denied_ == 3);
+        now_ += 200ms;
+        CHECK_FALSE(overdue(packet(1)).search_);
+        confirms_ = true;
+        auto const end = overdue(packet(1));
+        CHECK(end.step_ == forward_step::reset);
+        REQUIRE(end.search_);
+        CHECK(end.search_->denied_ == 3);
+        CHECK(end.search_->age_ == 220ms);
+    }
+}
+
+// A balancer that was late to hear of a new route reset its open flows (issue
+// 19).
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "an open flow is reset since its route isn't known here yet")
+{
+    add_target("one");
+    auto open = packet(1);
+    open.destination_.port_ = 444;
+    auto const early = send(open);
+    CHECK(early.step_ == forward_step::drop);
+    CHECK(early.cause_ == forward_cause::no_route);
+    organisation_template added{"org", {}, {}};
+    added.routes_.push_back({"main", vip, {{hash_name(service_name), 1}}});
+    added.routes_.push_back(
+        {"new", open.destination_, {{hash_name(service_name), 1}}});
+    directory_.apply(added, 2);
+    CHECK(send(open).cause_ == forward_cause::searched);
+    SUBCASE("but at once after its route was removed")
+    {
+        added.routes_.pop_back();
+        directory_.apply(added, 3);
+        CHECK(send(open).step_ == forward_step::reset);
+        CHECK(send(open).cause_ == forward_cause::no_route);
+        open.reset_ = true;
+        CHECK(send(open).step_ == forward_step::drop);
+    }
+    SUBCASE("not while another organisation's route has the VIP")
+    {
+        organisation_template other{"other", {}, {}};
+        other.routes_.push_back(added.routes_.back());
+        added.routes_.pop_back();
+        directory_.apply(other, 3);
+        directory_.apply(added, 4);
+        CHECK(send(open).step_ != forward_step::reset);
+    }
+}
+
+TEST_CASE_FIXTURE(forwarding_fixture, "removed routes fill the memory")
+{
+    constexpr std::uint16_t count = 20'000;
+    organisation_template many{"many", {}, {}};
+    for (std::uint16_t port = 1; port <= count; ++port)
+    {
+        many.routes_.push_back(
+            {"r", {0x0A000002, port}, {{hash_name(service_name), 1}}});
+    }
+    directory_.apply(many, 2);
+    many.routes_.clear();
+    directory_.apply(many, 3);
+    CHECK_FALSE(directory_.was_removed({0x0A000002, 1}));
+    CHECK(directory_.was_removed({0x0A000002, count}));
+}
--- a/test/unit/owner_search_test.cpp
+++ b/test/unit/owner_search_test.cpp
@@ -23,6 +23,11 @@
         return search_.next_questions(now_);
     }
 
+    std::vector<target_id> repeat()
+    {
+        return search_.repeat(now_, [](target_id) { return false; });
+    }
+
     // All candidates answer so.
     void answer_all(flow_holding answer)
     {
@@ -35,11 +40,14 @@
         }
     }
 
-    std::vector<target_id> offer(std::vector<target_id> const& silent = {})
+    std::vector<target_id> offer(std::vector<target_id> const& silent = {},
+                                 bool knows_all = true)
     {
         return search_.next_offers(
-            now_, [&](target_id id)
-            { return std::ranges::find(silent, id) != silent.end(); });
+            now_,
+            [&](target_id id)
+            { return std::ranges::find(silent, id) != silent.end(); },
+            knows_all);
     }
 
     time_point now_{1h};
@@ -82,9 +90,9 @@
     {
         return false;
     };
-    CHECK(search.next_offers(now_, none).empty());
+    CHECK(search.next_offers(now_, none, true).empty());
     search.on_answer(3, flow_holding::unsure);
-    CHECK(search.next_offers(now_, none) == std::vector<target_id>{7, 3});
+    CHECK(search.next_offers(now_, none, true) == std::vector<target_id>{7, 3});
     CHECK(search.next_questions(now_).empty());
     CHECK(search.next_questions(now_ + 51ms).size() == 6);
 }
@@ -113,10 +121,10 @@
     search_.on_answer(2, flow_holding::unsure);
     CHECK_FALSE(search_.must_repeat(now_ + 150ms));
     CHECK(search_.must_repeat(now_ + 151ms));
-    CHECK(search_.repeat(now_) == std::vector<target_id>{3, 4, 5, 6});
+    CHECK(repeat() == std::vector<target_id>{3, 4, 5, 6});
     CHECK_FALSE(search_.must_repeat(now_ + 300ms));
-    search_.repeat(now_);
-    search_.repeat(now_);
+    repeat();
+    repeat();
     CHECK_FALSE(search_.must_repeat(now_ + 600ms));
     CHECK(search_.must_repeat(now_ + 601ms));
 }
@@ -151,6 +159,17 @@
     }
 }
 
+TEST_CASE_FIXTURE(search_fixture,
+                  "three packets are sent around while the owner isn't known")
+{
+    answer_all(flow_holding::unsure);
+    CHECK(offer({}, false) == std::vector<target_id>{1, 2});
+    search_.on_returned(1);
+    search_.on_returned(2);
+    CHECK(offer({}, false).empty());
+    CHECK(offer() == std::vector<target_id>{3, 4, 5, 6, 7, 8});
+}
+
 TEST_CASE_FIXTURE(search_fixture, "more targets have the packet than allowed")
 {
     search_.extend({9, 10, 11});
@@ -169,9 +188,9 @@
     answer_all(flow_holding::unsure);
     REQUIRE(offer().size() == 8);
     now_ += 599ms;
-    CHECK(search_.repeat(now_).empty());
+    CHECK(repeat().empty());
     now_ += 1ms;
-    auto const again = search_.repeat(now_);
+    auto const again = repeat();
     CHECK(again.size() == 8);
     CHECK(offer().empty());
     for (auto const target : again)
@@ -191,3 +210,17 @@
     CHECK(offer().empty());
     CHECK(search_.has_ended());
 }
+
+TEST_CASE_FIXTURE(search_fixture, "a lost target has no time to answer")
+{
+    auto const asked = ask();
+    auto const third_is_lost = [](target_id id)
+    {
+        return id == 3;
+    };
+    now_ += 350ms;
+    CHECK(search_.repeat(now_, third_is_lost) == asked);
+    now_ += 1ms;
+    CHECK(search_.repeat(now_, third_is_lost) ==
+          std::vector<target_id>{1, 2, 4, 5, 6});
+}
