--- a/src/core/control_health.cpp
+++ b/src/core/control_health.cpp
@@ -12,11 +12,11 @@
 
 using std::chrono::milliseconds;
 
-// A balancer that hasn't been heard for a second is probed within half a second,
-// so in a small fleet this much is usual.
+// A balancer that hasn't been heard for a second is probed within half a
+// second, so in a small fleet this much is usual.
 constexpr milliseconds silence_limit{1'750};
-// An isolated process verifies others every 3.25 s: if no verification has failed
-// for so long, most others answer.
+// An isolated process verifies others every 3.25 s: if no verification has
+// failed for so long, most others answer.
 constexpr milliseconds trust_time{4'000};
 constexpr milliseconds ping_age_limit{10'000};
 
--- a/test/unit/view_confirmation_test.cpp
+++ b/test/unit/view_confirmation_test.cpp
@@ -227,6 +227,28 @@
     }
 }
 
+TEST_CASE("balancers whose turns come late are never confirmed")
+{
+    for (int const turn : {200, 400, 900})
+    {
+        CAPTURE(turn);
+        control_fleet fleet(61, 0.01);
+        fill(fleet, 18, 20);
+        for (int i = 0; i < 6; ++i)
+        {
+            fleet.at(name('b', i)).turn_ = milliseconds(turn);
+        }
+        fleet.run_for(seconds(5));
+        for (int i = 0; i < 18; ++i)
+        {
+            auto const took =
+                confirm(fleet, fleet.at(name('b', i)), seconds(5));
+            REQUIRE(took);
+            CHECK(*took <= seconds(1) + 2 * milliseconds(turn));
+        }
+    }
+}
+
 TEST_CASE("a balancer that has just started confirms another one's view")
 {
     control_fleet fleet(58);
