Tests of single rounds of a confirmed view

Two mutations went unnoticed by the tests with whole fleets: a hash that isn't looked at and an unknown target named by a young peer. Both fail now.

--- a/test/unit/view_confirmation_test.cpp
+++ b/test/unit/view_confirmation_test.cpp
@@ -44,8 +44,100 @@
     return kind + std::to_string(index);
 }
 
+// A round of a balancer that knows 40 targets, with two of two others asked.
+struct asked_round
+{
+    asked_round()
+    {
+        for (std::uint64_t peer : {1, 2})
+        {
+            add(peer, balancer_service);
+        }
+        for (std::uint64_t target = 101; target <= 140; ++target)
+        {
+            add(target, 7);
+        }
+        round_.want(now_);
+        round_.asked(std::vector<std::uint64_t>{1, 2}, now_);
+    }
+
+    void add(std::uint64_t id, service_id service)
+    {
+        target_record record;
+        record.target_ = id;
+        record.service_ = service;
+        table_.merge(record, now_);
+    }
+
+    // The peer knows what is known here but for these targets.
+    view_answer answer(std::vector<std::uint64_t> const& different) const
+    {
+        view_answer result{round_.round(), table_.targets_hash(), true, {}};
+        for (auto const id : different)
+        {
+            result.targets_hash_ ^= hash_identifier(id);
+        }
+        return result;
+    }
+
+    bool is_confirmed()
+    {
+        return round_.check(table_, 2, now_).has_value();
+    }
+
+    time_point now_{seconds(5)};
+    member_table table_;
+    view_confirmation round_{0};
+};
+
 } // namespace
 
+TEST_CASE("a target that a peer knows and doesn't name counts as known")
+{
+    asked_round open;
+    open.round_.answered(1, open.answer({}));
+    open.round_.answered(2, open.answer({150}));
+    CHECK(!open.is_confirmed());
+    open.add(150, 7);
+    CHECK(open.is_confirmed());
+}
+
+TEST_CASE("a target that a young peer names counts as known")
+{
+    asked_round open;
+    open.add(3, balancer_service);
+    open.round_.asked(std::vector<std::uint64_t>{3}, open.now_);
+    open.round_.answered(1, open.answer({}));
+    open.round_.answered(2, open.answer({}));
+    auto young = open.answer({101, 102, 150});
+    young.is_settled_ = false;
+    young.latest_ = {150};
+    open.round_.answered(3, young);
+    CHECK(!open.is_confirmed());
+    open.add(150, 7);
+    CHECK(open.is_confirmed());
+}
+
+TEST_CASE("known targets that a peer doesn't know yet keep a view open")
+{
+    asked_round open;
+    open.round_.answered(1, open.answer({140, 139, 120}));
+    CHECK(!open.is_confirmed());
+    open.round_.answered(2, open.answer({}));
+    CHECK(open.is_confirmed());
+}
+
+TEST_CASE("an answer to an earlier round counts")
+{
+    asked_round open;
+    auto late = open.answer({});
+    --late.round_;
+    CHECK(!open.round_.answered(1, late));
+    CHECK(!open.round_.answered(9, open.answer({})));
+    open.round_.answered(2, open.answer({}));
+    CHECK(!open.is_confirmed());
+}
+
 TEST_CASE("equal views take more than one round trip to confirm")
 {
     for (int const balancers : {2, 3, 4, 18})
