A test on loopback: a lost flow is reset at the tick after the view's confirmation

The way from flow_forwarder through balancer_relay had no test: the wish for a view, the hold without a reset, and the reset at the next tick.

--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -436,6 +436,24 @@
           before);
 }
 
+// A caller whose flow nobody holds must not wait longer than for the view.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "a lost flow isn't reset though the view is confirmed")
+{
+    one_.relay_->on_new_run(true);
+    two_.relay_->on_new_run(true);
+    directory_.expect({}); // this balancer has met all listed targets
+    call(false);
+    CHECK(answers() == 0);
+    CHECK(balancer_->wants_view(current_time()));
+    directory_.confirm_view(current_time());
+    balancer_->tick(current_time());
+    run();
+    REQUIRE(answers() == 1);
+    CHECK(caller_.received_[0].reset_);
+    CHECK_FALSE(balancer_->wants_view(current_time()));
+}
+
 TEST_CASE("the head between balancer and agent keeps its fields")
 {
     relay_message message;
