Control messages no longer wait behind packets

News came seconds late to small balancers under load, and some were declared dead while they ran.

Its receive buffer was the system's default too.

Now the control socket is read in batches, up to 256 datagrams a turn, and a data port takes one batch of 64 a turn, so that timers and control have their turn after at most 64 packets of each port. All UDP sockets are opened in one way, with the same buffers.

New in the metrics: daisytrail_tick_late_seconds (how late the event loop runs its periodic work) and daisytrail_receive_drops (what the kernel dropped before it was read).

Evidence: "control messages waited behind hundreds of packets each" queues 400 packets and 200 control messages before the loop runs.

--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -41,6 +41,8 @@
       withheld_(counters.counter("daisytrail_resets_withheld_total")),
       response_time_(counters.latency("daisytrail_response_seconds"))
 {
+    balancers_.show_drops(counters, "balancers");
+    backend_.show_drops(counters, "backend");
     counters.gauge("daisytrail_requests_under_way", [this]
                    { return static_cast<double>(observer_.under_way()); });
     counters.gauge("daisytrail_flows_open", [this]
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -59,6 +59,8 @@
       refused_(counters.counter("daisytrail_packets_refused_total")),
       not_kept_(counters.counter("daisytrail_packets_not_kept_total"))
 {
+    callers_.show_drops(counters, "callers");
+    agents_.show_drops(counters, "agents");
     counters.gauge("daisytrail_flows_known",
                    [this] { return static_cast<double>(core_.flow_count()); });
     for (std::size_t step = 0; step < step_names.size(); ++step)
--- a/src/forward/datagram_port.cpp
+++ b/src/forward/datagram_port.cpp
@@ -6,16 +6,8 @@
 namespace daisytrail
 {
 
-namespace
-{
-
 namespace asio = boost::asio;
 
-// Batches handled before other events of the loop get a turn.
-constexpr int batches_per_turn = 8;
-
-} // namespace
-
 datagram_port::datagram_port(asio::io_context& io, endpoint const& local)
     : socket_(io, asio::ip::udp::v4(), open_udp_socket(local)),
       receiver_(socket_.native_handle()), sender_(socket_.native_handle())
@@ -53,30 +45,30 @@
                        });
 }
 
+// One batch a turn, so that timers and control messages don't wait behind
+// packets.
 void datagram_port::read()
 {
-    for (int turn = 0; socket_.is_open() && turn < batches_per_turn; ++turn)
+    auto const began = std::chrono::steady_clock::now();
+    auto const count = receiver_.receive();
+    for (std::size_t i = 0; i < count; ++i)
     {
-        auto const began = std::chrono::steady_clock::now();
-        auto const count = receiver_.receive();
-        for (std::size_t i = 0; i < count; ++i)
+        if (!receiver_.truncated(i))
         {
-            if (!receiver_.truncated(i))
-            {
-                on_datagram_(receiver_.datagram(i), receiver_.sender(i));
-            }
-        }
-        bool const is_empty = count < batch_size;
-        if (is_empty)
-        {
-            emptied_ = began;
-        }
-        after_batch_();
-        if (is_empty)
-        {
-            return;
+            on_datagram_(receiver_.datagram(i), receiver_.sender(i));
         }
     }
+    if (count < batch_size)
+    {
+        emptied_ = began;
+    }
+    after_batch_();
+}
+
+void datagram_port::show_drops(metrics& counters, std::string const& port)
+{
+    counters.gauge("daisytrail_receive_drops{port=\"" + port + "\"}",
+                   [this] { return receive_drops(socket_.native_handle()); });
 }
 
 std::span<std::byte> datagram_port::head()
--- a/src/forward/datagram_port.hpp
+++ b/src/forward/datagram_port.hpp
@@ -2,6 +2,7 @@
 // sends in batches.
 #pragma once
 
+#include "net/metrics.hpp"
 #include "net/udp_batch.hpp"
 
 #include <daisytrail/types.hpp>
@@ -11,6 +12,7 @@
 
 #include <functional>
 #include <span>
+#include <string>
 
 namespace daisytrail
 {
@@ -28,6 +30,9 @@
 
     // `after_batch` is called once the datagrams of a batch were handled.
     void start(handler on_datagram, std::function<void()> after_batch);
+
+    // Shows what the kernel dropped before it was read, under the port's name.
+    void show_drops(metrics& counters, std::string const& port);
     void stop();
 
     // Reads and handles what has come.
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -47,6 +47,7 @@
       relay_(io, settings, format, life_, metrics_),
       control_(io, without_service(settings.agent_), metrics_, *this),
       timer_(io, tick_interval, [this] { on_tick(); }),
+      tick_late_(metrics_.latency("daisytrail_tick_late_seconds")),
       signals_(io, SIGTERM, SIGINT, SIGHUP)
 {
     add_pages();
@@ -208,6 +209,7 @@
 void forward_agent::on_tick()
 {
     auto const now = current_time();
+    tick_late_.add(std::chrono::duration<double>(timer_.late()).count());
     relay_.tick(now);
     if (stopping_since_)
     {
--- a/src/forward/forward_agent.hpp
+++ b/src/forward/forward_agent.hpp
@@ -63,6 +63,7 @@
     agent_relay relay_;
     agent_control control_;
     periodic_timer timer_;
+    histogram& tick_late_;
     boost::asio::signal_set signals_;
     std::optional<target_status> published_;
     std::optional<time_point> stopping_since_;
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -53,6 +53,7 @@
       relay_(io, settings, format, directory_, metrics_),
       control_(io, settings.balancer_, metrics_, *this, std::move(store)),
       timer_(io, tick_interval, [this] { on_tick(); }),
+      tick_late_(metrics_.latency("daisytrail_tick_late_seconds")),
       signals_(io, SIGTERM, SIGINT, SIGHUP)
 {
     add_pages();
@@ -148,6 +149,7 @@
 void forward_balancer::on_tick()
 {
     auto const now = current_time();
+    tick_late_.add(std::chrono::duration<double>(timer_.late()).count());
     relay_.tick(now);
     if (relay_.wants_view(now))
     {
--- a/src/forward/forward_balancer.hpp
+++ b/src/forward/forward_balancer.hpp
@@ -61,6 +61,7 @@
     balancer_relay relay_;
     balancer_control control_;
     periodic_timer timer_;
+    histogram& tick_late_;
     boost::asio::signal_set signals_;
     std::optional<time_point> stops_at_; // set while stopping
     time_point learned_{}; // when the last new target became known
--- a/src/net/control_link.cpp
+++ b/src/net/control_link.cpp
@@ -4,8 +4,6 @@
 #include "net/log.hpp"
 #include "rpc/control_messages.hpp"
 
-#include <daisytrail/error.hpp>
-
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <utility>
@@ -24,8 +22,9 @@
 
 constexpr std::chrono::seconds report_interval{1}; // of dropped datagrams
 
-// Datagrams read before other events of the loop get a turn.
-constexpr int datagrams_per_turn = 64;
+// Batches handled before other events of the loop get a turn. A process that
+// is late has this much to catch up with while packets wait.
+constexpr int batches_per_turn = 4;
 
 time_point now()
 {
@@ -37,8 +36,10 @@
 control_link::control_link(asio::io_context& io,
                            common_settings const& settings,
                            std::uint64_t session, metrics& counters)
-    : socket_(io), authenticator_(settings.keys_, hash_name(settings.name_),
-                                  session, datagram_channel::control),
+    : socket_(io, udp::v4(), open_udp_socket(settings.control_)),
+      receiver_(socket_.native_handle()),
+      authenticator_(settings.keys_, hash_name(settings.name_), session,
+                     datagram_channel::control),
       budget_(settings.control_bytes_per_second_),
       malformed_(counters.counter("daisytrail_control_malformed_total")),
       sent_bytes_(counters.counter("daisytrail_control_sent_bytes_total")),
@@ -53,18 +54,9 @@
             &counters.counter("daisytrail_control_datagrams_total{verdict=\"" +
                               std::string(open_verdict_names[i]) + "\"}");
     }
-    udp::endpoint const local(asio::ip::address_v4(settings.control_.address_),
-                              settings.control_.port_);
-    boost::system::error_code code;
-    socket_.open(udp::v4());
-    socket_.bind(local, code);
-    if (code)
-    {
-        throw error(error_kind::unavailable,
-                    "can't take control datagrams on " +
-                        to_string(settings.control_) + ": " + code.message());
-    }
     socket_.non_blocking(true);
+    counters.gauge("daisytrail_receive_drops{port=\"control\"}",
+                   [this] { return receive_drops(socket_.native_handle()); });
 }
 
 void control_link::start(receiver handler)
@@ -125,32 +117,27 @@
                        });
 }
 
-// Load pattern: packets take up to 512 datagrams of each data socket in one
-// turn of the loop, so news must not take one turn each.
 void control_link::read()
 {
-    for (int i = 0; i < datagrams_per_turn && socket_.is_open(); ++i)
+    for (int turn = 0; turn < batches_per_turn; ++turn)
     {
-        boost::system::error_code code;
-        auto const bytes =
-            socket_.receive_from(asio::buffer(buffer_), from_, 0, code);
-        if (code == asio::error::would_block)
+        auto const count = receiver_.receive();
+        for (std::size_t i = 0; i < count && socket_.is_open(); ++i)
         {
-            return;
+            take(receiver_.datagram(i), receiver_.sender(i));
         }
-        // A refused datagram of an earlier send is reported here.
-        if (!code)
+        if (count < batch_size || !socket_.is_open())
         {
-            take(bytes);
+            return;
         }
     }
 }
 
-void control_link::take(std::size_t bytes)
+void control_link::take(std::span<std::byte const> datagram,
+                        endpoint const& from)
 {
-    received_bytes_ += bytes + header_bytes;
-    auto const opened =
-        authenticator_.open(std::span(buffer_).first(bytes), now());
+    received_bytes_ += datagram.size() + header_bytes;
+    auto const opened = authenticator_.open(datagram, now());
     ++*verdicts_[static_cast<std::size_t>(opened.verdict_)];
     if (opened.verdict_ != open_verdict::accepted)
     {
@@ -162,8 +149,7 @@
         ++malformed_;
         return;
     }
-    handler_({from_.address().to_v4().to_uint(), from_.port()}, opened.sender_,
-             *message);
+    handler_(from, opened.sender_, *message);
 }
 
 } // namespace daisytrail
--- a/src/net/control_link.hpp
+++ b/src/net/control_link.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/metrics.hpp"
+#include "net/udp_batch.hpp"
 #include "rpc/authenticator.hpp"
 
 #include <daisytrail/byte_budget.hpp>
@@ -14,6 +15,7 @@
 
 #include <array>
 #include <functional>
+#include <span>
 
 namespace daisytrail
 {
@@ -38,15 +40,14 @@
 private:
     void wait();
     void read();
-    void take(std::size_t bytes);
+    void take(std::span<std::byte const> datagram, endpoint const& from);
     void drop_over_budget(time_point at);
 
     boost::asio::ip::udp::socket socket_;
+    udp_receiver receiver_;
     authenticator authenticator_;
     byte_budget budget_;
     receiver handler_;
-    boost::asio::ip::udp::endpoint from_;
-    alignas(8) std::array<std::byte, 2'048> buffer_{};
     std::array<std::uint64_t*, static_cast<std::size_t>(open_verdict::count)>
         verdicts_{};
     std::uint64_t& malformed_;
--- a/src/net/periodic_timer.cpp
+++ b/src/net/periodic_timer.cpp
@@ -18,6 +18,7 @@
     boost::asio::steady_timer timer_;
     std::chrono::milliseconds interval_;
     std::function<void()> task_;
+    duration late_{};
     bool is_running_ = false;
 };
 
@@ -48,6 +49,11 @@
     state_->timer_.cancel();
 }
 
+duration periodic_timer::late() const
+{
+    return state_->late_;
+}
+
 void periodic_timer::wait(std::shared_ptr<state> const& running)
 {
     running->timer_.expires_after(running->interval_);
@@ -58,6 +64,8 @@
             {
                 return;
             }
+            running->late_ =
+                std::chrono::steady_clock::now() - running->timer_.expiry();
             running->task_();
             if (running->is_running_)
             {
--- a/src/net/periodic_timer.hpp
+++ b/src/net/periodic_timer.hpp
@@ -1,6 +1,8 @@
 // A task that runs at a fixed interval on the event loop.
 #pragma once
 
+#include <daisytrail/types.hpp>
+
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
@@ -28,6 +30,9 @@
     void start();
     void stop();
 
+    // How long after its time the latest call of the task began.
+    duration late() const;
+
 private:
     struct state;
 
--- a/src/net/udp_batch.cpp
+++ b/src/net/udp_batch.cpp
@@ -35,6 +35,17 @@
     return result;
 }
 
+using socket_usage = std::array<std::uint32_t, SK_MEMINFO_VARS>;
+
+// All zeros if the kernel doesn't tell.
+socket_usage read_usage(int socket)
+{
+    socket_usage usage{};
+    socklen_t size = sizeof(usage);
+    ::getsockopt(socket, SOL_SOCKET, SO_MEMINFO, usage.data(), &size);
+    return usage;
+}
+
 } // namespace
 
 udp_receiver::udp_receiver(int socket)
@@ -163,11 +174,8 @@
 
 double receive_queue_fill(int socket)
 {
-    std::array<std::uint32_t, SK_MEMINFO_VARS> usage{};
-    socklen_t size = sizeof(usage);
-    if (::getsockopt(socket, SOL_SOCKET, SO_MEMINFO, usage.data(), &size) !=
-            0 ||
-        usage[SK_MEMINFO_RCVBUF] == 0)
+    auto const usage = read_usage(socket);
+    if (usage[SK_MEMINFO_RCVBUF] == 0)
     {
         return 0.0;
     }
@@ -176,4 +184,9 @@
     return std::min(fill, 1.0);
 }
 
+double receive_drops(int socket)
+{
+    return read_usage(socket)[SK_MEMINFO_DROPS];
+}
+
 } // namespace daisytrail
--- a/src/net/udp_batch.hpp
+++ b/src/net/udp_batch.hpp
@@ -99,4 +99,8 @@
 // Share of the socket's receive buffer that waiting datagrams use: 0 to 1.
 double receive_queue_fill(int socket);
 
+// Datagrams that the kernel has dropped since the socket was opened, mostly for
+// lack of room in its receive buffer.
+double receive_drops(int socket);
+
 } // namespace daisytrail
--- a/test/unit/control_link_test.cpp
+++ b/test/unit/control_link_test.cpp
@@ -1,81 +1,103 @@
-// Tests of the control plane's socket.
+// Control datagrams beside packets on one event loop, on loopback sockets.
+#include "forward/datagram_port.hpp"
 #include "net/control_link.hpp"
 
-#include <boost/asio/ip/address_v4.hpp>
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+#include <vector>
+
 using namespace daisytrail;
 
 namespace
 {
 
-common_settings settings_of(std::string const& name)
-{
-    using boost::asio::ip::udp;
-    boost::asio::io_context io;
-    udp::socket const free(
-        io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    common_settings result;
-    result.name_ = name;
-    result.control_ = {0x7F000001, free.local_endpoint().port()};
-    result.keys_ = {std::string(64, '1')};
-    return result;
-}
+namespace asio = boost::asio;
+using asio::ip::udp;
 
-struct link_pair
-{
-    void send(int datagrams)
-    {
-        for (int i = 0; i < datagrams; ++i)
-        {
-            sender_.send(to_.control_, ping_message{1});
-        }
-    }
+constexpr std::uint64_t session = 1;
 
-    boost::asio::io_context io_;
-    metrics counters_;
-    common_settings to_ = settings_of("receiver");
-    control_link receiver_{io_, to_, 1, counters_};
-    control_link sender_{io_, settings_of("sender"), 1, counters_};
-    int taken_ = 0;
-};
-
-} // namespace
+endpoint free_endpoint()
+{
+    asio::io_context io;
+    udp::socket const socket(
+        io, udp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return {asio::ip::address_v4::loopback().to_uint(),
+            socket.local_endpoint().port()};
+}
 
-// Load pattern: each turn of a starved balancer's loop also takes hundreds of
-// packets of the data path.
-TEST_CASE("control datagrams wait for one turn of the event loop each")
+udp::endpoint to_udp(endpoint const& value)
 {
-    link_pair links;
-    links.receiver_.start([&](endpoint const&, std::uint64_t,
-                              control_message const&) { ++links.taken_; });
-    links.send(50);
-    links.io_.run_one();
-    CHECK(links.taken_ == 50);
+    return {asio::ip::address_v4(value.address_), value.port_};
 }
 
-TEST_CASE("control datagrams beyond those of one turn stay unread")
+common_settings make_settings(std::string const& name)
 {
-    link_pair links;
-    links.receiver_.start([&](endpoint const&, std::uint64_t,
-                              control_message const&) { ++links.taken_; });
-    links.send(200);
-    links.io_.run_one();
-    CHECK(links.taken_ < 200);
-    links.io_.poll();
-    CHECK(links.taken_ == 200);
+    common_settings result;
+    result.name_ = name;
+    result.control_ = free_endpoint();
+    result.keys_ = {std::string(64, 'a')};
+    result.control_bytes_per_second_ = 1'000'000;
+    return result;
 }
 
-TEST_CASE("a link that is stopped by what it reads goes on reading")
+} // namespace
+
+// Small balancers heard news seconds late and were declared dead while they
+// ran.
+TEST_CASE("control messages waited behind hundreds of packets each")
 {
-    link_pair links;
-    links.receiver_.start(
+    constexpr int messages = 200;
+    constexpr int sent_packets = 400;
+    asio::io_context io;
+    metrics counters;
+    auto const settings = make_settings("receiver");
+    control_link sender(io, make_settings("sender"), session, counters);
+    control_link link(io, settings, session, counters);
+    auto const data_at = free_endpoint();
+    datagram_port data(io, data_at);
+    udp::socket callers(io, udp::v4());
+    std::array<std::byte, 8> const packet{};
+    for (int i = 0; i < sent_packets; ++i)
+    {
+        callers.send_to(asio::buffer(packet), to_udp(data_at));
+    }
+    for (int i = 0; i < messages; ++i)
+    {
+        sender.send(settings.control_, ping_message{});
+    }
+    int handled = 0;
+    std::size_t packets = 0;
+    std::size_t packets_before = 0; // the last control message
+    data.start([&](std::span<std::byte>, endpoint const&) { ++packets; },
+               [] {});
+    link.start(
         [&](endpoint const&, std::uint64_t, control_message const&)
         {
-            ++links.taken_;
-            links.receiver_.stop();
+            ++handled;
+            packets_before = packets;
         });
-    links.send(20);
-    links.io_.run();
-    CHECK(links.taken_ == 1);
+    while (io.poll_one() > 0)
+    {
+    }
+    CHECK(packets == sent_packets);
+    CHECK(handled == messages);
+    CHECK(packets_before <= 2 * batch_size);
+}
+
+TEST_CASE("datagrams that the kernel drops are shown nowhere")
+{
+    auto const at = free_endpoint();
+    int const full = open_udp_socket(at);
+    asio::io_context io;
+    udp::socket sender(io, udp::v4());
+    std::vector<std::byte> const datagram(max_datagram_bytes);
+    CHECK(receive_drops(full) == 0);
+    // More than the buffer may hold.
+    for (int i = 0; i < 2 * socket_buffer_bytes / 1'024; ++i)
+    {
+        sender.send_to(asio::buffer(datagram), to_udp(at));
+    }
+    CHECK(receive_drops(full) > 0);
+    ::close(full);
 }
--- /dev/null
+++ b/test/unit/control_reading_test.cpp
@@ -0,0 +1,81 @@
+// Tests of the control plane's socket.
+#include "net/control_link.hpp"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+
+namespace
+{
+
+common_settings settings_of(std::string const& name)
+{
+    using boost::asio::ip::udp;
+    boost::asio::io_context io;
+    udp::socket const free(
+        io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    common_settings result;
+    result.name_ = name;
+    result.control_ = {0x7F000001, free.local_endpoint().port()};
+    result.keys_ = {std::string(64, '1')};
+    return result;
+}
+
+struct link_pair
+{
+    void send(int datagrams)
+    {
+        for (int i = 0; i < datagrams; ++i)
+        {
+            sender_.send(to_.control_, ping_message{1});
+        }
+    }
+
+    boost::asio::io_context io_;
+    metrics counters_;
+    common_settings to_ = settings_of("receiver");
+    control_link receiver_{io_, to_, 1, counters_};
+    control_link sender_{io_, settings_of("sender"), 1, counters_};
+    int taken_ = 0;
+};
+
+} // namespace
+
+// Load pattern: each turn of a starved balancer's loop also takes hundreds of
+// packets of the data path.
+TEST_CASE("control datagrams wait for one turn of the event loop each")
+{
+    link_pair links;
+    links.receiver_.start([&](endpoint const&, std::uint64_t,
+                              control_message const&) { ++links.taken_; });
+    links.send(50);
+    links.io_.run_one();
+    CHECK(links.taken_ == 50);
+}
+
+TEST_CASE("control datagrams beyond those of one turn stay unread")
+{
+    link_pair links;
+    links.receiver_.start([&](endpoint const&, std::uint64_t,
+                              control_message const&) { ++links.taken_; });
+    links.send(200);
+    links.io_.run_one();
+    CHECK(links.taken_ < 200);
+    links.io_.poll();
+    CHECK(links.taken_ == 200);
+}
+
+TEST_CASE("a link that is stopped by what it reads goes on reading")
+{
+    link_pair links;
+    links.receiver_.start(
+        [&](endpoint const&, std::uint64_t, control_message const&)
+        {
+            ++links.taken_;
+            links.receiver_.stop();
+        });
+    links.send(20);
+    links.io_.run();
+    CHECK(links.taken_ == 1);
+}
--- a/test/unit/periodic_timer_test.cpp
+++ b/test/unit/periodic_timer_test.cpp
@@ -80,6 +80,26 @@
     CHECK(calls == 1);
 }
 
+TEST_CASE("a task that runs late can't tell how late")
+{
+    boost::asio::io_context io;
+    duration late{};
+    std::optional<periodic_timer> timer;
+    timer.emplace(io, interval,
+                  [&]
+                  {
+                      late = timer->late();
+                      timer->stop();
+                  });
+    timer->start();
+    auto const later = std::chrono::steady_clock::now() + 4 * interval;
+    while (std::chrono::steady_clock::now() < later)
+    {
+    }
+    io.run();
+    CHECK(late >= 2 * interval);
+}
+
 TEST_CASE("a second start changes nothing")
 {
     boost::asio::io_context io;
