A balancer that was declared dead is told by whom it pings

Others spread no news to a balancer that they hold dead, so it learns little until it has come back.

Cause: a balancer that holds the sender of a ping dead answered with a pong only. The sender heard of its death when it next compared views, which takes four messages and of these one that is dropped first when bytes are short, or when somebody who sought lost balancers met it.

An agent was already told, by the acknowledgement of its heartbeat.

--- a/src/core/balancer_messages.cpp
+++ b/src/core/balancer_messages.cpp
@@ -47,9 +47,15 @@
 
 void balancer_membership::on(ping_message const& message, endpoint const& from)
 {
-    if (message.subject_ == self_.target_)
+    if (message.subject_ != self_.target_)
     {
-        send(from, pong_message{to_item(self_)});
+        return;
+    }
+    send(from, pong_message{to_item(self_)});
+    auto const* sender = table_.find(sender_);
+    if (sender != nullptr && sender->state_ == member_state::dead)
+    {
+        send(from, digest_message{0, {to_item(*sender)}, false});
     }
 }
 
--- a/test/unit/starved_member_test.cpp
+++ b/test/unit/starved_member_test.cpp
@@ -88,3 +88,24 @@
                   seconds(20)) <= seconds(2));
     }
 }
+
+TEST_CASE(
+    "a balancer that was declared dead isn't told until it compares views")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        CAPTURE(seed);
+        control_fleet fleet(seed, 0.01);
+        fleet.limit_bytes(9'000);
+        fill(fleet, 18, 60, "");
+        fleet.run_for(seconds(30)); // then lost balancers are sought rarely
+        auto& cut = fleet.at("b0");
+        cut.side_ = 1;
+        fleet.run_for(seconds(10) + seed * milliseconds(100));
+        REQUIRE(fleet.at("b1").balancer_->members().balancers().size() == 17);
+        cut.side_ = 0;
+        CHECK(fleet.run_until(
+                  [&] { return cut.reports_[report_kind::declared_dead] > 0; },
+                  seconds(20)) <= milliseconds(400));
+    }
+}
