--- a/include/daisytrail/control_messages.hpp
+++ b/include/daisytrail/control_messages.hpp
@@ -231,7 +231,7 @@
     paused,           // the event loop stood still
     member_dead,      // this process declared a member dead
     self_trusted,     // most others answer again
-    balancers_silent, // no other balancer was heard for over a second
+    balancers_silent, // no other balancer was heard for 1.75 s
     balancers_heard,  // one was heard again
     view_unconfirmed, // others don't confirm the targets that are known
     view_settled,     // they do, or nobody wants it any more
