Packets to agents that can't tell go to all of them at once, or not yet

All were flows of one agent that had been restarted and can't tell: two packets went to others of 16 that can't tell while answers or the view were missing, and the owner got none for 3.4 s and more; its turn came in the second eight.

Change: an early packet is sent only if all that can't tell may get one; once all have answered, up to 32 get it at once, so that the owner doesn't wait for the others'.

--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -130,7 +130,7 @@
     // Time that a lost target has to answer.
     static constexpr std::chrono::milliseconds lost_patience{350};
     // Targets that have the packet at the same time.
-    static constexpr std::size_t max_offers = 8;
+    static constexpr std::size_t max_offers = 32;
     // Packets that are sent before every candidate has answered, or while the
     // owner may be missing among them.
     static constexpr std::size_t early_offers = 2;
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -224,9 +224,16 @@
     std::ranges::stable_sort(ready, {}, &candidate::offered_);
     // Otherwise the owner may be one that doesn't get the packet.
     bool const is_owner_among = knows_all && !is_asking();
-    auto const open = std::min(open_offers(), max_offers);
-    auto const limit = is_owner_among ? max_offers - open : early_offers_left_;
-    ready.resize(std::min(ready.size(), limit));
+    if (is_owner_among)
+    {
+        auto const open = std::min(open_offers(), max_offers);
+        ready.resize(std::min(ready.size(), max_offers - open));
+    }
+    else if (ready.size() > early_offers_left_)
+    {
+        // Most would go astray, and the next ones had to wait for all answers.
+        ready.clear();
+    }
     early_offers_left_ -= is_owner_among ? 0 : ready.size();
     std::vector<target_id> result;
     for (auto* const each : ready)
--- a/test/unit/flow_denials_test.cpp
+++ b/test/unit/flow_denials_test.cpp
@@ -27,6 +27,7 @@
         record_.version_ = {1, 1};
         directory_.apply(record_);
         directory_.heard(record_.target_, {.accepts_ = true}, now_);
+        directory_.confirm_view(now_);
     }
 
     void declare_dead()
@@ -114,6 +115,10 @@
             auto const action =
                 forwarder_.on_overdue(packet().flow_from_caller(), now_);
             offers += action.step_ == forward_step::send ? 1 : 0;
+            bool const is_asked = !action.questions_.empty();
+            auto const told = is_asked ? answer(flow_holding::unsure).step_
+                                       : forward_step::hold;
+            offers += told == forward_step::send ? 1 : 0;
         }
     }
     CHECK(offers >= 3);
