--- a/test/support/platform_fleet.cpp
+++ b/test/support/platform_fleet.cpp
@@ -22,6 +22,9 @@
 constexpr char const* fleet_key =
     "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
+constexpr char const* newer_key =
+    "101112131415161718191a1b1c1d1e1f000102030405060708090a0b0c0d0e0f";
+
 endpoint at(int port)
 {
     return {loopback, static_cast<std::uint16_t>(port)};
@@ -108,6 +111,32 @@
     return result;
 }
 
+std::string platform_fleet::keys_of_balancer(int number) const
+{
+    bool const is_restarted = balancers_.contains(number);
+    bool const is_deaf =
+        (plan_.hearing_ == control_hearing::one_deaf &&
+         number == plan_.balancers_) ||
+        (plan_.hearing_ == control_hearing::old_deaf && !is_restarted);
+    return is_deaf ? quoted(fleet_key) : keys(is_restarted);
+}
+
+std::string platform_fleet::keys_of_agent(int number) const
+{
+    return keys(number > plan_.agents_);
+}
+
+// The first key signs; all of them are accepted.
+std::string platform_fleet::keys(bool signs_with_newer) const
+{
+    if (plan_.hearing_ == control_hearing::whole)
+    {
+        return quoted(fleet_key);
+    }
+    return signs_with_newer ? quoted(newer_key) + ", " + quoted(fleet_key)
+                            : quoted(fleet_key) + ", " + quoted(newer_key);
+}
+
 std::unique_ptr<child_process>
 platform_fleet::launch(std::string const& name, std::string const& program,
                        std::string const& settings) const
@@ -148,7 +177,7 @@
             ", \"store_watchers\": " + std::to_string(plan_.store_watchers_) +
             ", \"apply_within_ms\": 3000" + ", \"caller_port\": " +
             std::to_string(callers().port_) + ", \"seeds\": [" + seeds() +
-            "], \"keys\": [" + quoted(fleet_key) + "]}");
+            "], \"keys\": [" + keys_of_balancer(number) + "]}");
 }
 
 void platform_fleet::start_agent(int number)
@@ -165,8 +194,8 @@
             ", \"outbound\": " + quoted(outbound(number)) +
             ", \"backend\": " + quoted(backend(number)) +
             ", \"caller_port\": " + std::to_string(callers().port_) +
-            ", \"seeds\": [" + seeds() + "], \"keys\": [" + quoted(fleet_key) +
-            "]}");
+            ", \"seeds\": [" + seeds() + "], \"keys\": [" +
+            keys_of_agent(number) + "]}");
 }
 
 } // namespace daisytrail
--- a/test/support/platform_fleet.hpp
+++ b/test/support/platform_fleet.hpp
@@ -6,13 +6,29 @@
 
 #include <daisytrail/types.hpp>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace daisytrail
 {
 
+// Who hears control messages of processes that start late. Their keys decide:
+// all of these sign with a newer one, and balancers that were restarted too.
+enum class control_hearing : std::uint8_t
+{
+    whole,    // everybody
+    one_deaf, // all but the last balancer
+    old_deaf, // all but the balancers that weren't restarted yet
+    count
+};
+
+inline constexpr std::array<std::string_view,
+                            static_cast<std::size_t>(control_hearing::count)>
+    control_hearing_names{"whole", "one_deaf", "old_deaf"};
+
 struct fleet_plan
 {
     std::string programs_; // folder of the programs
@@ -21,6 +37,7 @@
     int balancers_ = 3;
     int agents_ = 4;
     int store_watchers_ = 32;
+    control_hearing hearing_ = control_hearing::whole;
 };
 
 class platform_fleet
@@ -67,6 +84,9 @@
     endpoint balancer_port(int number, int offset) const;
     endpoint agent_port(int number, int offset) const;
     std::string seeds() const;
+    std::string keys(bool signs_with_newer) const;
+    std::string keys_of_balancer(int number) const;
+    std::string keys_of_agent(int number) const;
     std::unique_ptr<child_process> launch(std::string const& name,
                                           std::string const& program,
                                           std::string const& settings) const;
