--- a/test/support/trial_rotation.cpp
+++ b/test/support/trial_rotation.cpp
@@ -28,12 +28,15 @@
 
 void trial_rotation::ask()
 {
-    for (auto& [number, misses] : misses_)
+    for (auto& entry : misses_)
     {
-        timeline_.call(
-            fleet_.balancer_page(number), boost::beast::http::verb::get,
-            "/api/ready", {}, interval,
-            [&misses](bool is_ready) { misses = is_ready ? 0 : misses + 1; });
+        auto const on_answer = [&misses = entry.second](bool is_ready)
+        {
+            misses = is_ready ? 0 : misses + 1;
+        };
+        timeline_.call(fleet_.balancer_page(entry.first),
+                       boost::beast::http::verb::get, "/api/ready", {},
+                       interval, on_answer);
     }
 }
 
--- a/test/support/trial_timeline.cpp
+++ b/test/support/trial_timeline.cpp
@@ -14,6 +14,13 @@
 
 using std::chrono::milliseconds;
 
+namespace
+{
+
+constexpr milliseconds poll_interval{50};
+
+} // namespace
+
 void trial_timeline::later(milliseconds time, std::function<void()> task)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
@@ -30,7 +37,6 @@
 void trial_timeline::when_ended(child_process& process, milliseconds pause,
                                 std::function<void()> task)
 {
-    constexpr milliseconds poll_interval{50};
     later(pause,
           [this, &process, task = std::move(task)]() mutable
           {
