--- a/test/tools/flow_trial.cpp
+++ b/test/tools/flow_trial.cpp
@@ -1,7 +1,7 @@
 // Plays the platform's programs as real processes through planned work and
 // pauses drawn from a seed, with callers and backend servers that see whether
 // open flows stay with their own backend server:
-//   daisytrail-flow-trial --seed 7 --seconds 20 --work DIR --port 28000
+//   daisytrail-flow-trial --seed 7 --seconds 24 --work DIR --port 28000
 // Prints what it does and each broken rule; exits with 1 if there is one.
 #include "forward/datagram_port.hpp"
 #include "net/periodic_timer.hpp"
@@ -225,10 +225,12 @@
     void step()
     {
         auto const now = steady_clock::now();
+        auto const before = std::exchange(stepped_, now);
         if (now < begin_ + callers_from)
         {
             return;
         }
+        longest_step_ = std::max(longest_step_, now - before);
         // Half of the flows are there before the work, the others join later.
         auto const part = [&](milliseconds time)
         {
@@ -502,6 +504,8 @@
                   << judge_.left_in_silence() << " left in silence\n"
                   << "SYNs: " << ended(caller_state::refused) << " refused, "
                   << ended(caller_state::unopened) << " without an answer\n"
+                  << "the trial itself stood still for up to "
+                  << ms(longest_step_) << " ms\n"
                   << judge_.judged() << " flows judged, "
                   << judge_.violations().size() << " broken\n";
     }
@@ -514,6 +518,8 @@
     milliseconds length_;
     std::size_t wanted_flows_;
     time_point begin_ = steady_clock::now();
+    time_point stepped_ = begin_;
+    duration longest_step_{};
     platform::packet_head format_;
     datagram_port callers_;
     std::vector<std::unique_ptr<backend>> backends_; // from number 1
@@ -548,7 +554,7 @@
     plan.balancers_ = 5;
     plan.agents_ = 16;
     std::uint64_t seed = 1;
-    unsigned seconds = 20;
+    unsigned seconds = 24;
     std::size_t flows = 500;
     app.add_option("--seed", seed, "of the timeline");
     app.add_option("--seconds", seconds, "length");
