A backend server that ends before it was heard isn't gone

Cause: an end counted only for a run that had announced itself, so the agent stayed without a phase, passed packets to a closed port and never left.

Change: before the first announcement an end is that of the backend server beside the process; nobody else says so there. A later run is taken as before.

Evidence: "a backend server that ends before it was heard isn't gone" failed: on_end returned false (the first condition of the old code); it passes.

--- a/src/core/backend_life.cpp
+++ b/src/core/backend_life.cpp
@@ -48,7 +48,13 @@
 
 bool backend_life::on_end(std::string const& id)
 {
-    if (phase_ == backend_phase::unknown || id != last_.id_)
+    // Only the backend server beside this process says so: before the first
+    // announcement it is the one that runs.
+    if (phase_ == backend_phase::unknown)
+    {
+        last_.id_ = id;
+    }
+    if (id != last_.id_)
     {
         return false;
     }
--- /dev/null
+++ b/test/unit/backend_life_test.cpp
@@ -0,0 +1,26 @@
+// Tests of the order of a backend server's runs and announcements.
+#include <daisytrail/backend_life.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace daisytrail;
+using namespace std::chrono_literals;
+
+// An agent that was restarted while its backend server drained heard of the end
+// before any announcement, and passed packets to nobody.
+TEST_CASE("a backend server that ends before it was heard isn't gone")
+{
+    backend_life life("orders");
+    CHECK(life.on_end("one"));
+    CHECK(life.phase() == backend_phase::gone);
+    backend_announcement next;
+    next.id_ = "two";
+    next.service_ = "orders";
+    next.started_ = 1;
+    next.sequence_ = 1;
+    CHECK(life.on_announcement(next, time_point{1h}) ==
+          announcement_outcome::accepted);
+    CHECK(life.phase() == backend_phase::ready);
+    CHECK_FALSE(life.on_end("one"));
+    CHECK(life.phase() == backend_phase::ready);
+}
