No packet goes to agents that can't tell while a target may be missing from the view

A balancer that had just started, or that nobody heard, knew a part of the targets; each search sent two packets around, and searches of one flow begin anew.

The view is asked for as soon as no agent that answers is awaited; a silent agent held that up until it was dead.

--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -84,11 +84,13 @@
     // answers to the last ones.
     std::vector<target_id> next_questions(time_point now);
 
+    // True while an agent that isn't silent owes an answer.
+    bool awaits_answers(target_test const& is_silent) const;
+
     // Targets that can't tell and are to be offered the packet now. Only a
-    // silent one may owe an answer by then. With `knows_all`, no target is
-    // missing among the candidates.
-    std::vector<target_id>
-    next_offers(time_point now, target_test const& is_silent, bool knows_all);
+    // silent one may owe an answer by then.
+    std::vector<target_id> next_offers(time_point now,
+                                       target_test const& is_silent);
 
 private:
     enum class state : std::uint8_t
@@ -113,6 +115,8 @@
     bool has(state wanted) const;
     bool is_awaited(candidate const& each, target_test const& is_silent) const;
     std::size_t open_offers() const;
+    bool awaits_preferred(target_test const& is_silent) const;
+    std::vector<candidate*> ready_for_offers(target_test const& is_silent);
 
     time_point began_;
     std::vector<candidate> candidates_;
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -496,10 +496,13 @@
     {
         return directory_.find(id)->is_silent(now);
     };
-    add_offers(action, search.next_offers(now, is_silent, knows_all(search)),
-               now);
+    bool const has_view = knows_all(search);
+    if (has_view || knows_stored_list(now))
+    {
+        add_offers(action, search.next_offers(now, is_silent), now);
+    }
     value.waits_for_view_ =
-        !knows_all(search) && !search.is_asking() && !search.is_offering();
+        !has_view && !search.awaits_answers(is_silent) && !search.is_offering();
     if (value.waits_for_view_)
     {
         view_wanted_ = std::max(view_wanted_, search.began());
@@ -516,6 +519,14 @@
     return confirmed && *confirmed >= search.began();
 }
 
+// After a loss of power no balancer is old enough to confirm another's view;
+// the stored list of targets has to do for packets to those that can't tell.
+bool flow_forwarder::knows_stored_list(time_point now) const
+{
+    return now < started_ + settings_.stored_list_time_ &&
+           directory_.has_met_all();
+}
+
 bool flow_forwarder::wants_view(time_point now) const
 {
     auto const confirmed = directory_.view_confirmed();
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -198,23 +198,30 @@
         std::ranges::count(candidates_, state::offered, &candidate::state_));
 }
 
-std::vector<target_id> owner_search::next_offers(time_point now,
-                                                 target_test const& is_silent,
-                                                 bool knows_all)
+bool owner_search::awaits_answers(target_test const& is_silent) const
 {
-    bool awaits_any = false;
-    bool awaits_preferred = false;
-    for (auto const& each : candidates_)
-    {
-        bool const awaited = is_awaited(each, is_silent);
-        awaits_any = awaits_any || awaited;
-        awaits_preferred = awaits_preferred || (awaited && each.is_preferred_);
-    }
+    return std::ranges::any_of(candidates_, [&](candidate const& each)
+                               { return is_awaited(each, is_silent); });
+}
+
+bool owner_search::awaits_preferred(target_test const& is_silent) const
+{
+    return std::ranges::any_of(
+        candidates_, [&](candidate const& each)
+        { return each.is_preferred_ && is_awaited(each, is_silent); });
+}
+
+// Those that can't tell and needn't wait for others' answers.
+std::vector<owner_search::candidate*>
+owner_search::ready_for_offers(target_test const& is_silent)
+{
+    bool const awaits_any = awaits_answers(is_silent);
+    bool const awaits_first = awaits_preferred(is_silent);
     std::vector<candidate*> ready;
     for (auto& each : candidates_)
     {
         bool const may_have_it =
-            each.is_preferred_ ? !awaits_preferred : !awaits_any;
+            each.is_preferred_ ? !awaits_first : !awaits_any;
         if (each.state_ == state::unsure && may_have_it)
         {
             ready.push_back(&each);
@@ -222,19 +229,27 @@
     }
     // One that let a packet pass in silence comes after the others.
     std::ranges::stable_sort(ready, {}, &candidate::offered_);
-    // Otherwise the owner may be one that doesn't get the packet.
-    bool const is_owner_among = knows_all && !is_asking();
-    if (is_owner_among)
+    return ready;
+}
+
+std::vector<target_id> owner_search::next_offers(time_point now,
+                                                 target_test const& is_silent)
+{
+    auto ready = ready_for_offers(is_silent);
+    if (!is_asking())
     {
         auto const open = std::min(open_offers(), max_offers);
         ready.resize(std::min(ready.size(), max_offers - open));
     }
-    else if (ready.size() > early_offers_left_)
+    else if (ready.size() <= early_offers_left_)
+    {
+        early_offers_left_ -= ready.size();
+    }
+    else
     {
         // Most would go astray, and the next ones had to wait for all answers.
         ready.clear();
     }
-    early_offers_left_ -= is_owner_among ? 0 : ready.size();
     std::vector<target_id> result;
     for (auto* const each : ready)
     {
