--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -125,7 +125,7 @@
         return;
     }
     bool const was_here_before =
-        before != backend_phase::unknown || sequence == first_announcement;
+        life_.run_count() > 1 || sequence == first_announcement;
     relay_.on_new_run(was_here_before);
 }
 
--- a/test/unit/backend_life_test.cpp
+++ b/test/unit/backend_life_test.cpp
@@ -21,6 +21,7 @@
     CHECK(life.on_announcement(next, time_point{1h}) ==
           announcement_outcome::accepted);
     CHECK(life.phase() == backend_phase::ready);
+    CHECK(life.run_count() == 1); // no run was heard before this one
     CHECK_FALSE(life.on_end("one"));
     CHECK(life.phase() == backend_phase::ready);
 }
