A target that comes back under its name isn't asked by a search that has begun

Found by review: a search looked for new candidates when the number of known targets had changed, which it doesn't when a target goes from left to ready. Its flow could be reset although its target was known by then. The directory counts changes of the members now. "a target that comes back under its name isn't asked" passes; it wasn't run against the code of before. Also a finding of the linter in agent_relay.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -170,7 +170,8 @@
         // Targets that may return a packet which the owner has got as well.
         std::vector<target_id> spare_returns_;
         std::unique_ptr<owner_search> search_; // while the owner isn't known
-        std::size_t searched_of_ = 0; // targets known when search_ last grew
+        // Of the directory's member changes, when search_ last grew.
+        std::uint64_t searched_at_ = 0;
         bool waits_for_view_ = false; // search_ has run out of candidates
         bool has_run_out_ = false;    // it has done so before
     };
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -107,6 +107,12 @@
         return targets_;
     }
 
+    // Changes whenever a target joins or leaves the members of a service.
+    std::uint64_t member_changes() const
+    {
+        return member_changes_;
+    }
+
     bool has_template() const
     {
         return !revisions_.empty();
@@ -132,6 +138,7 @@
 
     std::unordered_map<target_id, std::unique_ptr<forward_target>> targets_;
     std::map<service_id, target_list> members_;
+    std::uint64_t member_changes_ = 0;
     std::map<std::string, revision> revisions_; // by organisation
     std::map<std::string, std::vector<route_template>> templates_;
     // Points into templates_.
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -444,7 +444,7 @@
         value.search_ = std::make_unique<owner_search>(now);
     }
     value.search_->prefer(syn_targets(value));
-    value.searched_of_ = 0;
+    value.searched_at_ = 0;
     value.has_run_out_ = false;
     extend(value, now);
     value.spare_returns_.clear();
@@ -474,10 +474,10 @@
 // Some targets may have become known since the search began.
 void flow_forwarder::extend(flow& value, time_point now)
 {
-    auto const known = directory_.targets().size();
-    if (known != value.searched_of_)
+    auto const changes = directory_.member_changes();
+    if (changes != value.searched_at_)
     {
-        value.searched_of_ = known;
+        value.searched_at_ = changes;
         value.search_->extend(search_order(value, now));
     }
 }
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -15,6 +15,9 @@
 bool forward_directory::apply(target_record const& record)
 {
     auto& held = targets_[record.target_];
+    bool const was_member =
+        held != nullptr && held->record_.state_ != member_state::left;
+    bool const is_member = record.state_ != member_state::left;
     if (!held)
     {
         held = std::make_unique<forward_target>();
@@ -31,6 +34,7 @@
         held->unanswered_since_.reset();
     }
     held->record_ = record;
+    member_changes_ += was_member != is_member ? 1 : 0;
     std::erase(expected_, record.target_);
     rebuild_members();
     return true;
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -202,8 +202,8 @@
 
 void agent_relay::give_back(flow_packet const& packet,
                             std::span<std::byte> bytes,
-                            endpoint const& balancer, relay_message message,
-                            time_point now)
+                            endpoint const& balancer,
+                            relay_message const& message, time_point now)
 {
     ++*returned_[static_cast<std::size_t>(message.reason_)];
     note_return(packet, message.reason_, now);
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -96,7 +96,7 @@
                          time_point now);
     flow_holding holding(flow_key const& flow) const;
     void give_back(flow_packet const& packet, std::span<std::byte> bytes,
-                   endpoint const& balancer, relay_message message,
+                   endpoint const& balancer, relay_message const& message,
                    time_point now);
     void send_reports(time_point now);
     void send_report(endpoint const& balancer, time_point now);
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -351,6 +351,22 @@
     CHECK(found_ == "late");
 }
 
+TEST_CASE_FIXTURE(search_play,
+                  "a target that comes back under its name isn't asked")
+{
+    confirms_ = false;
+    add_target("one");
+    add_target("two", member_state::left);
+    send(packet(1));
+    answer(packet(1), "one", flow_holding::not_held);
+    add_target("two");
+    now_ += 10ms;
+    directory_.confirm_view(now_);
+    auto const more = overdue(packet(1));
+    REQUIRE(more.questions_.size() == 1);
+    CHECK(more.questions_[0]->record_.name_ == "two");
+}
+
 // After a loss of power all balancers are young, and none confirms another's
 // view.
 TEST_CASE_FIXTURE(search_play,
