The stored list of targets stands in for a confirmed view only after a second

Change: others confirm a view within some hundred ms if any is old enough; only a search that waits for a second longer goes by the stored list.

--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -107,8 +107,10 @@
     // with each target that it meets, up to a bound.
     duration reset_learning_time_ = std::chrono::milliseconds(4'000);
     duration most_reset_learning_time_ = std::chrono::seconds(30);
-    // After its start a balancer takes the stored list of targets for complete.
+    // After its start a balancer takes the stored list of targets for complete,
+    // for searches to which nobody has confirmed the view in time.
     duration stored_list_time_ = std::chrono::seconds(10);
+    duration view_patience_ = std::chrono::seconds(1);
 };
 
 class flow_forwarder
@@ -197,7 +199,7 @@
     bool has_been_replaced(target_id target, return_reason reason) const;
     search_figures figures(flow const& value, time_point now) const;
     bool knows_all(owner_search const& search) const;
-    bool knows_stored_list(time_point now) const;
+    bool knows_stored_list(owner_search const& search, time_point now) const;
     void settle(flow& value, target_id owner);
     void add_offers(forward_action& action,
                     std::vector<target_id> const& targets, time_point now);
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -497,7 +497,7 @@
         return directory_.find(id)->is_silent(now);
     };
     bool const has_view = knows_all(search);
-    if (has_view || knows_stored_list(now))
+    if (has_view || knows_stored_list(search, now))
     {
         add_offers(action, search.next_offers(now, is_silent), now);
     }
@@ -521,9 +521,11 @@
 
 // After a loss of power no balancer is old enough to confirm another's view;
 // the stored list of targets has to do for packets to those that can't tell.
-bool flow_forwarder::knows_stored_list(time_point now) const
+bool flow_forwarder::knows_stored_list(owner_search const& search,
+                                       time_point now) const
 {
     return now < started_ + settings_.stored_list_time_ &&
+           now >= search.began() + settings_.view_patience_ &&
            directory_.has_met_all();
 }
 
