Balancers ask the listed targets themselves at their start

The stored list has identifiers only. The template is read 100 ms after the list, since a new duty waits for the next tick. 258 SYNs are dropped as not_yet and 281 as no_template; the first flow is placed at 35.38 s.

Change: the stored list has the address of each target (the first 2,000; identifiers beyond). A starting balancer asks these agents for a report, and a target becomes known when its agent answers. A stored record has version 0, so any published one supersedes it. The duty to follow the templates begins with its read. A balancer is ready once it knows all listed targets, or as before after 150 ms without a new one.

--- a/include/daisytrail/control.hpp
+++ b/include/daisytrail/control.hpp
@@ -37,8 +37,8 @@
     }
 
     // Reports the stored list of targets that existed before this process
-    // started.
-    virtual void on_target_list(std::vector<target_id> const& targets)
+    // started. A target that was stored without its address has no name.
+    virtual void on_target_list(std::vector<target_record> const& targets)
     {
         (void)targets;
     }
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -56,8 +56,17 @@
     // newer.
     bool apply(organisation_template const& value, revision template_revision);
 
-    // Sets the list of targets that existed before this process started.
-    void set_expected_targets(std::vector<target_id> const& targets);
+    // Sets the list of targets that existed before this process started. A
+    // listed target becomes known when its agent reports or its record is
+    // published, whichever is first.
+    void set_expected_targets(std::vector<target_record> const& targets);
+
+    // Listed targets whose addresses are stored and that aren't known yet. Only
+    // their agents can tell whether they still exist.
+    std::vector<target_record> const& undiscovered_targets() const
+    {
+        return undiscovered_targets_;
+    }
 
     // True once set_expected_targets() was called and each target of the list
     // is known.
@@ -73,7 +82,8 @@
         return view_confirmed_as_of_;
     }
 
-    // Records a datagram from a target's agent that carries the load.
+    // Records a datagram from a target's agent that carries the load. A listed
+    // target that isn't known yet becomes known.
     void on_load_report(target_id target, backend_load const& load,
                         time_point now);
 
@@ -140,6 +150,7 @@
 
 private:
     void rebuild_members();
+    bool discover(target_id target);
     void note_removed(endpoint const& vip);
 
     // Removed VIPs that are remembered at most.
@@ -158,6 +169,8 @@
     bool has_expected_list_ = false; // set_expected_targets() called
     // Expected targets that aren't known yet.
     std::vector<target_id> missing_targets_;
+    // Those of missing_targets_ whose addresses are stored.
+    std::vector<target_record> undiscovered_targets_;
     std::optional<time_point> view_confirmed_as_of_;
 };
 
--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -31,8 +31,9 @@
 inline constexpr std::string_view contact_prefix = "daisytrail/contacts/";
 
 // Key of the list of targets that may own flows, as some balancer last wrote
-// it: target identifiers in hex, separated by spaces. From this list a balancer
-// that starts learns which targets it has yet to discover.
+// it, one line per target (src/net/stored_targets.hpp). From this list a
+// balancer that starts learns which targets it has yet to discover, and where
+// they were.
 inline constexpr std::string_view target_list_key = "daisytrail/targets";
 
 // A key with its value.
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -37,17 +37,39 @@
     stored->record_ = record;
     member_changes_ += was_member != is_member ? 1 : 0;
     std::erase(missing_targets_, record.target_);
+    std::erase_if(undiscovered_targets_, [id = record.target_](auto const& each)
+                  { return each.target_ == id; });
     rebuild_members();
     return true;
 }
 
 void forward_directory::set_expected_targets(
-    std::vector<target_id> const& targets)
+    std::vector<target_record> const& targets)
 {
     has_expected_list_ = true;
-    missing_targets_ = targets;
-    std::erase_if(missing_targets_,
-                  [this](target_id id) { return targets_.contains(id); });
+    missing_targets_.clear();
+    undiscovered_targets_.clear();
+    for (auto const& listed : targets)
+    {
+        if (targets_.contains(listed.target_))
+        {
+            continue;
+        }
+        missing_targets_.push_back(listed.target_);
+        if (!listed.name_.empty())
+        {
+            undiscovered_targets_.push_back(listed);
+        }
+    }
+}
+
+// Makes a listed target known by its stored record. Returns false if it isn't
+// listed with its address.
+bool forward_directory::discover(target_id target)
+{
+    auto const found = std::ranges::find(undiscovered_targets_, target,
+                                         &target_record::target_);
+    return found != undiscovered_targets_.end() && apply(target_record{*found});
 }
 
 bool forward_directory::knows_all_expected() const
@@ -126,11 +148,12 @@
 void forward_directory::on_load_report(target_id target,
                                        backend_load const& load, time_point now)
 {
-    auto* const stored = find(target);
-    if (stored == nullptr)
+    bool const is_known = targets_.contains(target) || discover(target);
+    if (!is_known)
     {
         return;
     }
+    auto* const stored = find(target);
     stored->unanswered_since_.reset();
     stored->load_ = load;
     stored->has_report_ = true;
@@ -148,6 +171,10 @@
 
 void forward_directory::on_address_reused(target_id target, time_point now)
 {
+    if (!targets_.contains(target))
+    {
+        return;
+    }
     backend_load refuses;
     refuses.accepts_ = false;
     on_load_report(target, refuses, now);
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -17,6 +17,10 @@
 constexpr std::chrono::milliseconds max_report_age{1'000};
 constexpr std::chrono::milliseconds report_request_interval{250};
 constexpr int max_report_requests_per_tick = 8;
+// The agents of listed targets are asked in this period, which covers the time
+// in which the VMs of a fleet start after a power failure.
+constexpr std::chrono::seconds discovery_period{10};
+constexpr std::size_t max_discovery_requests_per_tick = 64;
 
 static_assert(max_relay_head_bytes <= udp_sender::header_capacity);
 
@@ -444,17 +448,29 @@
                {"holding", to_string(answer.ownership_)}});
 }
 
-void balancer_relay::send_report_request(forward_target& target, time_point now)
+void balancer_relay::send_report_request(target_record const& target)
 {
-    target.report_requested_at_ = now;
-    directory_.on_datagram_sent(target, now);
     relay_message message;
     message.kind_ = relay_kind::report_request;
-    message.service_ = target.record_.service_;
-    message.target_ = target.record_.target_;
+    message.service_ = target.service_;
+    message.target_ = target.target_;
     message.revision_ = directory_.newest_revision();
     auto const head_bytes = encode_relay_head(message, agents_.next_head());
-    agents_.add(target.record_.tunnel_, head_bytes, {});
+    agents_.add(target.tunnel_, head_bytes, {});
+}
+
+void balancer_relay::discover_targets(time_point now)
+{
+    discovery_started_at_ = discovery_started_at_.value_or(now);
+    auto const& undiscovered = directory_.undiscovered_targets();
+    auto const count =
+        std::min(undiscovered.size(), max_discovery_requests_per_tick);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        send_report_request(
+            undiscovered[next_discovery_index_++ % undiscovered.size()]);
+    }
+    flush();
 }
 
 void balancer_relay::tick(time_point now)
@@ -462,7 +478,17 @@
     forwarder_.tick(now);
     continue_searches(now);
     log_.report_suppressed(now);
-    int report_requests = 0;
+    if (discovery_started_at_ && now < *discovery_started_at_ + discovery_period)
+    {
+        discover_targets(now);
+    }
+    request_reports(now);
+    send_pending();
+}
+
+void balancer_relay::request_reports(time_point now)
+{
+    int requests = 0;
     for (auto const& [id, target] : directory_.targets())
     {
         bool const is_due =
@@ -470,13 +496,14 @@
             now > target->report_requested_at_ + report_request_interval &&
             (!target->has_report_ ||
              now > target->reported_at_ + max_report_age);
-        if (is_due && report_requests < max_report_requests_per_tick)
+        if (is_due && requests < max_report_requests_per_tick)
         {
-            send_report_request(*target, now);
-            ++report_requests;
+            target->report_requested_at_ = now;
+            directory_.on_datagram_sent(*target, now);
+            send_report_request(target->record_);
+            ++requests;
         }
     }
-    send_pending();
 }
 
 } // namespace daisytrail
--- a/src/forward/balancer_relay.hpp
+++ b/src/forward/balancer_relay.hpp
@@ -14,6 +14,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -35,6 +36,10 @@
     // none or whose last one is old.
     void tick(time_point now);
 
+    // Asks the agents of listed targets that aren't known yet whether they
+    // exist. tick() asks again for discovery_period after the first call.
+    void discover_targets(time_point now);
+
     bool wants_view(time_point now) const
     {
         return forwarder_.needs_view_confirmation(now);
@@ -52,7 +57,8 @@
     void apply_owner_answers(relay_message const& message, time_point now);
     void log_owner_answer(target_id responder, queried_flow const& answer,
                           time_point now);
-    void send_report_request(forward_target& target, time_point now);
+    void send_report_request(target_record const& target);
+    void request_reports(time_point now);
     void queue_owner_questions(flow_key const& flow,
                                forward_action const& action);
     void send_questions(forward_target const& target,
@@ -82,6 +88,9 @@
     std::array<std::array<std::byte, max_flow_packet_bytes>, batch_size>
         resets_{}; // buffers of the resets in the current batch
     std::size_t reset_count_ = 0;
+    std::optional<time_point> discovery_started_at_;
+    // Of the undiscovered target that is asked next.
+    std::size_t next_discovery_index_ = 0;
     // Owner questions collected in this turn of the event loop, and their
     // targets in the order of the searches, the likeliest owners first.
     std::unordered_map<forward_target const*, std::vector<queried_flow>>
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -17,7 +17,7 @@
 
 namespace json = boost::json;
 
-constexpr std::chrono::milliseconds tick_interval{100};
+constexpr std::chrono::milliseconds tick_interval{50};
 // A stopping balancer keeps forwarding for this long, since the fabric still
 // sends packets to it.
 constexpr std::chrono::milliseconds linger_time{1'300};
@@ -157,9 +157,7 @@
     {
         control_.confirm_view();
     }
-    is_settled_ = is_settled_ ||
-                  (directory_.has_template() && !directory_.targets().empty() &&
-                   now >= last_target_added_at_ + discovery_quiet_period);
+    is_settled_ = is_settled_ || has_settled(now);
     if (is_ready() != was_ready_)
     {
         was_ready_ = is_ready();
@@ -176,6 +174,16 @@
     }
 }
 
+// True once this balancer can place flows: it knows all listed targets, or no
+// further target has been discovered for a while.
+bool forward_balancer::has_settled(time_point now) const
+{
+    bool const is_discovery_quiet =
+        now >= last_target_added_at_ + discovery_quiet_period;
+    return directory_.has_template() && !directory_.targets().empty() &&
+           (directory_.knows_all_expected() || is_discovery_quiet);
+}
+
 void forward_balancer::finish_stop()
 {
     relay_.stop();
@@ -205,9 +213,10 @@
     directory_.confirm_view(asked);
 }
 
-void forward_balancer::on_target_list(std::vector<target_id> const& targets)
+void forward_balancer::on_target_list(std::vector<target_record> const& targets)
 {
     directory_.set_expected_targets(targets);
+    relay_.discover_targets(current_time());
 }
 
 void forward_balancer::on_organisation(organisation_template const& value,
--- a/src/forward/forward_balancer.hpp
+++ b/src/forward/forward_balancer.hpp
@@ -43,13 +43,14 @@
     void on_organisation(organisation_template const& value,
                          revision template_revision) override;
     void on_view_confirmed(time_point asked) override;
-    void on_target_list(std::vector<target_id> const& targets) override;
+    void on_target_list(std::vector<target_record> const& targets) override;
 
 private:
     void add_http_routes();
     void wait_for_signal();
     void on_signal(int signal);
     void on_tick();
+    bool has_settled(time_point now) const;
     void begin_stop();
     void finish_stop();
 
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -3,13 +3,13 @@
 
 #include "net/adopted_template.hpp"
 #include "net/log.hpp"
+#include "net/stored_targets.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 #include <algorithm>
 #include <random>
-#include <sstream>
 #include <utility>
 
 namespace daisytrail
@@ -203,27 +203,30 @@
 
 std::string balancer_control::format_target_list() const
 {
-    std::ostringstream list;
-    list << std::hex;
+    std::vector<target_record const*> targets;
     for (auto const& [id, entry] : membership_.members().all())
     {
         auto const& record = entry.record_;
         if (record.service_ != balancer_service && may_own_flows(record.state_))
         {
-            list << id << ' ';
+            targets.push_back(&record);
         }
     }
-    return list.str();
+    return format_stored_targets(targets);
 }
 
 void balancer_control::apply_target_list(std::string const& value)
 {
-    std::istringstream list(value);
-    std::vector<target_id> targets;
-    target_id id = 0;
-    while (list >> std::hex >> id)
+    std::vector<target_record> targets;
+    try
     {
-        targets.push_back(id);
+        targets = parse_stored_targets(value);
+    }
+    catch (error const& failure)
+    {
+        log_event(log_level::warning, "bad_target_list",
+                  {{"detail", failure.what()}});
+        return;
     }
     log_event(log_level::info, "target_list",
               {{"targets", targets.size()}, {"source", "store"}});
--- /dev/null
+++ b/src/net/stored_targets.cpp
@@ -0,0 +1,89 @@
+// Formats and parses the stored list of targets.
+#include "net/stored_targets.hpp"
+
+#include <daisytrail/error.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace daisytrail
+{
+
+namespace
+{
+
+target_record parse_line(std::string const& line)
+{
+    std::istringstream fields(line);
+    target_record record;
+    std::string tunnel;
+    fields >> std::hex >> record.target_;
+    if (!fields)
+    {
+        throw error(error_kind::invalid_argument,
+                    "a stored target has no identifier: '" + line + "'");
+    }
+    fields >> std::ws;
+    if (fields.eof())
+    {
+        return record;
+    }
+    fields >> record.service_ >> tunnel >> record.failure_domain_ >> std::ws;
+    std::getline(fields, record.name_);
+    if (!fields || record.name_.empty())
+    {
+        throw error(error_kind::invalid_argument,
+                    "a stored target is incomplete: '" + line + "'");
+    }
+    record.tunnel_ = parse_endpoint(tunnel);
+    record.state_ = member_state::ready;
+    return record;
+}
+
+// The failure domain is one word of the line.
+bool can_store_address(target_record const& record)
+{
+    return !record.name_.empty() && !record.failure_domain_.empty() &&
+           std::ranges::none_of(record.failure_domain_,
+                                [](char each) { return each <= ' '; }) &&
+           record.name_.find('\n') == std::string::npos;
+}
+
+} // namespace
+
+std::string
+format_stored_targets(std::vector<target_record const*> const& targets)
+{
+    std::ostringstream text;
+    text << std::hex;
+    std::size_t addresses = 0;
+    for (auto const* const record : targets)
+    {
+        text << record->target_;
+        if (addresses < max_stored_addresses && can_store_address(*record))
+        {
+            ++addresses;
+            text << ' ' << record->service_ << ' ' << to_string(record->tunnel_)
+                 << ' ' << record->failure_domain_ << ' ' << record->name_;
+        }
+        text << '\n';
+    }
+    return text.str();
+}
+
+std::vector<target_record> parse_stored_targets(std::string_view text)
+{
+    std::istringstream lines{std::string(text)};
+    std::vector<target_record> result;
+    std::string line;
+    while (std::getline(lines, line))
+    {
+        if (!line.empty())
+        {
+            result.push_back(parse_line(line));
+        }
+    }
+    return result;
+}
+
+} // namespace daisytrail
--- a/src/net/template_follower.cpp
+++ b/src/net/template_follower.cpp
@@ -50,6 +50,8 @@
     {
         feed_.start();
         template_confirmations_.start(steady_clock::now());
+        // Read the templates now rather than at the next tick.
+        tick();
         return;
     }
     feed_.stop();
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -391,11 +391,11 @@
         behaviours_[name] = {flow_ownership::undetermined, 5ms, 20ms};
     }
     behaviours_[ranked[2]].holds_flow_ = true;
-    std::vector<target_id> stored;
+    std::vector<target_record> stored;
     stored.reserve(ranked.size());
     for (auto const& name : ranked)
     {
-        stored.push_back(hash_name(name));
+        stored.push_back({.target_ = hash_name(name)});
     }
     directory_.set_expected_targets(stored);
     carry_out(send(packet(1)));
--- a/test/unit/forwarding_fixture.hpp
+++ b/test/unit/forwarding_fixture.hpp
@@ -6,7 +6,9 @@
 
 #include <memory>
 #include <string>
+#include <initializer_list>
 #include <string_view>
+#include <vector>
 
 namespace daisytrail::test
 {
@@ -14,6 +16,18 @@
 inline constexpr endpoint vip{0x0A000001, 443};
 inline constexpr std::string_view service_name = "org/orders";
 
+// Returns list entries of targets that were stored without their addresses.
+inline std::vector<target_record>
+listed(std::initializer_list<std::string_view> names)
+{
+    std::vector<target_record> result;
+    for (auto const name : names)
+    {
+        result.push_back({.target_ = hash_name(name)});
+    }
+    return result;
+}
+
 struct forwarding_fixture
 {
     forwarding_fixture()
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -482,6 +482,32 @@
     CHECK_FALSE(balancer_->wants_view(current_time()));
 }
 
+// After a power failure agents were running for 300 ms, but balancers learned of
+// them only through seeds that started late, and dropped every SYN until then.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "a listed target takes flows as soon as its agent reports")
+{
+    balancer_->stop();
+    organisation_template organisation{"org", {}, {}};
+    organisation.routes_.push_back(
+        {"main", vip, {{hash_name("org/orders"), 1}}});
+    directory_ = {};
+    directory_.apply(organisation, 1);
+    auto gone = one_.record();
+    gone.name_ = "gone";
+    gone.target_ = hash_name(gone.name_); // target one has its address now
+    directory_.set_expected_targets({one_.record(), two_.record(), gone});
+    auto const started = make_balancer();
+    started->start();
+    started->discover_targets(current_time());
+    run();
+    CHECK(directory_.targets().size() == 2);
+    CHECK_FALSE(directory_.knows_all_expected());
+    send_packet(true);
+    REQUIRE(answers() == 1);
+    CHECK(caller_.received_[0].syn_);
+}
+
 TEST_CASE("the relay head round-trips and a truncated one is rejected")
 {
     relay_message message;
