Owner questions carry the caller's acknowledgement number

A caller's first packet after the handshake then reaches a balancer that doesn't know the flow. The agent of the right backend server answers "unsure", since the caller may have accepted another SYN+ACK, and the packet is held until a second has passed or the view is confirmed.

Change: a question carries the acknowledgement number of the caller's packet, which tells whether the caller accepted this backend server's SYN+ACK. The agent answers held or not_held at once. Agents log flows that their backend servers reset.

--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -166,7 +166,7 @@
         auto flows = message.queried_flows_;
         for (auto& each : flows)
         {
-            each.ownership_ = is_addressee ? ownership(each.flow_)
+            each.ownership_ = is_addressee ? ownership(each)
                                            : flow_ownership::undetermined;
         }
         send_owner_answers(std::move(flows), message.target_, balancer, now);
@@ -177,11 +177,11 @@
     }
 }
 
-flow_ownership agent_relay::ownership(flow_key const& flow) const
+flow_ownership agent_relay::ownership(queried_flow const& question) const
 {
     return lifecycle_.phase() == backend_phase::gone
                ? flow_ownership::not_held
-               : observer_.ownership(flow);
+               : observer_.ownership(question.flow_, question.acknowledgement_);
 }
 
 return_reason agent_relay::refusal_reason(relay_message const& message,
@@ -251,6 +251,10 @@
         return;
     }
     complete_ownership_check(*packet, now);
+    if (packet->reset_)
+    {
+        log_backend_reset(*packet, now);
+    }
     if (auto const answer_time = observer_.on_backend_packet(*packet, now))
     {
         response_time_.add(std::chrono::duration<double>(*answer_time).count());
@@ -446,6 +450,21 @@
     report_now(now);
 }
 
+// A backend server resets the flows that it has no room for.
+void agent_relay::log_backend_reset(flow_packet const& packet, time_point now)
+{
+    if (!log_.admit(now))
+    {
+        return;
+    }
+    auto const load = observer_.report(now);
+    log_event(log_level::info, "reset_by_backend",
+              {{"flow", flow_name(packet.flow_from_backend())},
+               {"run", lifecycle_.last_announcement().id_},
+               {"under_way", load.in_flight_},
+               {"flows", load.open_flows_}});
+}
+
 void agent_relay::log_return(flow_packet const& packet, return_reason reason,
                              time_point now)
 {
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -97,13 +97,14 @@
                             endpoint const& balancer, time_point now);
     void answer_question(relay_message const& message, endpoint const& balancer,
                          time_point now);
-    flow_ownership ownership(flow_key const& flow) const;
+    flow_ownership ownership(queried_flow const& question) const;
     void return_packet(flow_packet const& packet, std::span<std::byte> bytes,
                        endpoint const& balancer, relay_message const& message,
                        time_point now);
     void send_reports(time_point now);
     void send_report(endpoint const& balancer, time_point now);
     relay_message make_message(relay_kind kind, time_point now);
+    void log_backend_reset(flow_packet const& packet, time_point now);
     void log_return(flow_packet const& packet, return_reason reason,
                     time_point now);
     void update_responsiveness(time_point now);
