Waiting SYNs leave newest first

Cause: oldest first, every caller waits about as long as the backlog is deep, so that few are served within their objective for three seconds.

Change: the newest SYN leaves first.

--- a/src/core/syn_queue.cpp
+++ b/src/core/syn_queue.cpp
@@ -66,8 +66,8 @@
     std::vector<flow_key> result;
     while (!order_.empty() && has_room(in_flight))
     {
-        auto const flow = order_.front();
-        order_.pop_front();
+        auto const flow = order_.back();
+        order_.pop_back();
         if (expires_at_.erase(flow) > 0)
         {
             begin_handshake(flow, now);
