--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -78,11 +78,7 @@
     }
 
     // Whether the backend server holds the flow, as far as the packets prove.
-    // `acknowledgement` is that of a packet from the caller, if known: it
-    // tells which backend server's SYN+ACK the caller has accepted.
-    flow_ownership
-    ownership(flow_key const& key,
-              std::optional<std::uint32_t> acknowledgement = {}) const;
+    flow_ownership ownership(flow_key const& key) const;
 
     // Records a caller's packet that was passed to the backend server.
     void on_caller_packet(flow_packet const& packet, time_point now);
@@ -164,11 +160,8 @@
 
     using flow_map = std::unordered_map<flow_key, flow, flow_hash>;
 
-    static bool acknowledges_syn_ack(std::uint32_t acknowledgement,
+    static bool acknowledges_syn_ack(flow_packet const& packet,
                                      flow const& value);
-    static flow_ownership
-    half_open_ownership(flow const& value,
-                        std::optional<std::uint32_t> acknowledgement);
     flow const* find_half_open(flow_key const& key) const;
     void begin_half_open(flow& value, bool may_predate_agent, time_point now);
     void record_syn(flow& value, flow_packet const& packet, time_point now);
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -83,8 +83,6 @@
     bool is_owner_unknown_ = false;
     // Targets to ask whether they hold the flow.
     std::vector<forward_target*> questions_ = {};
-    // Acknowledgement number to send along with the questions, if known.
-    std::optional<std::uint32_t> acknowledgement_ = {};
     // Undetermined targets, each of which is sent one of the held packets. If
     // not empty, step_ is `send` and is_owner_unknown_ is true.
     std::vector<forward_target*> offers_ = {};
@@ -178,8 +176,6 @@
         bool is_profiled_ = false;       // counted in its route's profile
         time_point target_chosen_at_{};
         bool last_packet_was_reset_ = false;    // from the caller's address
-        // Of the caller's latest packet; empty before the first one.
-        std::optional<std::uint32_t> acknowledgement_;
         bool has_multiple_syn_targets_ = false; // SYNs went to several targets
         bool syn_waits_ = false; // at the agent of target_
         // Targets that returned the flow's SYN or didn't answer it.
@@ -202,7 +198,6 @@
     flow* find(flow_key const& key);
     flow& add(flow_key const& key, time_point now);
     void erase(flow_key const& key);
-    static void note_acknowledgement(flow& value, flow_packet const& packet);
     void update_profile(flow& value, flow_packet const& packet, time_point now);
 
     forward_action refuse_without_route(flow_packet const& packet) const;
@@ -214,7 +209,7 @@
     forward_action advance_search(flow& value, forward_cause cause,
                                   time_point now);
     std::vector<target_id> retransmit_questions(flow& value, time_point now);
-    void add_questions(forward_action& action, flow const& value,
+    void add_questions(forward_action& action,
                        std::vector<target_id> const& targets, time_point now);
     forward_action on_all_denied(flow& value, time_point now);
     bool has_been_replaced(target_id target, return_reason reason) const;
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -116,9 +116,6 @@
     flow_key flow_;
     // Meaningful in an `owner_answer` only.
     flow_ownership ownership_ = flow_ownership::undetermined;
-    // In an `owner_question`: the acknowledgement number of a packet from the
-    // caller, if one is known. It tells which SYN+ACK the caller has accepted.
-    std::optional<std::uint32_t> acknowledgement_ = {};
 
     bool operator==(queried_flow const&) const = default;
 };
@@ -146,7 +143,7 @@
 };
 
 // Limit per datagram, so that the datagram fits into one network packet.
-inline constexpr std::size_t max_queried_flows = 44;
+inline constexpr std::size_t max_queried_flows = 64;
 inline constexpr std::size_t max_relay_head_bytes = 1'200;
 
 // Encodes the head into a buffer of max_relay_head_bytes; returns its size.
--- a/include/daisytrail/syn_queue.hpp
+++ b/include/daisytrail/syn_queue.hpp
@@ -1,5 +1,7 @@
 // Queue of new flows at an agent. The agent passes a SYN to its backend server
-// only while that has few requests; the other SYNs wait here.
+// only while that has few requests; the other SYNs wait here. The newest leaves
+// first: a caller that is served late gains nothing from being served earlier,
+// and one whose attempt ends comes back as the newest.
 //
 // Load pattern: after a power failure all callers try again within some hundred
 // milliseconds, for several times as many requests as the backend servers run.
@@ -66,7 +68,8 @@
     // or refused.
     void on_handshake_end(flow_key const& flow);
 
-    // Removes and returns the flows whose SYNs are to be passed now.
+    // Removes and returns the flows whose SYNs are to be passed now, the newest
+    // first.
     std::vector<flow_key> take_ready(std::uint32_t in_flight, time_point now);
 
     // Removes and returns the flows whose callers have given up the attempt.
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -42,16 +42,16 @@
 {
 }
 
-bool backend_observer::acknowledges_syn_ack(std::uint32_t acknowledgement,
+bool backend_observer::acknowledges_syn_ack(flow_packet const& packet,
                                             flow const& value)
 {
-    return std::ranges::any_of(
-        value.syn_ack_sequences_,
-        [acknowledgement](std::uint32_t syn_ack_sequence)
-        {
-            return acknowledgement - syn_ack_sequence <=
-                   max_unacknowledged_bytes;
-        });
+    return std::ranges::any_of(value.syn_ack_sequences_,
+                               [&packet](std::uint32_t syn_ack_sequence)
+                               {
+                                   return packet.acknowledgement_ -
+                                              syn_ack_sequence <=
+                                          max_unacknowledged_bytes;
+                               });
 }
 
 backend_observer::flow const*
@@ -78,8 +78,7 @@
     }
     bool const saw_every_syn_ack =
         !value->syn_ack_sequences_.empty() || !value->may_predate_agent_;
-    return saw_every_syn_ack &&
-           !acknowledges_syn_ack(packet.acknowledgement_, *value);
+    return saw_every_syn_ack && !acknowledges_syn_ack(packet, *value);
 }
 
 bool backend_observer::is_ownership_undetermined(flow_packet const& packet,
@@ -95,27 +94,10 @@
            now < value->opened_at_ + settings_.syn_ack_timeout_;
 }
 
-// A caller that accepted a SYN+ACK acknowledges it, so that its packets tell
-// which of several backend servers holds the flow. Without such a packet a
-// half-open flow with a SYN+ACK is undetermined.
-flow_ownership backend_observer::half_open_ownership(
-    flow const& value, std::optional<std::uint32_t> acknowledgement)
-{
-    bool const has_syn_ack = !value.syn_ack_sequences_.empty();
-    if (has_syn_ack && acknowledgement)
-    {
-        return acknowledges_syn_ack(*acknowledgement, value)
-                   ? flow_ownership::held
-                   : flow_ownership::not_held;
-    }
-    return has_syn_ack || value.may_predate_agent_
-               ? flow_ownership::undetermined
-               : flow_ownership::not_held;
-}
-
-flow_ownership
-backend_observer::ownership(flow_key const& key,
-                            std::optional<std::uint32_t> acknowledgement) const
+// A half-open flow with a SYN+ACK is undetermined: the caller may acknowledge
+// this SYN+ACK or one of another backend server, and only its next packet shows
+// which.
+flow_ownership backend_observer::ownership(flow_key const& key) const
 {
     auto const found = flows_.find(key);
     if (found == flows_.end())
@@ -124,13 +106,19 @@
                                 : flow_ownership::undetermined;
     }
     auto const& value = found->second;
-    if (value.has_ended_ || value.state_ == flow_state::unknown)
+    if (value.has_ended_)
     {
         return flow_ownership::undetermined;
     }
-    return value.state_ == flow_state::open
-               ? flow_ownership::held
-               : half_open_ownership(value, acknowledgement);
+    if (value.state_ == flow_state::open)
+    {
+        return flow_ownership::held;
+    }
+    bool const cannot_be_open = value.state_ == flow_state::half_open &&
+                                value.syn_ack_sequences_.empty() &&
+                                !value.may_predate_agent_;
+    return cannot_be_open ? flow_ownership::not_held
+                          : flow_ownership::undetermined;
 }
 
 // A retransmitted SYN may follow a SYN that an earlier process of the agent
@@ -210,7 +198,7 @@
     {
         return;
     }
-    value.state_ = acknowledges_syn_ack(packet.acknowledgement_, value) ? flow_state::open
+    value.state_ = acknowledges_syn_ack(packet, value) ? flow_state::open
                                                        : flow_state::unknown;
     value.syn_ack_sequences_ = {};
 }
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -104,7 +104,7 @@
     }
     auto const retransmitted = retransmit_questions(*value, now);
     auto action = advance_search(*value, forward_cause::search_continued, now);
-    add_questions(action, *value, retransmitted, now);
+    add_questions(action, retransmitted, now);
     return action;
 }
 
@@ -205,12 +205,10 @@
     if (value == nullptr)
     {
         value = &add(key, now);
-        note_acknowledgement(*value, packet);
         return packet.opens_flow()
                    ? open(*value, forward_cause::placed, now)
                    : begin_search(*value, forward_cause::searched, now);
     }
-    note_acknowledgement(*value, packet);
     update_profile(*value, packet, now);
     if (packet.opens_flow())
     {
@@ -229,15 +227,6 @@
                             : send(*value, forward_cause::known, now);
 }
 
-void flow_forwarder::note_acknowledgement(flow& value,
-                                          flow_packet const& packet)
-{
-    if (packet.ack_)
-    {
-        value.acknowledgement_ = packet.acknowledgement_;
-    }
-}
-
 // Resets new flows and flows of removed routes. Packets of other open flows are
 // dropped: their route may be so new that its template isn't in force here yet,
 // and their callers retransmit.
@@ -289,7 +278,6 @@
     if (value == nullptr)
     {
         value = &add(key, now);
-        note_acknowledgement(*value, packet);
     }
     bool const has_other_target =
         !value->search_ && value->target_ != from && value->target_ != 0;
@@ -536,7 +524,7 @@
         extend_search(value, now);
     }
     forward_action action{forward_step::hold, cause, nullptr};
-    add_questions(action, value, search.next_questions(now), now);
+    add_questions(action, search.next_questions(now), now);
     auto const is_silent = [&](target_id id)
     {
         return directory_.find(id)->is_silent(now);
@@ -582,11 +570,10 @@
     return !is_confirmed && now <= last_view_wait_at_ + view_wait_timeout;
 }
 
-void flow_forwarder::add_questions(forward_action& action, flow const& value,
+void flow_forwarder::add_questions(forward_action& action,
                                    std::vector<target_id> const& targets,
                                    time_point now)
 {
-    action.acknowledgement_ = value.acknowledgement_;
     for (auto const id : targets)
     {
         auto* const target = directory_.find(id);
--- a/src/core/syn_queue.cpp
+++ b/src/core/syn_queue.cpp
@@ -26,8 +26,8 @@
 duration syn_queue::remaining_time(flow_packet const& packet) const
 {
     auto const last = settings_.remaining_times_.size() - 1;
-    return settings_.remaining_times_[std::min<std::size_t>(
-        packet.syn_attempt_, last)];
+    return settings_
+        .remaining_times_[std::min<std::size_t>(packet.syn_attempt_, last)];
 }
 
 syn_queue::step syn_queue::on_syn(flow_packet const& packet,
@@ -91,6 +91,11 @@
     {
         expires_at_.erase(flow);
     }
+    if (!result.empty())
+    {
+        std::erase_if(order_,
+                      [this](flow_key const& flow) { return !contains(flow); });
+    }
     return result;
 }
 
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -283,7 +283,7 @@
         auto flows = message.queried_flows_;
         for (auto& each : flows)
         {
-            each.ownership_ = is_addressee ? ownership(each)
+            each.ownership_ = is_addressee ? ownership(each.flow_)
                                            : flow_ownership::undetermined;
         }
         send_owner_answers(std::move(flows), message.target_, balancer, now);
@@ -294,11 +294,11 @@
     }
 }
 
-flow_ownership agent_relay::ownership(queried_flow const& question) const
+flow_ownership agent_relay::ownership(flow_key const& flow) const
 {
     return lifecycle_.phase() == backend_phase::gone
                ? flow_ownership::not_held
-               : observer_.ownership(question.flow_, question.acknowledgement_);
+               : observer_.ownership(flow);
 }
 
 return_reason agent_relay::refusal_reason(relay_message const& message,
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -118,7 +118,7 @@
                             endpoint const& balancer, time_point now);
     void answer_question(relay_message const& message, endpoint const& balancer,
                          time_point now);
-    flow_ownership ownership(queried_flow const& question) const;
+    flow_ownership ownership(flow_key const& flow) const;
     void return_packet(flow_packet const& packet, std::span<std::byte> bytes,
                        endpoint const& balancer, relay_message const& message,
                        time_point now);
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -333,7 +333,7 @@
             question_order_.push_back(target);
         }
         auto& flows = entry->second;
-        flows.push_back({flow, {}, action.acknowledgement_});
+        flows.push_back({flow});
         if (flows.size() == max_queried_flows)
         {
             send_questions(*target, flows);
--- a/src/rpc/forward.capnp
+++ b/src/rpc/forward.capnp
@@ -24,8 +24,6 @@
   vipPort @2 :UInt16;
   vipAddress @3 :UInt32;
   holding @4 :UInt8;
-  acknowledgement @5 :UInt32;
-  hasAcknowledgement @6 :Bool;
 }
 
 # What an agent tells of its backend server.
--- a/src/rpc/relay_message.cpp
+++ b/src/rpc/relay_message.cpp
@@ -24,7 +24,7 @@
 constexpr int nesting_limit = 3;
 // Size of a head without flows, and of each flow in its list.
 constexpr std::size_t base_head_words = 16;
-constexpr std::size_t flow_words = 3;
+constexpr std::size_t flow_words = 2;
 constexpr std::size_t scratch_words =
     base_head_words + flow_words * max_queried_flows;
 static_assert(segment_table_bytes + scratch_words * word_bytes <=
@@ -50,20 +50,13 @@
     to.setVipAddress(from.flow_.vip_.address_);
     to.setVipPort(from.flow_.vip_.port_);
     to.setHolding(static_cast<std::uint8_t>(from.ownership_));
-    to.setAcknowledgement(from.acknowledgement_.value_or(0));
-    to.setHasAcknowledgement(from.acknowledgement_.has_value());
 }
 
 queried_flow read_flow(wire::AskedFlow::Reader const& from)
 {
-    queried_flow result{{{from.getCallerAddress(), from.getCallerPort()},
-                         {from.getVipAddress(), from.getVipPort()}},
-                        static_cast<flow_ownership>(from.getHolding())};
-    if (from.getHasAcknowledgement())
-    {
-        result.acknowledgement_ = from.getAcknowledgement();
-    }
-    return result;
+    return {{{from.getCallerAddress(), from.getCallerPort()},
+             {from.getVipAddress(), from.getVipPort()}},
+            static_cast<flow_ownership>(from.getHolding())};
 }
 
 void write_flows(wire::RelayHead::Builder root,
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -118,6 +118,15 @@
         event();
     }
 
+    // Delivers all answers, including those of calls made meanwhile.
+    void run()
+    {
+        while (!events_.empty())
+        {
+            run_one();
+        }
+    }
+
     void cancel_watches() override {}
 
 private:
--- a/test/unit/agent_relay_test.cpp
+++ b/test/unit/agent_relay_test.cpp
@@ -371,3 +371,56 @@
     REQUIRE(answers.size() == 1);
     CHECK(answers[0].queried_flows_.at(0).ownership_ == flow_ownership::held);
 }
+
+// After a power failure the backlog of all callers met the backend servers at
+// once: they refused a third of the requests and reset flows.
+TEST_CASE_FIXTURE(agent_fixture,
+                  "the SYN of a flow waits while the backend server is busy")
+{
+    announce();
+    relay_->set_slots(1);
+    auto const flow = [this](std::uint16_t port, flow_packet value)
+    {
+        value.source_.port_ = port;
+        return value;
+    };
+    for (std::uint16_t const port : {1, 2})
+    {
+        send_from_balancer(flow(port, syn()));
+        auto accepted = syn_ack(5'000);
+        accepted.destination_.port_ = port;
+        send_from_backend(accepted);
+        send_from_balancer(flow(port, packet(5'001)));
+    }
+    CHECK(packets(backend_).size() == 4);
+    CHECK(received_by_balancer().empty());
+    send_from_balancer(flow(3, syn()));
+    CHECK(packets(backend_).empty());
+    auto const told = received_by_balancer();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].kind_ == relay_kind::syn_waits);
+    CHECK(told[0].queried_flows_[0].flow_.caller_.port_ == 3);
+    CHECK(told[0].load_.in_flight_ == 3);
+    SUBCASE("until a request is answered")
+    {
+        auto done = answer(1);
+        done.destination_.port_ = 1;
+        done.payload_bytes_ = 10;
+        send_from_backend(done);
+        auto const passed = packets(backend_);
+        REQUIRE(passed.size() == 1);
+        CHECK(passed[0].opens_flow());
+        CHECK(passed[0].source_.port_ == 3);
+    }
+    SUBCASE("and is returned when the agent stops")
+    {
+        relay_->set_stopping();
+        relay_->tick(current_time());
+        run();
+        CHECK(packets(backend_).empty());
+        auto const returned = received_by_balancer();
+        REQUIRE(returned.size() == 1);
+        CHECK(returned[0].kind_ == relay_kind::returned);
+        CHECK(returned[0].reason_ == return_reason::not_accepting);
+    }
+}
--- a/test/unit/flow_forwarder_test.cpp
+++ b/test/unit/flow_forwarder_test.cpp
@@ -532,3 +532,30 @@
     forwarder_->tick(now_);
     CHECK(forwarder_->flow_count() == 0);
 }
+
+// The copy of a SYN that waited at an agent opened the flow at a second backend
+// server, which then held a slot for nothing.
+TEST_CASE_FIXTURE(forwarding_fixture,
+                  "a copy of a SYN that waits at an agent goes there too")
+{
+    add_target("one");
+    add_target("two");
+    auto* const target = send(syn(1)).target_;
+    forwarder_->on_syn_waits(syn(1).flow_from_caller(),
+                             target->record_.target_);
+    now_ += 200ms;
+    directory_.mark_responsive(target->record_.target_);
+    CHECK(send(syn(1, 1)).target_ == target);
+    SUBCASE("unless that agent has fallen silent")
+    {
+        now_ += 400ms;
+        CHECK(send(syn(1, 2)).target_ != target);
+    }
+    SUBCASE("or its SYN was returned")
+    {
+        auto const moved =
+            return_packet(syn(1), target, return_reason::queue_full);
+        REQUIRE(moved.step_ == forward_step::send);
+        CHECK(moved.target_ != target);
+    }
+}
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -482,8 +482,9 @@
     CHECK_FALSE(balancer_->wants_view(current_time()));
 }
 
-// After a power failure agents were running for 300 ms, but balancers learned of
-// them only through seeds that started late, and dropped every SYN until then.
+// After a power failure agents were running for 300 ms, but balancers learned
+// of them only through seeds that started late, and dropped every SYN until
+// then.
 TEST_CASE_FIXTURE(relay_fixture,
                   "a listed target takes flows as soon as its agent reports")
 {
