--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -27,6 +28,9 @@
     duration closed_flow_retention_ = std::chrono::seconds(5);
     // An unanswered request is no longer counted as in flight after this time.
     duration request_timeout_ = std::chrono::seconds(10);
+    // A request that has been unanswered for longer doesn't count as load: its
+    // answer was lost or its caller has given up, or it waits for its body.
+    duration overdue_time_ = std::chrono::seconds(1);
     // Time constant of the moving average of requests in flight.
     duration smoothing_time_ = std::chrono::seconds(1);
     // An unanswered request counts as failed after this time.
@@ -116,6 +120,9 @@
         return in_flight_;
     }
 
+    // Requests in flight that aren't overdue.
+    std::uint32_t recent_in_flight(time_point now);
+
     std::size_t open_flows() const
     {
         return open_flows_;
@@ -152,12 +159,19 @@
         bool backend_finished_ = false;
         bool is_counted_as_failed_ = false;
         time_point requested_at_{}; // meaningful while awaits_answer_
+        bool is_overdue_ = false;   // likewise
         // Requests in flight per slot when the current request arrived,
         // including that request; at least 1.
         double requests_per_slot_ = 1;
         time_point last_seen_at_{};
     };
 
+    struct request_start
+    {
+        flow_key flow_;
+        time_point at_{};
+    };
+
     using flow_map = std::unordered_map<flow_key, flow, flow_hash>;
 
     static bool acknowledges_syn_ack(flow_packet const& packet,
@@ -175,6 +189,7 @@
     void update_flow_knowledge(time_point now);
     void reset_load();
     void end_request(flow& value);
+    void find_overdue_requests(time_point now);
     void update_averages(time_point now);
     void record_answer(flow& value, double answer_time);
     void record_outcome(flow& value, bool failed);
@@ -189,6 +204,10 @@
     std::uint32_t open_flows_ = 0; // flows in which the caller sent data
     std::uint32_t slots_ = 1;
     std::uint32_t in_flight_ = 0; // flows that await an answer
+    std::uint32_t overdue_ = 0;   // those of in_flight_ that are overdue
+    // Requests that aren't known to be overdue, the oldest first; may hold
+    // requests that were answered.
+    std::deque<request_start> request_starts_;
     double mean_in_flight_ = 0;
     double failure_ratio_ = 0;   // of recent requests; decays over time
     double service_seconds_ = 0; // moving average; 0 before the first answer
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -177,7 +177,7 @@
         time_point target_chosen_at_{};
         bool last_packet_was_reset_ = false;    // from the caller's address
         bool has_multiple_syn_targets_ = false; // SYNs went to several targets
-        bool syn_waits_ = false; // at the agent of target_
+        bool syn_waits_ = false;                // at the agent of target_
         // Targets that returned the flow's SYN or didn't answer it.
         std::vector<target_id> tried_targets_;
         // True if one of tried_targets_ may accept the flow a moment later.
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -86,7 +86,7 @@
 
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(return_reason::count)>
-    return_reason_names{"none",          "not_held",  "other_target",
+    return_reason_names{"none",          "not_held",      "other_target",
                         "not_accepting", "not_announced", "no_answer",
                         "queue_full"};
 
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace daisytrail
 {
@@ -259,6 +260,8 @@
         value.awaits_answer_ = true;
         value.is_counted_as_failed_ = false;
         value.requested_at_ = now;
+        value.is_overdue_ = false;
+        request_starts_.push_back({packet.flow_from_caller(), now});
         ++in_flight_;
         value.requests_per_slot_ =
             std::max(1.0, static_cast<double>(in_flight_) / slots_);
@@ -394,9 +397,34 @@
     {
         value.awaits_answer_ = false;
         --in_flight_;
+        overdue_ -= value.is_overdue_ ? 1 : 0;
     }
 }
 
+void backend_observer::find_overdue_requests(time_point now)
+{
+    while (!request_starts_.empty() &&
+           now > request_starts_.front().at_ + settings_.overdue_time_)
+    {
+        auto const start = request_starts_.front();
+        request_starts_.pop_front();
+        auto const found = flows_.find(start.flow_);
+        bool const is_overdue = found != flows_.end() &&
+                                found->second.awaits_answer_ &&
+                                found->second.requested_at_ == start.at_;
+        if (is_overdue && !std::exchange(found->second.is_overdue_, true))
+        {
+            ++overdue_;
+        }
+    }
+}
+
+std::uint32_t backend_observer::recent_in_flight(time_point now)
+{
+    find_overdue_requests(now);
+    return in_flight_ - overdue_;
+}
+
 // An answer that arrives too early to have been queued is a refusal by a full
 // backend server and counts as a failure.
 void backend_observer::record_answer(flow& value, double answer_time)
@@ -518,6 +546,8 @@
 {
     open_flows_ = 0;
     in_flight_ = 0;
+    overdue_ = 0;
+    request_starts_.clear();
     failure_ratio_ = 0;
     unanswered_syn_at_.reset();
     unanswered_syn_count_ = 0;
@@ -529,7 +559,7 @@
     constexpr double micros = 1e6;
     update_averages(now);
     backend_load result;
-    result.in_flight_ = in_flight_;
+    result.in_flight_ = recent_in_flight(now);
     result.mean_in_flight_ = mean_in_flight_;
     result.service_micros_ =
         static_cast<std::uint32_t>(std::lround(service_seconds_ * micros));
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -48,8 +48,8 @@
     backend_.add_drop_gauge(counters, "backend");
     counters.gauge("daisytrail_requests_under_way", [this]
                    { return static_cast<double>(observer_.in_flight()); });
-    counters.gauge("daisytrail_syns_waiting", [this]
-                   { return static_cast<double>(syns_.waiting()); });
+    counters.gauge("daisytrail_syns_waiting",
+                   [this] { return static_cast<double>(syns_.waiting()); });
     counters.gauge("daisytrail_flows_open", [this]
                    { return static_cast<double>(observer_.open_flows()); });
     for (std::size_t i = 0; i < returned_.size(); ++i)
@@ -177,7 +177,7 @@
                              std::span<std::byte> bytes,
                              endpoint const& balancer, time_point now)
 {
-    switch (syns_.on_syn(packet, observer_.in_flight(), now))
+    switch (syns_.on_syn(packet, observer_.recent_in_flight(now), now))
     {
     case syn_queue::step::pass:
         pass_to_backend(packet, bytes, balancer, now);
@@ -199,8 +199,8 @@
                            endpoint const& balancer, time_point now)
 {
     auto const flow = packet.flow_from_caller();
-    auto& kept = waiting_syns_.try_emplace(flow, waiting_syn{{}, {}, now})
-                     .first->second;
+    auto& kept =
+        waiting_syns_.try_emplace(flow, waiting_syn{{}, {}, now}).first->second;
     kept.bytes_.assign(bytes.begin(), bytes.end());
     kept.balancer_ = balancer;
     auto message = make_message(relay_kind::syn_waits, now);
@@ -222,7 +222,8 @@
     {
         return;
     }
-    for (auto const& flow : syns_.take_ready(observer_.in_flight(), now))
+    for (auto const& flow :
+         syns_.take_ready(observer_.recent_in_flight(now), now))
     {
         auto kept = waiting_syns_.extract(flow);
         auto& syn = kept.mapped();
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -486,7 +486,8 @@
     forwarder_.tick(now);
     continue_searches(now);
     log_.report_suppressed(now);
-    if (discovery_started_at_ && now < *discovery_started_at_ + discovery_period)
+    if (discovery_started_at_ &&
+        now < *discovery_started_at_ + discovery_period)
     {
         discover_targets(now);
     }
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -17,7 +17,7 @@
 
 namespace json = boost::json;
 
-constexpr std::chrono::milliseconds tick_interval{50};
+constexpr std::chrono::milliseconds tick_interval{100};
 // A stopping balancer keeps forwarding for this long, since the fabric still
 // sends packets to it.
 constexpr std::chrono::milliseconds linger_time{1'300};
--- a/test/unit/backend_observer_test.cpp
+++ b/test/unit/backend_observer_test.cpp
@@ -397,3 +397,37 @@
     CHECK(observer_.ownership(syn(1).flow_from_caller()) ==
           flow_ownership::undetermined);
 }
+
+// After a restart of all processes requests whose answers had been lost counted
+// as load for ten seconds, and the agents of idle backend servers held SYNs
+// back.
+TEST_CASE_FIXTURE(observer_fixture, "an overdue request doesn't count as load")
+{
+    observer_.on_caller_packet(request(1, 0), now_);
+    now_ += 500ms;
+    observer_.on_caller_packet(request(2, 0), now_);
+    CHECK(observer_.recent_in_flight(now_) == 2);
+    now_ += 600ms;
+    CHECK(observer_.recent_in_flight(now_) == 1);
+    CHECK(observer_.report(now_).in_flight_ == 1);
+    CHECK(observer_.in_flight() == 2);
+    SUBCASE("and its late answer leaves the others counted")
+    {
+        observer_.on_backend_packet(answer(1), now_);
+        CHECK(observer_.recent_in_flight(now_) == 1);
+        CHECK(observer_.in_flight() == 1);
+    }
+    SUBCASE("but the flow's next request does")
+    {
+        observer_.on_backend_packet(answer(1), now_);
+        observer_.on_caller_packet(request(1, 100), now_);
+        CHECK(observer_.recent_in_flight(now_) == 2);
+    }
+    SUBCASE("and a restart of the backend server clears it")
+    {
+        observer_.on_restart();
+        CHECK(observer_.recent_in_flight(now_) == 0);
+        observer_.on_caller_packet(request(3, 0), now_);
+        CHECK(observer_.recent_in_flight(now_) == 1);
+    }
+}
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -395,7 +395,7 @@
     stored.reserve(ranked.size());
     for (auto const& name : ranked)
     {
-        stored.push_back({.target_ = hash_name(name)});
+        stored.emplace_back().target_ = hash_name(name);
     }
     directory_.set_expected_targets(stored);
     carry_out(send(packet(1)));
--- a/test/unit/forwarding_fixture.hpp
+++ b/test/unit/forwarding_fixture.hpp
@@ -4,9 +4,9 @@
 
 #include <daisytrail/flow_forwarder.hpp>
 
+#include <initializer_list>
 #include <memory>
 #include <string>
-#include <initializer_list>
 #include <string_view>
 #include <vector>
 
@@ -23,7 +23,7 @@
     std::vector<target_record> result;
     for (auto const name : names)
     {
-        result.push_back({.target_ = hash_name(name)});
+        result.emplace_back().target_ = hash_name(name);
     }
     return result;
 }
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -168,10 +168,9 @@
           one_(io_, "one", caller_endpoint_.port_, format_),
           two_(io_, "two", caller_endpoint_.port_, format_)
     {
-        organisation_template organisation{"org", {}, {}};
-        organisation.routes_.push_back(
+        organisation_.routes_.push_back(
             {"main", vip, {{hash_name("org/orders"), 1}}});
-        directory_.apply(organisation, 1);
+        directory_.apply(organisation_, 1);
         directory_.apply(one_.record());
         directory_.apply(two_.record());
         balancer_ = make_balancer();
@@ -192,6 +191,21 @@
         return result;
     }
 
+    // Replaces the balancer by one that knows only the stored list of targets.
+    std::unique_ptr<balancer_relay>
+    restart_balancer(std::vector<target_record> const& listed)
+    {
+        balancer_->stop();
+        directory_ = {};
+        directory_.apply(organisation_, 1);
+        directory_.set_expected_targets(listed);
+        auto result = make_balancer();
+        result->start();
+        result->discover_targets(current_time());
+        run();
+        return result;
+    }
+
     void run(std::chrono::milliseconds time = 50ms)
     {
         io_.run_for(time / 2);
@@ -232,6 +246,7 @@
     target one_;
     target two_;
     metrics metrics_;
+    organisation_template organisation_{"org", {}, {}};
     forward_directory directory_;
     forward_balancer_settings settings_;
     std::unique_ptr<balancer_relay> balancer_;
@@ -488,20 +503,11 @@
 TEST_CASE_FIXTURE(relay_fixture,
                   "a listed target takes flows as soon as its agent reports")
 {
-    balancer_->stop();
-    organisation_template organisation{"org", {}, {}};
-    organisation.routes_.push_back(
-        {"main", vip, {{hash_name("org/orders"), 1}}});
-    directory_ = {};
-    directory_.apply(organisation, 1);
+    // Target one has the address of a target that has gone.
     auto gone = one_.record();
     gone.name_ = "gone";
-    gone.target_ = hash_name(gone.name_); // target one has its address now
-    directory_.set_expected_targets({one_.record(), two_.record(), gone});
-    auto const started = make_balancer();
-    started->start();
-    started->discover_targets(current_time());
-    run();
+    gone.target_ = hash_name(gone.name_);
+    auto const started = restart_balancer({one_.record(), two_.record(), gone});
     CHECK(directory_.targets().size() == 2);
     CHECK_FALSE(directory_.knows_all_expected());
     send_packet(true);
@@ -509,6 +515,19 @@
     CHECK(caller_.received_[0].syn_);
 }
 
+// The stored list may name a backend server that has left since it was written.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "a listed target whose backend server has left isn't used")
+{
+    one_.lifecycle_.on_end("one");
+    auto const started = restart_balancer({one_.record(), two_.record()});
+    REQUIRE(directory_.find(hash_name("one")) != nullptr);
+    CHECK_FALSE(directory_.find(hash_name("one"))->load_.accepts_);
+    send_packet(true);
+    CHECK(one_.flows_.empty());
+    CHECK(two_.flows_.size() == 1);
+}
+
 TEST_CASE("the relay head round-trips and a truncated one is rejected")
 {
     relay_message message;
--- a/test/unit/store_watcher_test.cpp
+++ b/test/unit/store_watcher_test.cpp
@@ -19,13 +19,16 @@
     auto fake = std::make_unique<fake_store>();
     auto& store = *fake;
     std::string const key = std::string(template_prefix) + "org";
-    store.entries_[key] = {.key_ = key, .value_ = "template"};
+    store.entries_[key].key_ = key;
+    store.entries_[key].value_ = "template";
     std::string read;
     store_watcher watcher(io, std::move(fake), {}, counters,
                           [&read](store_entry const& entry)
                           { read = entry.value_; });
     watcher.start([](auto const&) {}, [](auto const&) {});
-    watcher.set_duties({.watches_templates_ = true});
+    store_duties duties;
+    duties.watches_templates_ = true;
+    watcher.set_duties(duties);
     store.run();
     CHECK(read == "template");
     watcher.stop();
