Only opening requests hold SYNs back

Change: the queue counts the first request of each flow, for a second at most. The agent's reports count all requests again.

--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -28,7 +28,7 @@
     duration closed_flow_retention_ = std::chrono::seconds(5);
     // An unanswered request is no longer counted as in flight after this time.
     duration request_timeout_ = std::chrono::seconds(10);
-    // A request that has been unanswered for longer doesn't count as load: its
+    // An opening request that has been unanswered for longer isn't counted: its
     // answer was lost or its caller has given up, or it waits for its body.
     duration overdue_time_ = std::chrono::seconds(1);
     // Time constant of the moving average of requests in flight.
@@ -120,8 +120,8 @@
         return in_flight_;
     }
 
-    // Requests in flight that aren't overdue.
-    std::uint32_t recent_in_flight(time_point now);
+    // Requests in flight that are the first of their flows and aren't overdue.
+    std::uint32_t opening_requests(time_point now);
 
     std::size_t open_flows() const
     {
@@ -159,7 +159,9 @@
         bool backend_finished_ = false;
         bool is_counted_as_failed_ = false;
         time_point requested_at_{}; // meaningful while awaits_answer_
-        bool is_overdue_ = false;   // likewise
+        bool has_answer_ = false;   // an answer was seen on the flow
+        // The request in flight is counted in opening_requests_.
+        bool is_opening_request_ = false;
         // Requests in flight per slot when the current request arrived,
         // including that request; at least 1.
         double requests_per_slot_ = 1;
@@ -189,7 +191,8 @@
     void update_flow_knowledge(time_point now);
     void reset_load();
     void end_request(flow& value);
-    void find_overdue_requests(time_point now);
+    void begin_opening(flow& value, flow_key const& key, time_point now);
+    void end_opening(flow& value);
     void update_averages(time_point now);
     void record_answer(flow& value, double answer_time);
     void record_outcome(flow& value, bool failed);
@@ -204,10 +207,9 @@
     std::uint32_t open_flows_ = 0; // flows in which the caller sent data
     std::uint32_t slots_ = 1;
     std::uint32_t in_flight_ = 0; // flows that await an answer
-    std::uint32_t overdue_ = 0;   // those of in_flight_ that are overdue
-    // Requests that aren't known to be overdue, the oldest first; may hold
-    // requests that were answered.
-    std::deque<request_start> request_starts_;
+    std::uint32_t opening_requests_ = 0;
+    // Starts of opening requests, the oldest first; may hold answered ones.
+    std::deque<request_start> opening_starts_;
     double mean_in_flight_ = 0;
     double failure_ratio_ = 0;   // of recent requests; decays over time
     double service_seconds_ = 0; // moving average; 0 before the first answer
--- a/include/daisytrail/syn_queue.hpp
+++ b/include/daisytrail/syn_queue.hpp
@@ -60,7 +60,8 @@
     }
 
     // Handles a SYN or a copy of it. `in_flight` is the number of requests that
-    // await an answer.
+    // await an answer and are the first of their flows: the queue can't hold
+    // back the others.
     step on_syn(flow_packet const& packet, std::uint32_t in_flight,
                 time_point now);
 
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -260,9 +260,8 @@
         value.awaits_answer_ = true;
         value.is_counted_as_failed_ = false;
         value.requested_at_ = now;
-        value.is_overdue_ = false;
-        request_starts_.push_back({packet.flow_from_caller(), now});
         ++in_flight_;
+        begin_opening(value, packet.flow_from_caller(), now);
         value.requests_per_slot_ =
             std::max(1.0, static_cast<double>(in_flight_) / slots_);
     }
@@ -304,6 +303,7 @@
         answer_time = now - value.requested_at_;
         record_answer(value, to_seconds(*answer_time));
         end_request(value);
+        value.has_answer_ = true;
     }
     value.backend_finished_ = value.backend_finished_ || packet.fin_;
     if (value.backend_finished_ && value.caller_finished_)
@@ -397,32 +397,45 @@
     {
         value.awaits_answer_ = false;
         --in_flight_;
-        overdue_ -= value.is_overdue_ ? 1 : 0;
+        end_opening(value);
     }
 }
 
-void backend_observer::find_overdue_requests(time_point now)
+void backend_observer::begin_opening(flow& value, flow_key const& key,
+                                     time_point now)
 {
-    while (!request_starts_.empty() &&
-           now > request_starts_.front().at_ + settings_.overdue_time_)
+    if (!value.has_answer_)
     {
-        auto const start = request_starts_.front();
-        request_starts_.pop_front();
-        auto const found = flows_.find(start.flow_);
-        bool const is_overdue = found != flows_.end() &&
-                                found->second.awaits_answer_ &&
-                                found->second.requested_at_ == start.at_;
-        if (is_overdue && !std::exchange(found->second.is_overdue_, true))
-        {
-            ++overdue_;
-        }
+        value.is_opening_request_ = true;
+        ++opening_requests_;
+        opening_starts_.push_back({key, now});
     }
 }
 
-std::uint32_t backend_observer::recent_in_flight(time_point now)
+void backend_observer::end_opening(flow& value)
 {
-    find_overdue_requests(now);
-    return in_flight_ - overdue_;
+    if (std::exchange(value.is_opening_request_, false))
+    {
+        --opening_requests_;
+    }
+}
+
+std::uint32_t backend_observer::opening_requests(time_point now)
+{
+    while (!opening_starts_.empty() &&
+           now > opening_starts_.front().at_ + settings_.overdue_time_)
+    {
+        auto const start = opening_starts_.front();
+        opening_starts_.pop_front();
+        auto const found = flows_.find(start.flow_);
+        bool const is_overdue =
+            found != flows_.end() && found->second.requested_at_ == start.at_;
+        if (is_overdue)
+        {
+            end_opening(found->second);
+        }
+    }
+    return opening_requests_;
 }
 
 // An answer that arrives too early to have been queued is a refusal by a full
@@ -546,8 +559,8 @@
 {
     open_flows_ = 0;
     in_flight_ = 0;
-    overdue_ = 0;
-    request_starts_.clear();
+    opening_requests_ = 0;
+    opening_starts_.clear();
     failure_ratio_ = 0;
     unanswered_syn_at_.reset();
     unanswered_syn_count_ = 0;
@@ -559,7 +572,7 @@
     constexpr double micros = 1e6;
     update_averages(now);
     backend_load result;
-    result.in_flight_ = recent_in_flight(now);
+    result.in_flight_ = in_flight_;
     result.mean_in_flight_ = mean_in_flight_;
     result.service_micros_ =
         static_cast<std::uint32_t>(std::lround(service_seconds_ * micros));
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -177,7 +177,7 @@
                              std::span<std::byte> bytes,
                              endpoint const& balancer, time_point now)
 {
-    switch (syns_.on_syn(packet, observer_.recent_in_flight(now), now))
+    switch (syns_.on_syn(packet, observer_.opening_requests(now), now))
     {
     case syn_queue::step::pass:
         pass_to_backend(packet, bytes, balancer, now);
@@ -223,7 +223,7 @@
         return;
     }
     for (auto const& flow :
-         syns_.take_ready(observer_.recent_in_flight(now), now))
+         syns_.take_ready(observer_.opening_requests(now), now))
     {
         auto kept = waiting_syns_.extract(flow);
         auto& syn = kept.mapped();
