--- a/test/measure/recovery.cpp
+++ b/test/measure/recovery.cpp
@@ -4,6 +4,8 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <cstdio>
 
 using namespace daisytrail;
@@ -27,6 +29,11 @@
     variant{"queue, placed after 60 ms", true, 60ms},
 };
 
+double share(std::size_t part, std::size_t whole)
+{
+    return static_cast<double>(part) / static_cast<double>(whole);
+}
+
 void measure(variant const& which, double arrivals_per_second)
 {
     constexpr std::uint64_t seeds = 10;
@@ -52,9 +59,8 @@
     std::printf("%-30s %5.0f/s  on time %.3f  late %.3f  unserved %.4f  "
                 "refusals %6zu  attempts lost %6zu  normal after %.2f s\n",
                 which.name_, arrivals_per_second,
-                static_cast<double>(sum.on_time_) / sum.asked_,
-                static_cast<double>(sum.late_) / sum.asked_,
-                static_cast<double>(sum.unserved_) / sum.asked_, sum.refusals_,
+                share(sum.on_time_, sum.asked_), share(sum.late_, sum.asked_),
+                share(sum.unserved_, sum.asked_), sum.refusals_,
                 sum.expired_attempts_, normal);
 }
 
--- a/test/support/recovery_model.cpp
+++ b/test/support/recovery_model.cpp
@@ -167,9 +167,11 @@
         value.flow_ = flow;
         constexpr std::array<milliseconds, 3> syn_times{
             milliseconds(0), milliseconds(200), milliseconds(600)};
-        for (std::uint8_t copy = 0; copy < syn_times.size(); ++copy)
+        std::uint8_t next_copy = 0;
+        for (auto const delay : syn_times)
         {
-            after(syn_times[copy],
+            auto const copy = next_copy++;
+            after(delay,
                   [this, index, flow, copy]
                   {
                       auto const& current = requests_[index];
