Tests: a broken-off response and a second copy of a response

Two of the faults that operators of similar systems saw, in mode requests: an answer that breaks off must not look complete, and a second copy of an answer must not answer the next request. Neither happens: an agent closes its connection to the backend server after each answer and resets the caller's flow when an answer breaks off. The tests hold this.

--- a/test/unit/requests_fixture.hpp
+++ b/test/unit/requests_fixture.hpp
@@ -6,6 +6,7 @@
 #include "net/http_server.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 
 namespace daisytrail::test
 {
@@ -83,7 +84,7 @@
     return probe.local_endpoint().port();
 }
 
-// Reads a request and closes the connection without a response.
+// Reads a request, sends a fixed answer and closes the connection.
 struct closing_server
 {
     closing_server(boost::asio::io_context& io, std::uint16_t port)
@@ -108,6 +109,9 @@
                     [this](boost::system::error_code, std::size_t)
                     {
                         ++requests_;
+                        boost::system::error_code ignored;
+                        boost::asio::write(
+                            *socket_, boost::asio::buffer(answer_), ignored);
                         socket_.reset();
                         accept();
                     });
@@ -122,6 +126,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::optional<boost::asio::ip::tcp::socket> socket_;
     std::array<char, 4'096> buffer_{};
+    std::string answer_; // empty: closes the connection without an answer
     int requests_ = 0;
 };
 
--- a/test/unit/requests_service_test.cpp
+++ b/test/unit/requests_service_test.cpp
@@ -273,3 +273,52 @@
     CHECK(f.send_and_receive(make_order("2"), "got 2").find("got 2") !=
           std::string::npos);
 }
+
+// A backend server ends in the middle of its answer. The caller must not take
+// the part for the whole answer.
+TEST_CASE("a response that breaks off resets the caller's flow")
+{
+    boost::asio::io_context io;
+    service_fixture f(io);
+    closing_server closing(io, free_port());
+    f.service_->update(make_service(), {closing.address(), true, 4, 100});
+    SUBCASE("with a length")
+    {
+        closing.answer_ = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart";
+    }
+    SUBCASE("in chunks")
+    {
+        closing.answer_ = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                          "\r\n4\r\npart\r\n";
+    }
+    auto const flow = f.open();
+    f.send(*flow, make_order("1"));
+    f.run_until([&flow] { return flow->has_ended_; });
+    CHECK(flow->was_reset_);
+    CHECK(flow->received_.find("\r\n0\r\n\r\n") == std::string::npos);
+}
+
+// A backend server sends its answer twice. The second copy must not answer the
+// next request on the caller's flow.
+TEST_CASE("a second copy of a response reaches no caller")
+{
+    boost::asio::io_context io;
+    service_fixture f(io);
+    closing_server closing(io, free_port());
+    f.service_->update(make_service(), {closing.address(), true, 4, 100});
+    std::string const answer =
+        "HTTP/1.1 201 Created\r\nContent-Length: 3\r\n\r\n";
+    closing.answer_ = answer + "one" + answer + "one";
+    auto const flow = f.open();
+    f.send(*flow, make_order("1"));
+    f.run_until([&flow]
+                { return flow->received_.find("one") != std::string::npos; });
+    closing.answer_ = answer + "two";
+    f.send(*flow, make_order("2"));
+    f.run_until([&flow]
+                { return flow->received_.find("two") != std::string::npos; });
+    CHECK(closing.requests_ == 2);
+    auto const first = flow->received_.find("one");
+    CHECK(flow->received_.find("one", first + 1) == std::string::npos);
+    CHECK(flow->received_.find("two") != std::string::npos);
+}
