Lines and a histogram tell how a template reached a balancer

The logs couldn't tell when a balancer first heard of a revision, from whom, and how long an answer of the store took to arrive. New: template_offered (first offer of an unknown revision, by whom), offered_ms_ago in template_adopted, store_answer_slow (more than 250 ms between the first and the last part of an answer, with its bytes) and the histogram daisytrail_store_transfer_seconds. One line a revision and one a slow call, so their number is bounded. No decision changed.

--- a/include/daisytrail/control_messages.hpp
+++ b/include/daisytrail/control_messages.hpp
@@ -6,6 +6,7 @@
 #include <daisytrail/types.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -218,6 +219,15 @@
     target_record record_;
 };
 
+// Report that a peer offered a revision that was unknown to this process.
+struct template_offer_action
+{
+    std::uint64_t organisation_ = 0; // hash of the organisation's name
+    revision revision_ = 0;
+    revision held_ = 0; // revision in force; 0: none
+    endpoint from_;
+};
+
 // Report that a template came into force in this process.
 struct template_action
 {
@@ -225,6 +235,9 @@
     revision revision_ = 0;
     std::string value_;  // as in the store
     std::string source_; // "store" or the control endpoint of the peer
+    // Time since a peer first offered a revision newer than the one in force;
+    // empty if none did.
+    std::optional<duration> offered_ago_;
 };
 
 // Kinds of events that a process reports in its log and metrics.
@@ -271,7 +284,8 @@
 };
 
 using control_action =
-    std::variant<send_action, member_action, template_action, report_action,
-                 round_trip_action, view_confirmed_action>;
+    std::variant<send_action, member_action, template_offer_action,
+                 template_action, report_action, round_trip_action,
+                 view_confirmed_action>;
 
 } // namespace daisytrail
--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -44,6 +44,13 @@
     revision modified_revision_ = 0; // store revision of the last change
 };
 
+// Size of a response and the time from its first part to its last.
+struct response_transfer
+{
+    std::size_t bytes_ = 0;
+    duration time_{};
+};
+
 // Result of a call of the store; error_ is empty on success. A write that
 // failed with outcome_unknown may have been applied.
 struct store_answer
@@ -55,6 +62,7 @@
     // For range(): the entries found. For swap(), if a comparison was false:
     // the current entries of the compared keys.
     std::vector<store_entry> entries_;
+    response_transfer transfer_; // empty if the store doesn't measure it
 };
 
 // One comparison of swap(): true if the key was last modified at this revision,
--- a/src/core/revisions.cpp
+++ b/src/core/revisions.cpp
@@ -91,6 +91,11 @@
                                      " from " + source + ": " + detail});
     }
     auto const pending = pending_revisions_.find(id);
+    std::optional<duration> offered_ago;
+    if (pending != pending_revisions_.end())
+    {
+        offered_ago = now - pending->second.first_offered_at_;
+    }
     if (pending != pending_revisions_.end() &&
         template_revision >= pending->second.revision_)
     {
@@ -112,7 +117,7 @@
         on_change_(before, find(id));
     }
     out.emplace_back(template_action{organisation, template_revision,
-                                     std::move(value), source});
+                                     std::move(value), source, offered_ago});
     return outcome;
 }
 
@@ -130,6 +135,12 @@
         return false;
     }
     bool const is_new = note_pending(offered.id_, template_revision, now);
+    if (is_new)
+    {
+        auto const in_force = held == held_.end() ? 0 : held->second.revision_;
+        out.emplace_back(template_offer_action{offered.id_, template_revision,
+                                               in_force, from});
+    }
     auto& active = transfers_[offered.id_];
     if (active.revision_ > template_revision)
     {
--- a/src/net/control_outputs.cpp
+++ b/src/net/control_outputs.cpp
@@ -68,6 +68,15 @@
                {"state", to_string(record.state_)}});
 }
 
+void action_runner::execute(template_offer_action const& action)
+{
+    log_event(log_level::info, "template_offered",
+              {{"organisation_id", action.organisation_},
+               {"revision", action.revision_},
+               {"held", action.held_},
+               {"from", to_string(action.from_)}});
+}
+
 void action_runner::execute(template_action const& action)
 {
     auto const stored = parse_adopted_template(action.value_);
@@ -75,7 +84,12 @@
               {{"organisation", action.organisation_},
                {"revision", action.revision_},
                {"change_id", stored.change_id_},
-               {"source", action.source_}});
+               {"source", action.source_},
+               {"offered_ms_ago",
+                action.offered_ago_ ? std::chrono::duration_cast<milliseconds>(
+                                          *action.offered_ago_)
+                                          .count()
+                                    : -1}});
     events_.on_organisation(stored.value_, action.revision_);
 }
 
--- a/src/net/control_outputs.hpp
+++ b/src/net/control_outputs.hpp
@@ -24,6 +24,7 @@
 private:
     void execute(send_action const& action);
     void execute(member_action const& action);
+    void execute(template_offer_action const& action);
     void execute(template_action const& action);
     void execute(report_action const& action);
     void execute(round_trip_action const& action);
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -116,15 +116,21 @@
             stream_, buffer_, parser_,
             [self = shared_from_this()](beast::error_code code, std::size_t)
             {
+                auto const now = std::chrono::steady_clock::now();
+                self->response_began_at_ =
+                    self->response_began_at_.value_or(now);
                 if (code)
                 {
                     self->fail(error_kind::outcome_unknown, code);
                 }
                 else if (self->parser_.is_done())
                 {
-                    self->finish({std::nullopt, {}, self->parser_.release()});
+                    self->finish({std::nullopt,
+                                  {},
+                                  self->parser_.release(),
+                                  now - *self->response_began_at_});
                 }
-                else if (std::chrono::steady_clock::now() >= self->deadline_)
+                else if (now >= self->deadline_)
                 {
                     self->stream_.close();
                     self->finish({error_kind::outcome_unknown,
@@ -165,6 +171,7 @@
     beast::tcp_stream stream_;
     std::chrono::milliseconds idle_timeout_{0}; // per step of the call
     std::chrono::steady_clock::time_point deadline_;
+    std::optional<std::chrono::steady_clock::time_point> response_began_at_;
     call_phase phase_ = call_phase::connecting;
     http_request request_;
     std::function<void(http_outcome)> handler_; // empty after its only call
--- a/src/net/http_call.hpp
+++ b/src/net/http_call.hpp
@@ -24,6 +24,8 @@
     std::optional<error_kind> error_;
     std::string detail_;
     http_response response_;
+    // From the first part of the response until it was complete.
+    std::chrono::nanoseconds transfer_time_{0};
 };
 
 // Starts the call and returns a function that cancels it; the handler isn't
--- a/src/net/store_call_log.cpp
+++ b/src/net/store_call_log.cpp
@@ -14,6 +14,9 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+// A response whose parts arrive over a longer time is logged.
+constexpr milliseconds slow_transfer_time{250};
+
 std::int64_t to_ms(duration value)
 {
     return std::chrono::duration_cast<milliseconds>(value).count();
@@ -27,7 +30,8 @@
 } // namespace
 
 store_call_log::store_call_log(metrics& counters)
-    : call_seconds_(counters.latency("daisytrail_store_call_seconds"))
+    : call_seconds_(counters.latency("daisytrail_store_call_seconds")),
+      transfer_seconds_(counters.latency("daisytrail_store_transfer_seconds"))
 {
     for (std::size_t i = 0; i < states_.size(); ++i)
     {
@@ -71,6 +75,16 @@
         return;
     }
     healthy_ = 1;
+    transfer_seconds_.add(
+        std::chrono::duration<double>(answer.transfer_.time_).count());
+    if (answer.transfer_.time_ > slow_transfer_time)
+    {
+        log_event(log_level::warning, "store_answer_slow",
+                  {{"call", store_call_names[static_cast<std::size_t>(call)]},
+                   {"bytes", answer.transfer_.bytes_},
+                   {"transfer_ms", to_ms(answer.transfer_.time_)},
+                   {"took_ms", to_ms(elapsed)}});
+    }
     if (auto const failures = std::exchange(status.consecutive_failures_, 0))
     {
         log_event(log_level::info, "store_answers_again",
--- a/src/net/store_call_log.hpp
+++ b/src/net/store_call_log.hpp
@@ -1,6 +1,6 @@
 // Metrics and log lines on calls to the configuration store. For each kind of
-// call, one line is logged when it starts to fail and one when it succeeds
-// again.
+// call, one line is logged when it starts to fail, one when it succeeds again,
+// and one for each response that arrived slowly.
 #pragma once
 
 #include "net/metrics.hpp"
@@ -60,6 +60,8 @@
                     store_answer const& answer);
 
     histogram& call_seconds_; // durations of all calls except watches
+    histogram&
+        transfer_seconds_; // from the first byte of a response to its last
     std::array<state, static_cast<std::size_t>(store_call::count)> states_;
     double healthy_ = 0; // 1 if the last call succeeded, else 0
 };
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -63,7 +63,11 @@
         return failed(kind_after_sending,
                       "the store answered " + std::to_string(status));
     }
-    return read_answer(outcome.response_.body(), read, kind_after_sending);
+    auto answer =
+        read_answer(outcome.response_.body(), read, kind_after_sending);
+    answer.transfer_ = {outcome.response_.body().size(),
+                        outcome.transfer_time_};
+    return answer;
 }
 
 } // namespace
--- a/test/unit/http_call_test.cpp
+++ b/test/unit/http_call_test.cpp
@@ -111,6 +111,7 @@
     auto const outcome = call(io, server.address());
     CHECK_FALSE(outcome.error_);
     CHECK(outcome.response_.body().size() == 10'000);
+    CHECK(outcome.transfer_time_ >= milliseconds(9 * 30));
 }
 
 TEST_CASE("a call fails if the peer stops sending within its response")
--- a/test/unit/revisions_test.cpp
+++ b/test/unit/revisions_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace daisytrail
@@ -114,6 +115,27 @@
     CHECK(fixture.held_revision() == 5);
 }
 
+TEST_CASE("the first offer of a revision and the time until it is in force are "
+          "reported")
+{
+    transfer_fixture fixture;
+    std::vector<control_action> out;
+    fixture.book_.on_offer(make_offer(5), first_peer, fixture.now_, out);
+    fixture.book_.on_offer(make_offer(5), second_peer, fixture.now_, out);
+    auto const is_offer = [](control_action const& action)
+    {
+        return std::holds_alternative<template_offer_action>(action);
+    };
+    CHECK(std::ranges::count_if(out, is_offer) == 1);
+    CHECK(std::get<template_offer_action>(out.front()).from_ == first_peer);
+    fixture.advance(milliseconds(300));
+    out.clear();
+    fixture.book_.on_chunk(make_chunk(5, 0, 1), first_peer, fixture.now_, out);
+    REQUIRE(out.size() == 1);
+    CHECK(std::get<template_action>(out.front()).offered_ago_ ==
+          milliseconds(300));
+}
+
 // Regression test (CONFIG): a transfer requested chunks again and again from a
 // peer that didn't answer.
 TEST_CASE("a transfer continues at another peer if its peer doesn't answer")
