Test: a long response takes hundreds of turns of a busy event loop (red)

On this code a response of 130,000 bytes (650 routes in the store's encoding) takes 258 turns of a busy event loop: each turn reads 512 bytes.

--- a/test/unit/http_call_test.cpp
+++ b/test/unit/http_call_test.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <string>
+#include <thread>
 
 namespace daisytrail
 {
@@ -85,6 +87,65 @@
     milliseconds pause_;
 };
 
+// Sends the whole response at once and then keeps the connection open.
+class fast_server
+{
+public:
+    fast_server(asio::io_context& io, std::size_t body_bytes)
+        : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          socket_(io), response_("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                 std::to_string(body_bytes) + "\r\n\r\n" +
+                                 std::string(body_bytes, 'x'))
+    {
+        acceptor_.async_accept(
+            socket_,
+            [this](boost::system::error_code)
+            {
+                asio::async_write(
+                    socket_, asio::buffer(response_),
+                    [](boost::system::error_code, std::size_t) {});
+            });
+    }
+
+    endpoint address() const
+    {
+        return {acceptor_.local_endpoint().address().to_v4().to_uint(),
+                acceptor_.local_endpoint().port()};
+    }
+
+private:
+    tcp::acceptor acceptor_;
+    tcp::socket socket_;
+    std::string response_;
+};
+
+// Keeps an event loop busy: one of its handlers takes part in each turn of the
+// loop, as the packets of callers do. Counts the turns.
+class busy_loop
+{
+public:
+    explicit busy_loop(asio::io_context& io) : io_(io)
+    {
+        work();
+    }
+
+    int turns() const
+    {
+        return turns_;
+    }
+
+private:
+    void work()
+    {
+        ++turns_;
+        std::this_thread::sleep_for(milliseconds(1));
+        asio::post(io_, [this] { work(); });
+    }
+
+    asio::io_context& io_;
+    int turns_ = 0;
+};
+
 http_outcome call(asio::io_context& io, endpoint const& peer)
 {
     std::optional<http_outcome> result;
@@ -133,6 +194,36 @@
     CHECK(outcome.detail_ == "the response took too long");
 }
 
+// CONFIG: a response was read in parts of 512 bytes, one for each turn of the
+// event loop, so that a starved balancer received a long template for seconds.
+TEST_CASE("a change is late in force at a starved balancer: a long response "
+          "takes hundreds of turns of the event loop")
+{
+    // A template of 650 routes in the store's encoding.
+    constexpr std::size_t body_bytes = 130'000;
+    // A starved process needs up to 50 ms for a turn, and a quarter of the
+    // shortest time to apply a change, 3 s, remains for the response.
+    constexpr int max_turns = 15;
+    asio::io_context io;
+    asio::io_context server_io;
+    fast_server server(server_io, body_bytes);
+    std::jthread const peer([&server_io]
+                            { server_io.run_for(std::chrono::seconds(10)); });
+    std::optional<http_outcome> result;
+    http_request request{boost::beast::http::verb::get, "/", 11};
+    async_http_call(io, server.address(), std::move(request),
+                    std::chrono::seconds(5),
+                    [&](http_outcome outcome) { result = std::move(outcome); });
+    busy_loop const packets(io);
+    while (!result)
+    {
+        io.run_one();
+    }
+    server_io.stop();
+    CHECK(result->response_.body().size() == body_bytes);
+    CHECK(packets.turns() <= max_turns);
+}
+
 TEST_CASE("a refused connection is reported as unavailable")
 {
     asio::io_context io;
