A long response is read in parts of 64 KB, not of 512 bytes

Callers saw: on the grown deployments a request was handled by an older version of the configuration than one acknowledged longer ago than the bound. Cause: Beast reads no more than its buffer's capacity, which stays at 512 bytes since each part is consumed at once. A template of 650 routes took 254 reads, and each read waits for a turn of the event loop behind packets of callers: on a balancer of 0.028 cores in a burst that is up to a second for one answer, during which newer versions appear and the next answer starts as late. Why this works: a buffer of 64 KB takes the same answer in three reads. The watch stream of the etcd store and the exchange with a backend server read through the same kind of buffer and get the same.

--- a/src/agent/requests_exchange.cpp
+++ b/src/agent/requests_exchange.cpp
@@ -1,10 +1,11 @@
 // HTTP/1.1 client for one exchange with the backend server, on Boost.Beast.
 #include "agent/requests_exchange.hpp"
 
+#include "net/http_buffer.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -222,7 +223,7 @@
     bool paused_ = false; // waits for resume()
     std::string sending_; // in an asynchronous write
     std::string unsent_;
-    beast::flat_buffer parse_buffer_;
+    beast::flat_buffer parse_buffer_ = make_http_buffer();
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, body_buffer_bytes> body_buffer_{};
 };
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -1,8 +1,9 @@
 // HTTP client on Boost.Beast that makes one request per connection.
 #include "net/http_call.hpp"
 
+#include "net/http_buffer.hpp"
+
 #include <boost/asio/ip/address_v4.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -175,7 +176,7 @@
     call_phase phase_ = call_phase::connecting;
     http_request request_;
     std::function<void(http_outcome)> handler_; // empty after its only call
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_ = make_http_buffer();
     http::response_parser<http::string_body> parser_;
 };
 
--- a/src/store/watch_stream.cpp
+++ b/src/store/watch_stream.cpp
@@ -1,8 +1,9 @@
 // Reads a streamed HTTP response line by line.
 #include "store/watch_stream.hpp"
 
+#include "net/http_buffer.hpp"
+
 #include <boost/asio/ip/address_v4.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -35,7 +36,7 @@
 
     beast::tcp_stream stream_;
     http_request request_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_ = make_http_buffer();
     http::response_parser<http::buffer_body> parser_;
     std::array<char, 16'384> chunk_{};
 };
