Outdated versions of one answer of the store are skipped

Cause: a watch delivers each version whole, and a balancer translated, checked and applied each of them in turn, though all but the last were outdated by then: 5 ms of processor time for 650 routes, 0.25 s on a balancer of 0.028 cores. In a storm of changes each answer brought more versions than the last. Why this works: only the last entry of each key is used, so the work for an answer doesn't grow with the number of its versions, and the next watch starts sooner. Test: failed before (a, b, a, a were applied instead of b, a).

--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -82,6 +82,10 @@
     std::int64_t lease_ = 0; // lease that the key is bound to; 0: none
 };
 
+// Removes the entries that a later entry of the same key replaces, and keeps
+// the order of the others.
+void remove_replaced_entries(std::vector<store_entry>& entries);
+
 using store_handler = std::function<void(store_answer)>;
 
 // Calls return immediately and pass their result to the handler, which is
--- a/src/net/template_follower.cpp
+++ b/src/net/template_follower.cpp
@@ -147,7 +147,9 @@
     template_confirmations_.record_confirmation(answer.revision_,
                                                 steady_clock::now());
     next_revision_ = answer.revision_ + 1;
-    for (auto const& entry : answer.entries_)
+    auto entries = answer.entries_;
+    remove_replaced_entries(entries);
+    for (auto const& entry : entries)
     {
         on_template_(entry);
     }
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -34,6 +34,7 @@
     bool is_down_ = false;               // ranges and swaps are unavailable
     std::function<void()> before_swap_;  // called once, before the next swap
     std::size_t applied_swaps_ = 0;      // swaps that took effect
+    store_handler watch_handler_;        // of the last watch
 
     void range(std::string const& prefix, std::size_t limit,
                store_handler handler) override
@@ -107,8 +108,9 @@
     }
 
     void watch(std::string const&, revision, std::chrono::milliseconds,
-               store_handler) override
+               store_handler handler) override
     {
+        watch_handler_ = std::move(handler);
     }
 
     void run_one()
