--- a/test/stand_ins/platform_store.cpp
+++ b/test/stand_ins/platform_store.cpp
@@ -7,7 +7,8 @@
 //                   the key that the query names
 //   POST /fault     {"ports":[...],"mode":"serve|silent|busy|many|reset",
 //                    "slow_ms":0,"lose_share":0.0,"silence_connections":true,
-//                    "drop_history":true}; without "ports" the fault
+//                    "drop_history":true,"save_copy":true,
+//                    "restore_copy":true}; without "ports" the fault
 //                   affects every machine
 //   GET /stats      calls by path and the store's revision
 #include "support/platform_database.hpp"
@@ -204,6 +205,14 @@
         {
             state.data_.drop_history();
         }
+        if (body.contains("save_copy"))
+        {
+            state.data_.save_copy();
+        }
+        if (body.contains("restore_copy"))
+        {
+            state.data_.restore_copy();
+        }
         print_event("fault", {{"body", body}});
         return make_response(200, "{}");
     }
@@ -393,6 +402,7 @@
             return;
         }
         response_ = std::move(response);
+        response_.set("Store-Era", std::to_string(state_.data_.era()));
         response_.keep_alive(parser_->get().keep_alive());
         http::async_write(
             stream_, response_,
--- a/test/support/platform_database.cpp
+++ b/test/support/platform_database.cpp
@@ -40,48 +40,48 @@
 void platform_database::put(std::string const& key, std::string value,
                             std::int64_t lease_id)
 {
-    auto const held = items_.find(key);
-    auto const next = revision_ + 1;
+    auto const held = now_.items_.find(key);
+    auto const next = now_.revision_ + 1;
     auto const created =
-        held == items_.end() ? next : held->second.create_revision_;
+        held == now_.items_.end() ? next : held->second.create_revision_;
     record({key, std::move(value), next, created, lease_id, false});
 }
 
 http_response platform_database::read_key(std::string const& key) const
 {
-    auto const found = items_.find(key);
-    if (found == items_.end())
+    auto const found = now_.items_.find(key);
+    if (found == now_.items_.end())
     {
         return answer(404, {});
     }
     auto body = to_json(found->second);
-    body["storeRevision"] = revision_;
+    body["storeRevision"] = now_.revision_;
     return answer(200, body);
 }
 
 http_response platform_database::read_range(std::string const& prefix) const
 {
     json::array list;
-    for (auto at = items_.lower_bound(prefix);
-         at != items_.end() && at->first.starts_with(prefix); ++at)
+    for (auto at = now_.items_.lower_bound(prefix);
+         at != now_.items_.end() && at->first.starts_with(prefix); ++at)
     {
         list.push_back(to_json(at->second));
     }
-    return answer(
-        200,
-        {{"items", list}, {"truncated", false}, {"storeRevision", revision_}});
+    return answer(200, {{"items", list},
+                        {"truncated", false},
+                        {"storeRevision", now_.revision_}});
 }
 
 bool platform_database::revision_matches(json::object const& row,
                                          json::array& current) const
 {
     std::string const key(row.at("key").as_string());
-    auto const found = items_.find(key);
-    if (found != items_.end())
+    auto const found = now_.items_.find(key);
+    if (found != now_.items_.end())
     {
         current.push_back(to_json(found->second));
     }
-    auto const held = found == items_.end() ? 0 : found->second.revision_;
+    auto const held = found == now_.items_.end() ? 0 : found->second.revision_;
     return held == row.at("revision").to_number<std::int64_t>();
 }
 
@@ -115,14 +115,14 @@
         return answer(404, {});
     }
     apply(body);
-    return answer(200, {{"revision", revision_}});
+    return answer(200, {{"revision", now_.revision_}});
 }
 
 http_response platform_database::grant_lease(json::object const& body)
 {
     milliseconds const time(body.at("ttlMs").to_number<std::int64_t>());
-    leases_[++last_lease_] = {time, steady_clock::now() + time};
-    return answer(200, {{"lease", last_lease_}, {"ttlMs", time.count()}});
+    leases_[++now_.last_lease_] = {time, steady_clock::now() + time};
+    return answer(200, {{"lease", now_.last_lease_}, {"ttlMs", time.count()}});
 }
 
 http_response platform_database::renew_lease(std::int64_t id)
@@ -149,7 +149,7 @@
         }
     }
     std::vector<std::string> keys;
-    for (auto const& [key, held] : items_)
+    for (auto const& [key, held] : now_.items_)
     {
         if (ended.contains(held.lease_id_))
         {
@@ -170,7 +170,7 @@
                                       std::int64_t after) const
 {
     json::array list;
-    for (auto const& change : history_)
+    for (auto const& change : now_.history_)
     {
         if (change.revision_ > after && change.key_.starts_with(prefix))
         {
@@ -182,13 +182,29 @@
 
 void platform_database::drop_history()
 {
-    history_.clear();
-    history_start_ = revision_ + 1;
+    now_.history_.clear();
+    now_.history_start_ = now_.revision_ + 1;
 }
 
 bool platform_database::has_history(std::int64_t after) const
 {
-    return after + 1 >= history_start_;
+    return after + 1 >= now_.history_start_ && after <= now_.revision_;
+}
+
+void platform_database::save_copy()
+{
+    copy_ = now_;
+}
+
+void platform_database::restore_copy()
+{
+    now_ = copy_;
+    ++era_;
+    for (auto& [id, held] : leases_)
+    {
+        held.expires_at_ = {};
+    }
+    expire_leases();
 }
 
 void platform_database::apply(json::object const& body)
@@ -208,21 +224,21 @@
 
 void platform_database::remove(std::string const& key)
 {
-    record({key, "", revision_ + 1, 0, 0, true});
+    record({key, "", now_.revision_ + 1, 0, 0, true});
 }
 
 void platform_database::record(platform_item change)
 {
-    revision_ = change.revision_;
+    now_.revision_ = change.revision_;
     if (change.deleted_)
     {
-        items_.erase(change.key_);
+        now_.items_.erase(change.key_);
     }
     else
     {
-        items_[change.key_] = change;
+        now_.items_[change.key_] = change;
     }
-    history_.push_back(std::move(change));
+    now_.history_.push_back(std::move(change));
 }
 
 } // namespace daisytrail
--- a/test/support/platform_database.hpp
+++ b/test/support/platform_database.hpp
@@ -46,9 +46,22 @@
     void drop_history();
     bool has_history(std::int64_t after) const;
 
+    // Keeps a copy of the items, the history and the counters.
+    void save_copy();
+
+    // Goes back to the copy: later writes are lost, all leases end, and
+    // revisions and lease numbers are given out again.
+    void restore_copy();
+
     std::int64_t revision() const
     {
-        return revision_;
+        return now_.revision_;
+    }
+
+    // Number of the history; rises with each restoration.
+    std::int64_t era() const
+    {
+        return era_;
     }
 
 private:
@@ -65,12 +78,20 @@
     void remove(std::string const& key);
     void record(platform_item change);
 
-    std::map<std::string, platform_item> items_;
-    std::deque<platform_item> history_;
+    // The part of the state that a copy has.
+    struct contents
+    {
+        std::map<std::string, platform_item> items_;
+        std::deque<platform_item> history_;
+        std::int64_t revision_ = 1;
+        std::int64_t history_start_ = 1; // first revision in the history
+        std::int64_t last_lease_ = 0;
+    };
+
+    contents now_;
+    contents copy_;
     std::map<std::int64_t, lease> leases_;
-    std::int64_t revision_ = 1;
-    std::int64_t history_start_ = 1; // first revision in the history
-    std::int64_t last_lease_ = 0;
+    std::int64_t era_ = 1;
 };
 
 } // namespace daisytrail
