--- a/include/daisytrail/control.hpp
+++ b/include/daisytrail/control.hpp
@@ -24,10 +24,10 @@
     // including left and dead.
     virtual void on_target(target_record const& record) = 0;
 
-    // This revision of an organisation's template came into force in this
+    // This version of an organisation's template came into force in this
     // process.
     virtual void on_organisation(organisation_template const& value,
-                                 revision template_revision) = 0;
+                                 template_version version) = 0;
 
     // Other balancers confirmed that this balancer knows all targets that they
     // know. The confirmation covers the state as of `requested_at`.
--- a/include/daisytrail/control_messages.hpp
+++ b/include/daisytrail/control_messages.hpp
@@ -30,7 +30,7 @@
 };
 
 // Identifier, version and state of one record, without the record's body. The
-// version of a template is {revision, 0}.
+// version of a template is {version, 0}.
 struct item
 {
     item_kind kind_ = item_kind::member;
@@ -138,7 +138,7 @@
     // Hash of the name of the agent's organisation; 0 if the agent follows
     // neither the members of its service nor its organisation's template.
     std::uint64_t organisation_ = 0;
-    revision revision_ = 0;            // of the template in force at the agent
+    template_version version_ = 0;     // of the template in force at the agent
     std::uint64_t peers_hash_ = 0;     // over the known members of its service
     std::uint64_t observers_hash_ = 0; // over the agent's set of observers
 
@@ -153,11 +153,11 @@
     bool operator==(heartbeat_ack const&) const = default;
 };
 
-// Requests one chunk of a template of at least this revision.
+// Requests one chunk of a template of at least this version.
 struct template_request
 {
     std::uint64_t organisation_ = 0;
-    revision revision_ = 0;
+    template_version version_ = 0;
     std::uint32_t index_ = 0;
 
     bool operator==(template_request const&) const = default;
@@ -167,7 +167,7 @@
 struct template_chunk
 {
     std::string organisation_;
-    revision revision_ = 0;
+    template_version version_ = 0;
     std::uint32_t index_ = 0;
     std::uint32_t count_ = 1;
     std::string bytes_;
@@ -219,12 +219,12 @@
     target_record record_;
 };
 
-// Report that a peer offered a revision that was unknown to this process.
+// Report that a peer offered a version that was unknown to this process.
 struct template_offer_action
 {
     std::uint64_t organisation_ = 0; // hash of the organisation's name
-    revision revision_ = 0;
-    revision held_ = 0; // revision in force; 0: none
+    template_version version_ = 0;
+    template_version held_ = 0; // version in force; 0: none
     endpoint from_;
 };
 
@@ -232,10 +232,10 @@
 struct template_action
 {
     std::string organisation_;
-    revision revision_ = 0;
+    template_version version_ = 0;
     std::string value_;  // as in the store
     std::string source_; // "store" or the control endpoint of the peer
-    // Time since a peer first offered a revision newer than the one in force;
+    // Time since a peer first offered a version newer than the one in force;
     // empty if none did.
     std::optional<duration> offered_ago_;
 };
@@ -243,9 +243,9 @@
 // Kinds of events that a process reports in its log and metrics.
 enum class report_kind : std::uint8_t
 {
-    refused_older,          // store or peer offered an older revision
+    refused_older,          // store or peer offered an older version
     refused_invalid,        // a template failed validation
-    refused_conflict,       // two different values with the same revision
+    refused_conflict,       // two different values with the same version
     self_suspected,         // most members don't answer; no deaths are declared
     declared_dead,          // this process was declared dead and refutes it
     paused,                 // the event loop was stalled
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -52,9 +52,9 @@
     // newer.
     bool apply(target_record const& record);
 
-    // Stores the template and returns true, unless the stored revision is
+    // Stores the template and returns true, unless the stored version is
     // newer.
-    bool apply(organisation_template const& value, revision template_revision);
+    bool apply(organisation_template const& value, template_version version);
 
     // Sets the list of targets that existed before this process started. A
     // listed target becomes known when its agent reports or its record is
@@ -134,13 +134,13 @@
 
     bool has_template() const
     {
-        return !revisions_.empty();
+        return !versions_.empty();
     }
 
-    // The highest revision in force.
-    revision newest_revision() const
+    // The highest version in force.
+    template_version newest_version() const
     {
-        return newest_revision_;
+        return newest_version_;
     }
 
     std::size_t route_count() const
@@ -159,13 +159,13 @@
     std::unordered_map<target_id, std::unique_ptr<forward_target>> targets_;
     std::map<service_id, target_list> members_;
     std::uint64_t member_changes_ = 0;
-    std::map<std::string, revision> revisions_; // by organisation
+    std::map<std::string, template_version> versions_; // by organisation
     std::map<std::string, std::vector<route_template>> templates_;
     // The values point into templates_.
     std::map<endpoint, route_template const*> routes_;
     std::set<endpoint> removed_vips_;          // removed, maybe added again
     std::deque<endpoint> removed_vips_by_age_; // oldest first
-    revision newest_revision_ = 0;
+    template_version newest_version_ = 0;
     bool has_expected_list_ = false; // set_expected_targets() called
     // Expected targets that aren't known yet.
     std::vector<target_id> missing_targets_;
--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -9,7 +9,7 @@
 #include <daisytrail/control_messages.hpp>
 #include <daisytrail/failure_detector.hpp>
 #include <daisytrail/member_table.hpp>
-#include <daisytrail/revisions.hpp>
+#include <daisytrail/template_versions.hpp>
 #include <daisytrail/view_confirmation.hpp>
 
 #include <cstdint>
@@ -64,7 +64,7 @@
 
     // Adopts and gossips a template read from the store, if it is newer.
     std::vector<control_action> offer(std::string const& organisation,
-                                      revision template_revision,
+                                      template_version version,
                                       std::string value, time_point now);
 
     // Asks other balancers whether they know targets that this balancer doesn't
@@ -96,7 +96,7 @@
         return table_;
     }
 
-    template_revisions const& templates() const
+    template_versions const& templates() const
     {
         return templates_;
     }
@@ -210,7 +210,7 @@
     target_record self_;
     membership_timing timing_;
     member_table table_;
-    template_revisions templates_;
+    template_versions templates_;
     failure_detector detector_;
     control_health health_;
     view_confirmation confirmation_;
@@ -266,7 +266,7 @@
         return self_;
     }
 
-    template_revisions const& templates() const
+    template_versions const& templates() const
     {
         return templates_;
     }
@@ -319,7 +319,7 @@
     target_record self_;
     std::uint64_t organisation_;
     membership_timing timing_;
-    template_revisions templates_;
+    template_versions templates_;
     probe_relay relay_;
     std::mt19937_64 random_;
     std::vector<endpoint> seeds_;
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -129,8 +129,8 @@
     // in messages of an agent. An owner_answer and a message with the reason
     // other_target name the target that the balancer addressed.
     target_id target_ = 0;
-    revision revision_ = 0; // of the template in force at the balancer
-    backend_load load_;     // set by agents only
+    template_version version_ = 0; // of the template in force at the balancer
+    backend_load load_;            // set by agents only
     // In a `packet`: the balancer doesn't know whether this target holds the
     // flow and requests an `owner_answer` if it does. In messages of other
     // kinds: false.
--- a/include/daisytrail/revisions.hpp
+++ b/include/daisytrail/template_versions.hpp
@@ -1,5 +1,5 @@
 // Templates in force at one process. A template is replaced only by a newer
-// revision, is fetched from peers in chunks, and each adoption or refusal is
+// version, is fetched from peers in chunks, and each adoption or refusal is
 // recorded in a bounded log.
 #pragma once
 
@@ -21,9 +21,9 @@
 enum class adoption : std::uint8_t
 {
     adopted,
-    already_held,     // same revision and value as the one in force
-    refused_older,    // older revision than the one in force
-    refused_conflict, // same revision as the one in force, different value
+    already_held,     // same version and value as the one in force
+    refused_older,    // older version than the one in force
+    refused_conflict, // same version as the one in force, different value
     refused_invalid,  // failed validation; the template in force stays
     count
 };
@@ -37,7 +37,7 @@
 struct adoption_record
 {
     std::string organisation_;
-    revision revision_ = 0;
+    template_version version_ = 0;
     adoption outcome_ = adoption::adopted;
     std::string source_; // "store" or the control endpoint of the peer
     time_point at_;
@@ -62,11 +62,11 @@
 struct held_template
 {
     std::string organisation_;
-    revision revision_ = 0;
+    template_version version_ = 0;
     std::string value_; // as in the store
 };
 
-class template_revisions
+class template_versions
 {
 public:
     // Called after an organisation's template changed, with its item before and
@@ -74,8 +74,8 @@
     using change_callback = std::function<void(
         std::optional<item> const& before, std::optional<item> const& after)>;
 
-    explicit template_revisions(template_check check,
-                                change_callback on_change = {});
+    explicit template_versions(template_check check,
+                               change_callback on_change = {});
 
     // Ignores offers from peers for the templates of all other organisations.
     void restrict_to(std::uint64_t organisation)
@@ -86,7 +86,7 @@
     // Adopts a complete value from the store or a peer if it is newer than the
     // template in force and valid. Logs adoptions and refusals.
     adoption try_adopt(std::string const& organisation,
-                       revision template_revision, std::string value,
+                       template_version version, std::string value,
                        std::string const& source, time_point now,
                        std::vector<control_action>& out);
 
@@ -96,7 +96,7 @@
     bool on_offer(item const& offered, endpoint const& from, time_point now,
                   std::vector<control_action>& out);
 
-    // Sends the requested chunk to a peer; ignores a request for a revision
+    // Sends the requested chunk to a peer; ignores a request for a version
     // that isn't in force here yet.
     void answer_request(template_request const& request, endpoint const& from,
                         std::vector<control_action>& out) const;
@@ -110,15 +110,15 @@
     // used up their attempts.
     void tick(time_point now, std::vector<control_action>& out);
 
-    // Returns true if peers have offered a newer revision for at least
+    // Returns true if peers have offered a newer version for at least
     // `timeout` and its value hasn't arrived. This happens when all balancers
     // of a large fleet fetch a large template at once and their peers' byte
     // budgets are too small to transfer it in time.
     bool is_overdue(duration timeout, time_point now) const;
 
-    // Returns the newest known revisions of the most recently changed
+    // Returns the newest known versions of the most recently changed
     // organisations, whether in force here or still pending.
-    std::vector<item> latest_revisions() const;
+    std::vector<item> latest_versions() const;
 
     // Returns the item of the template in force, if there is one.
     std::optional<item> find(std::uint64_t organisation) const;
@@ -134,11 +134,11 @@
     }
 
 private:
-    // A transfer in progress. The chunks of a revision are identical at all
+    // A transfer in progress. The chunks of a version are identical at all
     // peers, so that any peer can continue the transfer.
     struct transfer
     {
-        revision revision_ = 0;
+        template_version version_ = 0;
         std::vector<endpoint> peers_;  // offered it; requests go to the first
         std::uint32_t next_index_ = 0; // of the first missing chunk
         std::string value_;            // chunks received so far
@@ -146,23 +146,23 @@
         int attempts_ = 0;
     };
 
-    // A revision that was offered and whose value hasn't arrived.
-    struct pending_revision
+    // A version that was offered and whose value hasn't arrived.
+    struct pending_version
     {
-        revision revision_ = 0; // newest one that was offered
+        template_version version_ = 0; // newest one that was offered
         // First offer that is still pending; newer offers don't reset it.
         time_point first_offered_at_;
         time_point last_offered_at_;
     };
 
-    bool note_pending(std::uint64_t id, revision template_revision,
+    bool note_pending(std::uint64_t id, template_version version,
                       time_point now);
     void mark_changed(std::uint64_t id);
-    static item to_item(std::uint64_t id, revision template_revision);
+    static item to_item(std::uint64_t id, template_version version);
     void add_record(adoption_record line);
     void send_request(std::uint64_t id, transfer& active, time_point now,
                       std::vector<control_action>& out);
-    adoption evaluate(std::uint64_t id, revision template_revision,
+    adoption evaluate(std::uint64_t id, template_version version,
                       std::string const& value, std::string& detail) const;
 
     template_check validate_;
@@ -170,11 +170,11 @@
     std::optional<std::uint64_t> only_organisation_;
     std::map<std::uint64_t, held_template> held_;
     std::map<std::uint64_t, transfer> transfers_;
-    std::map<std::uint64_t, pending_revision> pending_revisions_;
+    std::map<std::uint64_t, pending_version> pending_versions_;
     // Organisations in the order of their last change, newest first.
     std::deque<std::uint64_t> last_changed_;
-    // Newest revisions that failed validation; they aren't fetched again.
-    std::map<std::uint64_t, revision> invalid_;
+    // Newest versions that failed validation; they aren't fetched again.
+    std::map<std::uint64_t, template_version> invalid_;
     std::deque<adoption_record> records_;
 };
 
--- a/include/daisytrail/types.hpp
+++ b/include/daisytrail/types.hpp
@@ -81,4 +81,7 @@
 // Revision of the configuration store; increases with each accepted change.
 using revision = std::uint64_t;
 
+// Orders the versions of an organisation's template; 0: none.
+using template_version = std::uint64_t;
+
 } // namespace daisytrail
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -152,7 +152,7 @@
 }
 
 void agent::on_organisation(organisation_template const& value,
-                            revision template_revision)
+                            template_version version)
 {
     if (value.name_ != settings_.organisation_)
     {
@@ -162,14 +162,12 @@
                                          &service_template::name_);
     if (found == value.services_.end())
     {
-        log_event(
-            log_level::error, "service_missing",
-            {{"service", settings_.service_}, {"revision", template_revision}});
+        log_event(log_level::error, "service_missing",
+                  {{"service", settings_.service_}, {"version", version}});
         return;
     }
     set_service(*found);
-    log_event(log_level::info, "template_adopted",
-              {{"revision", template_revision}});
+    log_event(log_level::info, "template_adopted", {{"version", version}});
 }
 
 void agent::set_service(service_template const& service)
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -45,7 +45,7 @@
 
     void on_target(target_record const& record) override;
     void on_organisation(organisation_template const& value,
-                         revision template_revision) override;
+                         template_version version) override;
 
 private:
     void add_http_routes();
--- a/src/balancer/http_routes.cpp
+++ b/src/balancer/http_routes.cpp
@@ -102,11 +102,11 @@
 
 http_response show_view(balancer_http_sources const& sources)
 {
-    json::object revisions;
-    for (auto const& [organisation, revision_in_force] :
-         sources.view_updater_.revisions())
+    json::object versions;
+    for (auto const& [organisation, version_in_force] :
+         sources.view_updater_.versions())
     {
-        revisions[organisation] = revision_in_force;
+        versions[organisation] = version_in_force;
     }
     json::array services;
     sources.view_.for_each_service(
@@ -115,7 +115,7 @@
     json::object const body{
         {"name", sources.settings_.common_.name_},
         {"failure_domain", sources.settings_.common_.failure_domain_},
-        {"revisions", std::move(revisions)},
+        {"versions", std::move(versions)},
         {"services", std::move(services)}};
     return make_response(200, json::serialize(body));
 }
--- a/src/balancer/view_updater.cpp
+++ b/src/balancer/view_updater.cpp
@@ -54,23 +54,23 @@
 }
 
 void view_updater::on_organisation(organisation_template const& value,
-                                   revision template_revision)
+                                   template_version version)
 {
-    auto& revision_in_force = revisions_[value.name_];
-    if (template_revision < revision_in_force)
+    auto& version_in_force = versions_[value.name_];
+    if (version < version_in_force)
     {
         ++stale_changes_;
         log_event(log_level::warning, "stale_template",
                   {{"organisation", value.name_},
-                   {"revision", template_revision},
-                   {"in_force", revision_in_force}});
+                   {"version", version},
+                   {"in_force", version_in_force}});
         return;
     }
-    revision_in_force = template_revision;
+    version_in_force = version;
     view_.apply(value);
     ++template_changes_;
     log_event(log_level::info, "template_in_force",
-              {{"organisation", value.name_}, {"revision", template_revision}});
+              {{"organisation", value.name_}, {"version", version}});
 }
 
 } // namespace daisytrail
--- a/src/balancer/view_updater.hpp
+++ b/src/balancer/view_updater.hpp
@@ -21,12 +21,12 @@
 
     void on_target(target_record const& record) override;
     void on_organisation(organisation_template const& value,
-                         revision template_revision) override;
+                         template_version version) override;
 
     // Revision of the template in force, by name of the organisation.
-    std::map<std::string, revision> const& revisions() const
+    std::map<std::string, template_version> const& versions() const
     {
-        return revisions_;
+        return versions_;
     }
 
 private:
@@ -36,7 +36,7 @@
     // Targets in the state left or dead, oldest first. The view keeps their
     // versions for a while, so that a late record doesn't restore a target.
     std::deque<target_id> gone_;
-    std::map<std::string, revision> revisions_;
+    std::map<std::string, template_version> versions_;
     std::uint64_t& target_changes_;
     std::uint64_t& template_changes_;
     std::uint64_t& stale_changes_;
--- a/src/cli/fleet_client.cpp
+++ b/src/cli/fleet_client.cpp
@@ -53,7 +53,7 @@
                                                  : json::array();
 }
 
-void read_revisions(json::object const& adopted, process_status& status)
+void read_versions(json::object const& adopted, process_status& status)
 {
     for (auto const& entry : array_member(adopted, "in_force"))
     {
@@ -62,11 +62,11 @@
             continue;
         }
         auto const& organisation = entry.get_object();
-        auto const* revision_value = organisation.if_contains("revision");
-        if (revision_value != nullptr && revision_value->is_int64())
+        auto const* version_value = organisation.if_contains("version");
+        if (version_value != nullptr && version_value->is_int64())
         {
-            status.revisions_[string_member(organisation, "organisation")] =
-                static_cast<revision>(revision_value->get_int64());
+            status.versions_[string_member(organisation, "organisation")] =
+                static_cast<template_version>(version_value->get_int64());
         }
     }
 }
@@ -150,7 +150,7 @@
         return status;
     }
     status.name_ = string_member(*adopted_json, "process");
-    read_revisions(*adopted_json, status);
+    read_versions(*adopted_json, status);
     if (auto const view_json = parse_object(view.body_);
         view_json && !view.error_)
     {
--- a/src/cli/fleet_client.hpp
+++ b/src/cli/fleet_client.hpp
@@ -41,7 +41,7 @@
     std::string state_;
 };
 
-// The template revisions that a process runs and the targets that it reports.
+// The template versions that a process runs and the targets that it reports.
 struct process_status
 {
     endpoint process_;
@@ -51,7 +51,7 @@
     // A balancer runs the templates of all organisations, an agent only that of
     // its service's organisation.
     bool is_balancer_ = false;
-    std::map<std::string, revision> revisions_; // by organisation
+    std::map<std::string, template_version> versions_; // by organisation
     std::vector<reported_target> targets_;
 };
 
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -1,4 +1,4 @@
-// Reports the template revisions that processes run and the targets that aren't
+// Reports the template versions that processes run and the targets that aren't
 // ready.
 #include "cli/status.hpp"
 
@@ -39,11 +39,12 @@
     return process.name_.empty() ? address : process.name_ + " " + address;
 }
 
-// Returns the stored revision of each organisation; empty if the store can't be
+// Returns the stored version of each organisation; empty if the store can't be
 // read.
-std::map<std::string, revision> stored_revisions(command_context const& context)
+std::map<std::string, template_version>
+stored_revisions(command_context const& context)
 {
-    std::map<std::string, revision> result;
+    std::map<std::string, template_version> result;
     auto const answer = context.store_.range(std::string(template_prefix), 0);
     for (auto const& entry : answer.entries_)
     {
@@ -53,17 +54,16 @@
     return result;
 }
 
-// Returns for each organisation the newest revision that any process runs.
-std::map<std::string, revision>
-newest_revisions(std::vector<process_status> const& processes)
+// Returns for each organisation the newest version that any process runs.
+std::map<std::string, template_version>
+newest_versions(std::vector<process_status> const& processes)
 {
-    std::map<std::string, revision> result;
+    std::map<std::string, template_version> result;
     for (auto const& process : processes)
     {
-        for (auto const& [organisation, template_revision] : process.revisions_)
+        for (auto const& [organisation, version] : process.versions_)
         {
-            result[organisation] =
-                std::max(result[organisation], template_revision);
+            result[organisation] = std::max(result[organisation], version);
         }
     }
     return result;
@@ -90,16 +90,16 @@
 
 json::object to_json(process_status const& process)
 {
-    json::object revisions;
-    for (auto const& [organisation, template_revision] : process.revisions_)
+    json::object versions;
+    for (auto const& [organisation, version] : process.versions_)
     {
-        revisions[organisation] = template_revision;
+        versions[organisation] = version;
     }
     return {{"process", to_string(process.process_)},
             {"name", process.name_},
             {"failure_domain", process.failure_domain_},
             {"detail", process.detail_},
-            {"revisions", std::move(revisions)},
+            {"versions", std::move(versions)},
             {"targets", process.targets_.size()}};
 }
 
@@ -110,9 +110,9 @@
         return label(process) + "  " + process.detail_ + "\n";
     }
     std::string text = label(process) + "  " + process.failure_domain_;
-    for (auto const& [organisation, template_revision] : process.revisions_)
+    for (auto const& [organisation, version] : process.versions_)
     {
-        text += "  " + organisation + "@" + std::to_string(template_revision);
+        text += "  " + organisation + "@" + std::to_string(version);
     }
     return text + "  targets " + std::to_string(process.targets_.size()) + "\n";
 }
@@ -143,7 +143,7 @@
 
 std::vector<std::string>
 lagging_processes(std::vector<process_status> const& processes,
-                  std::map<std::string, revision> const& wanted)
+                  std::map<std::string, template_version> const& wanted)
 {
     std::vector<std::string> result;
     for (auto const& process : processes)
@@ -153,22 +153,22 @@
             result.push_back(label(process) + " (" + process.detail_ + ")");
             continue;
         }
-        for (auto const& [organisation, template_revision] : wanted)
+        for (auto const& [organisation, version] : wanted)
         {
-            auto const found = process.revisions_.find(organisation);
+            auto const found = process.versions_.find(organisation);
             bool const must_have_revision =
-                process.is_balancer_ || process.revisions_.empty();
-            if (found == process.revisions_.end() && !must_have_revision)
+                process.is_balancer_ || process.versions_.empty();
+            if (found == process.versions_.end() && !must_have_revision)
             {
                 continue;
             }
             auto const running_revision =
-                found == process.revisions_.end() ? 0 : found->second;
-            if (running_revision < template_revision)
+                found == process.versions_.end() ? 0 : found->second;
+            if (running_revision < version)
             {
                 result.push_back(label(process) + " (" + organisation + "@" +
                                  std::to_string(running_revision) + ", not @" +
-                                 std::to_string(template_revision) + ")");
+                                 std::to_string(version) + ")");
             }
         }
     }
@@ -177,7 +177,7 @@
 
 std::vector<std::string> wait_until_in_force(command_context const& context,
                                              std::string const& organisation,
-                                             revision wanted,
+                                             template_version wanted,
                                              std::chrono::milliseconds timeout)
 {
     auto const& environment = context.store_.environment();
@@ -215,7 +215,7 @@
     bool const has_stored_revisions = !wanted.empty();
     if (!has_stored_revisions)
     {
-        wanted = newest_revisions(processes);
+        wanted = newest_versions(processes);
     }
     auto const lagging = lagging_processes(processes, wanted);
     auto const unready = unready_targets(processes);
@@ -229,7 +229,7 @@
     result.text_ += section("behind", lagging) + section("target", unready);
     if (!has_stored_revisions)
     {
-        result.text_ += "no revisions from the store: compared with the "
+        result.text_ += "no versions from the store: compared with the "
                         "newest that any process runs\n";
     }
     result.json_ = {{"processes", std::move(list)},
--- a/src/core/balancer_gossip.cpp
+++ b/src/core/balancer_gossip.cpp
@@ -117,7 +117,7 @@
     for (auto const& peer : random_balancers(1))
     {
         send(peer.control_,
-             digest_message{table_.tree().root(), templates_.latest_revisions(),
+             digest_message{table_.tree().root(), templates_.latest_versions(),
                             false});
     }
 }
@@ -138,7 +138,7 @@
     if (!lost.empty())
     {
         std::uniform_int_distribution<std::size_t> pick(0, lost.size() - 1);
-        auto items = templates_.latest_revisions();
+        auto items = templates_.latest_versions();
         items.push_back(to_item(self_));
         send(lost[pick(random_)],
              digest_message{table_.tree().root(), std::move(items), false});
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -127,12 +127,12 @@
 
 std::vector<control_action>
 balancer_membership::offer(std::string const& organisation,
-                           revision template_revision, std::string value,
+                           template_version version, std::string value,
                            time_point now)
 {
     now_ = now;
-    templates_.try_adopt(organisation, template_revision, std::move(value),
-                         "store", now, actions_);
+    templates_.try_adopt(organisation, version, std::move(value), "store", now,
+                         actions_);
     return std::exchange(actions_, {});
 }
 
--- a/src/core/balancer_messages.cpp
+++ b/src/core/balancer_messages.cpp
@@ -99,7 +99,7 @@
                                                endpoint const& to)
 {
     digest_message answer;
-    for (auto const& latest : templates_.latest_revisions())
+    for (auto const& latest : templates_.latest_versions())
     {
         auto const known =
             std::ranges::find(theirs.items_, latest.id_, &item::id_);
@@ -149,7 +149,7 @@
             newer.items_.push_back(*mine);
             return;
         }
-        // The new revision is gossiped before the template is received.
+        // The new version is gossiped before the template is received.
         if (templates_.on_offer(theirs, from, now_, actions_))
         {
             enqueue_gossip(theirs);
@@ -368,15 +368,15 @@
     }
     auto const held = templates_.find(message.organisation_);
     auto const at = held ? held->version_.incarnation_ : 0;
-    if (at > message.revision_)
+    if (at > message.version_)
     {
         digest.items_.push_back(*held);
     }
-    else if (message.revision_ > at)
+    else if (message.version_ > at)
     {
         templates_.on_offer({item_kind::organisation,
                              message.organisation_,
-                             {message.revision_, 0},
+                             {message.version_, 0},
                              member_state::ready},
                             from, now_, actions_);
     }
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -102,15 +102,15 @@
 }
 
 bool forward_directory::apply(organisation_template const& value,
-                              revision template_revision)
+                              template_version version)
 {
-    auto& stored = revisions_[value.name_];
-    if (template_revision < stored)
+    auto& stored = versions_[value.name_];
+    if (version < stored)
     {
         return false;
     }
-    stored = template_revision;
-    newest_revision_ = std::max(newest_revision_, template_revision);
+    stored = version;
+    newest_version_ = std::max(newest_version_, version);
     auto const previous_routes =
         std::exchange(templates_[value.name_], value.routes_);
     routes_.clear();
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -352,7 +352,7 @@
     message.kind_ = relay_kind::owner_question;
     message.service_ = target.record_.service_;
     message.target_ = target.record_.target_;
-    message.revision_ = directory_.newest_revision();
+    message.version_ = directory_.newest_version();
     message.queried_flows_ = std::exchange(flows, {});
     auto const head_bytes = encode_relay_head(message, agents_.next_head());
     agents_.add(target.record_.tunnel_, head_bytes, {});
@@ -365,7 +365,7 @@
     message.is_owner_unknown_ = is_owner_unknown;
     message.service_ = target.record_.service_;
     message.target_ = target.record_.target_;
-    message.revision_ = directory_.newest_revision();
+    message.version_ = directory_.newest_version();
     auto const head_bytes = encode_relay_head(message, agents_.next_head());
     agents_.add(target.record_.tunnel_, head_bytes, bytes);
 }
@@ -397,7 +397,7 @@
         {"flow", flow_name(flow)},
         {"step", step_names[static_cast<std::size_t>(action.step_)]},
         {"cause", to_string(action.cause_)},
-        {"revision", directory_.newest_revision()}};
+        {"version", directory_.newest_version()}};
     if (action.target_ != nullptr)
     {
         auto const& target = *action.target_;
@@ -462,7 +462,7 @@
     message.kind_ = relay_kind::report_request;
     message.service_ = target.service_;
     message.target_ = target.target_;
-    message.revision_ = directory_.newest_revision();
+    message.version_ = directory_.newest_version();
     auto const head_bytes = encode_relay_head(message, agents_.next_head());
     agents_.add(target.tunnel_, head_bytes, {});
 }
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -258,6 +258,9 @@
 
 void forward_agent::on_target(target_record const&) {}
 
-void forward_agent::on_organisation(organisation_template const&, revision) {}
+void forward_agent::on_organisation(organisation_template const&,
+                                    template_version)
+{
+}
 
 } // namespace daisytrail
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -84,7 +84,7 @@
                                     {"stopping", stops_at_.has_value()},
                                     {"routes", directory_.route_count()},
                                     {"targets", directory_.targets().size()},
-                                    {"revision", directory_.newest_revision()}};
+                                    {"version", directory_.newest_version()}};
             return make_response(is_ready() ? 200 : 503, json::serialize(body));
         });
     http_server_.route("GET", "/metrics",
@@ -164,7 +164,7 @@
         log_event(log_level::info, was_ready_ ? "ready" : "not_ready",
                   {{"routes", directory_.route_count()},
                    {"targets", directory_.targets().size()},
-                   {"revision", directory_.newest_revision()},
+                   {"version", directory_.newest_version()},
                    {"stopping", stops_at_.has_value()}});
     }
     if (stops_at_ && now >= *stops_at_)
@@ -220,15 +220,15 @@
 }
 
 void forward_balancer::on_organisation(organisation_template const& value,
-                                       revision template_revision)
+                                       template_version version)
 {
-    auto const previous_revision = directory_.newest_revision();
-    bool const is_applied = directory_.apply(value, template_revision);
+    auto const previous_version = directory_.newest_version();
+    bool const is_applied = directory_.apply(value, version);
     log_event(
         log_level::info, "template",
         {{"organisation", value.name_},
-         {"revision", template_revision},
-         {"held", previous_revision},
+         {"version", version},
+         {"held", previous_version},
          {"routes", value.routes_.size()},
          {"outcome", is_applied ? "in force" : "older than the one held"}});
 }
--- a/src/forward/forward_balancer.hpp
+++ b/src/forward/forward_balancer.hpp
@@ -41,7 +41,7 @@
 
     void on_target(target_record const& record) override;
     void on_organisation(organisation_template const& value,
-                         revision template_revision) override;
+                         template_version version) override;
     void on_view_confirmed(time_point asked) override;
     void on_target_list(std::vector<target_record> const& targets) override;
 
--- a/src/net/control_outputs.cpp
+++ b/src/net/control_outputs.cpp
@@ -72,7 +72,7 @@
 {
     log_event(log_level::info, "template_offered",
               {{"organisation_id", action.organisation_},
-               {"revision", action.revision_},
+               {"version", action.version_},
                {"held", action.held_},
                {"from", to_string(action.from_)}});
 }
@@ -82,7 +82,7 @@
     auto const stored = parse_adopted_template(action.value_);
     log_event(log_level::info, "template_adopted",
               {{"organisation", action.organisation_},
-               {"revision", action.revision_},
+               {"version", action.version_},
                {"change_id", stored.change_id_},
                {"source", action.source_},
                {"offered_ms_ago",
@@ -90,7 +90,7 @@
                                           *action.offered_ago_)
                                           .count()
                                     : -1}});
-    events_.on_organisation(stored.value_, action.revision_);
+    events_.on_organisation(stored.value_, action.version_);
 }
 
 void action_runner::execute(report_action const& action)
@@ -112,23 +112,23 @@
     events_.on_view_confirmed(action.requested_at_);
 }
 
-json::value to_json(template_revisions const& revisions,
+json::value to_json(template_versions const& versions,
                     std::string const& process)
 {
     json::array in_force;
-    for (auto const& value : revisions.held_templates())
+    for (auto const& value : versions.held_templates())
     {
         auto const stored = parse_adopted_template(value.value_);
         in_force.push_back(json::object{{"organisation", value.organisation_},
-                                        {"revision", value.revision_},
+                                        {"version", value.version_},
                                         {"change_id", stored.change_id_}});
     }
     json::array records;
-    for (auto const& entry : revisions.adoption_records())
+    for (auto const& entry : versions.adoption_records())
     {
         records.push_back(json::object{
             {"organisation", entry.organisation_},
-            {"revision", entry.revision_},
+            {"version", entry.version_},
             {"outcome",
              adoption_names[static_cast<std::size_t>(entry.outcome_)]},
             {"source", entry.source_},
--- a/src/net/control_outputs.hpp
+++ b/src/net/control_outputs.hpp
@@ -5,7 +5,7 @@
 #include "net/control_link.hpp"
 
 #include <daisytrail/control.hpp>
-#include <daisytrail/revisions.hpp>
+#include <daisytrail/template_versions.hpp>
 
 #include <boost/json/value.hpp>
 
@@ -39,7 +39,7 @@
 
 // Returns the templates in force in this process, and the recorded results of
 // template offers with their times and sources.
-boost::json::value to_json(template_revisions const& revisions,
+boost::json::value to_json(template_versions const& versions,
                            std::string const& process);
 
 // Returns the incarnation of a process that starts now: Unix time in
--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -62,7 +62,7 @@
 struct Heartbeat {
   record @0 :Record;
   organisation @1 :UInt64;
-  revision @2 :UInt64;
+  version @2 :UInt64;
   peersHash @3 :UInt64;
   observersHash @4 :UInt64;
 }
@@ -74,13 +74,13 @@
 
 struct TemplateRequest {
   organisation @0 :UInt64;
-  revision @1 :UInt64;
+  version @1 :UInt64;
   index @2 :UInt32;
 }
 
 struct TemplateChunk {
   organisation @0 :Text;
-  revision @1 :UInt64;
+  version @1 :UInt64;
   index @2 :UInt32;
   count @3 :UInt32;
   bytes @4 :Data;
--- a/src/rpc/control_messages.cpp
+++ b/src/rpc/control_messages.cpp
@@ -226,7 +226,7 @@
         auto to = to_.initHeartbeat();
         write(to.initRecord(), from.record_);
         to.setOrganisation(from.organisation_);
-        to.setRevision(from.revision_);
+        to.setVersion(from.version_);
         to.setPeersHash(from.peers_hash_);
         to.setObserversHash(from.observers_hash_);
     }
@@ -242,7 +242,7 @@
     {
         auto to = to_.initTemplateRequest();
         to.setOrganisation(from.organisation_);
-        to.setRevision(from.revision_);
+        to.setVersion(from.version_);
         to.setIndex(from.index_);
     }
 
@@ -250,7 +250,7 @@
     {
         auto to = to_.initTemplateChunk();
         to.setOrganisation(from.organisation_);
-        to.setRevision(from.revision_);
+        to.setVersion(from.version_);
         to.setIndex(from.index_);
         to.setCount(from.count_);
         to.setBytes(
@@ -278,14 +278,14 @@
 control_message read_heartbeat(wire::Heartbeat::Reader from)
 {
     return heartbeat_message{read(from.getRecord()), from.getOrganisation(),
-                             from.getRevision(), from.getPeersHash(),
+                             from.getVersion(), from.getPeersHash(),
                              from.getObserversHash()};
 }
 
 control_message read_chunk(wire::TemplateChunk::Reader from)
 {
     auto const bytes = from.getBytes().asChars();
-    return template_chunk{from.getOrganisation().cStr(), from.getRevision(),
+    return template_chunk{from.getOrganisation().cStr(), from.getVersion(),
                           from.getIndex(), from.getCount(),
                           std::string(bytes.begin(), bytes.end())};
 }
@@ -333,7 +333,7 @@
             read_list<contact>(from.getHeartbeatAck().getObservers())};
     case wire::ControlMessage::TEMPLATE_REQUEST:
         return template_request{from.getTemplateRequest().getOrganisation(),
-                                from.getTemplateRequest().getRevision(),
+                                from.getTemplateRequest().getVersion(),
                                 from.getTemplateRequest().getIndex()};
     case wire::ControlMessage::TEMPLATE_CHUNK:
         return read_chunk(from.getTemplateChunk());
--- a/src/rpc/forward.capnp
+++ b/src/rpc/forward.capnp
@@ -8,7 +8,7 @@
 struct RelayHead {
   service @0 :UInt64;
   target @1 :UInt64;
-  revision @2 :UInt64;
+  version @2 :UInt64;
   kind @3 :UInt8;
   reason @4 :UInt8;
   accepts @5 :Bool;
--- a/src/rpc/relay_message.cpp
+++ b/src/rpc/relay_message.cpp
@@ -109,7 +109,7 @@
     relay_message result;
     result.service_ = root.getService();
     result.target_ = root.getTarget();
-    result.revision_ = root.getRevision();
+    result.version_ = root.getVersion();
     result.kind_ = static_cast<relay_kind>(root.getKind());
     result.reason_ = static_cast<return_reason>(root.getReason());
     result.is_owner_unknown_ = root.getAsksOwner();
@@ -139,7 +139,7 @@
     auto root = builder.initRoot<wire::RelayHead>();
     root.setService(message.service_);
     root.setTarget(message.target_);
-    root.setRevision(message.revision_);
+    root.setVersion(message.version_);
     root.setKind(static_cast<std::uint8_t>(message.kind_));
     root.setReason(static_cast<std::uint8_t>(message.reason_));
     root.setAccepts(message.load_.accepts_);
--- a/test/measure/control.cpp
+++ b/test/measure/control.cpp
@@ -287,7 +287,7 @@
             auto const record = json::parse(body);
             for (auto const& line : record.at("records").as_array())
             {
-                if (line.at("revision").to_number<revision>() == at)
+                if (line.at("version").to_number<template_version>() == at)
                 {
                     time = static_cast<double>(
                                line.at("at_ms").to_number<std::int64_t>() -
--- a/test/support/control_fleet.hpp
+++ b/test/support/control_fleet.hpp
@@ -53,7 +53,7 @@
     std::optional<byte_budget> budget_;                  // none: no limit
     std::uint64_t dropped_over_budget_ = 0;              // datagrams
     std::map<std::uint64_t, target_record> member_view_; // by member_action
-    std::map<std::string, revision> templates_;
+    std::map<std::string, template_version> templates_;
     std::map<report_kind, int> reports_;
     std::optional<time_point> view_confirmed_as_of_; // start of the round
     time_point view_confirmed_at_;                   // end of the round
@@ -151,7 +151,7 @@
         return now_ - start;
     }
 
-    void offer(process& to, revision at, std::string const& value)
+    void offer(process& to, template_version at, std::string const& value)
     {
         apply_actions(to, to.balancer_->offer("org", at, value, now_));
     }
@@ -283,7 +283,7 @@
             }
             else if (auto const* value = std::get_if<template_action>(&action))
             {
-                from.templates_[value->organisation_] = value->revision_;
+                from.templates_[value->organisation_] = value->version_;
             }
             else if (auto const* report = std::get_if<report_action>(&action))
             {
--- a/test/unit/change_test.cpp
+++ b/test/unit/change_test.cpp
@@ -382,7 +382,7 @@
                           parse_endpoint("127.0.0.1:2")};
     int rounds = 0;
     std::string const in_force = R"({"process": "x", "in_force":)"
-                                 R"( [{"organisation": "a", "revision": 1}]})";
+                                 R"( [{"organisation": "a", "version": 1}]})";
     process_query const query_processes =
         [&](std::vector<endpoint> const& processes, std::string const& page)
     {
@@ -411,14 +411,14 @@
 TEST_CASE("an agent lags behind only in the organisation of its service")
 {
     process_status agent;
-    agent.revisions_ = {{"a", 5}};
+    agent.versions_ = {{"a", 5}};
     CHECK(lagging_processes({agent}, {{"a", 5}, {"b", 9}}).empty());
     CHECK(lagging_processes({agent}, {{"a", 6}, {"b", 9}}).size() == 1);
-    agent.revisions_.clear();
+    agent.versions_.clear();
     CHECK(lagging_processes({agent}, {{"a", 5}}).size() == 1);
     process_status balancer;
     balancer.is_balancer_ = true;
-    balancer.revisions_ = {{"a", 5}};
+    balancer.versions_ = {{"a", 5}};
     CHECK(lagging_processes({balancer}, {{"a", 5}, {"b", 9}}).size() == 1);
 }
 
--- a/test/unit/membership_test.cpp
+++ b/test/unit/membership_test.cpp
@@ -287,7 +287,7 @@
         control_fleet fleet(seed, heavy_loss);
         build_fleet(fleet, 4, 12);
         fleet.offer(fleet.at("b0"), 5, std::string(4'500, 'x'));
-        auto const adopted = [&](revision expected)
+        auto const adopted = [&](template_version expected)
         {
             return fleet.all_of([expected](process& each)
                                 { return each.templates_["org"] == expected; });
@@ -447,7 +447,7 @@
     {
         fleet.add_agent(name('t', i), 7, "");
     }
-    for (revision change = 1; change <= 8; ++change)
+    for (template_version change = 1; change <= 8; ++change)
     {
         CAPTURE(change);
         fleet.run_for(seconds(2));
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -534,7 +534,7 @@
     message.kind_ = relay_kind::owner_answer;
     message.service_ = 1;
     message.target_ = 2;
-    message.revision_ = 3;
+    message.version_ = 3;
     message.queried_flows_.push_back(
         {{{4, 5}, {6, 7}}, flow_ownership::not_held});
     message.queried_flows_.push_back(
--- a/test/unit/revisions_test.cpp
+++ b/test/unit/template_versions_test.cpp
@@ -1,6 +1,6 @@
 // Tests of template transfers between peers in simulated time.
 #include <daisytrail/control_messages.hpp>
-#include <daisytrail/revisions.hpp>
+#include <daisytrail/template_versions.hpp>
 
 #include <doctest/doctest.h>
 
@@ -18,19 +18,18 @@
 constexpr endpoint first_peer{0x0a000001, 7'000};
 constexpr endpoint second_peer{0x0a000002, 7'000};
 
-item make_offer(revision template_revision)
+item make_offer(template_version version)
 {
     return {item_kind::organisation,
             hash_name("site"),
-            {template_revision, 0},
+            {version, 0},
             member_state::ready};
 }
 
-template_chunk make_chunk(revision template_revision, std::uint32_t index,
+template_chunk make_chunk(template_version version, std::uint32_t index,
                           std::uint32_t count)
 {
-    return {"site", template_revision, index, count,
-            std::string(1, char('a' + index))};
+    return {"site", version, index, count, std::string(1, char('a' + index))};
 }
 
 std::optional<std::string> accept(std::string_view)
@@ -65,11 +64,11 @@
 class transfer_fixture
 {
 public:
-    std::optional<sent_request> offer(revision template_revision,
+    std::optional<sent_request> offer(template_version version,
                                       endpoint const& peer)
     {
         std::vector<control_action> out;
-        book_.on_offer(make_offer(template_revision), peer, now_, out);
+        book_.on_offer(make_offer(version), peer, now_, out);
         return find_request(out);
     }
 
@@ -89,13 +88,13 @@
         return find_request(out);
     }
 
-    revision held_revision() const
+    template_version held_version() const
     {
         auto const found = book_.find(hash_name("site"));
         return found ? found->version_.incarnation_ : 0;
     }
 
-    template_revisions book_{accept};
+    template_versions book_{accept};
     time_point now_{};
 };
 
@@ -112,10 +111,10 @@
     REQUIRE(next);
     CHECK(next->index_ == 1);
     fixture.receive(make_chunk(5, 1, 2), first_peer);
-    CHECK(fixture.held_revision() == 5);
+    CHECK(fixture.held_version() == 5);
 }
 
-TEST_CASE("the first offer of a revision and the time until it is in force are "
+TEST_CASE("the first offer of a version and the time until it is in force are "
           "reported")
 {
     transfer_fixture fixture;
@@ -151,7 +150,7 @@
     fixture.receive(make_chunk(5, 1, 3), second_peer);
     // A late chunk from the first peer is accepted as well.
     fixture.receive(make_chunk(5, 2, 3), first_peer);
-    CHECK(fixture.held_revision() == 5);
+    CHECK(fixture.held_version() == 5);
 }
 
 TEST_CASE("a transfer retries its only peer")
@@ -172,16 +171,16 @@
     fixture.offer(5, first_peer);
     fixture.advance(milliseconds(700));
     CHECK_FALSE(fixture.book_.is_overdue(timeout, fixture.now_));
-    // An offer of a newer revision doesn't restart the timeout.
+    // An offer of a newer version doesn't restart the timeout.
     fixture.offer(6, second_peer);
     fixture.advance(milliseconds(100));
     CHECK(fixture.book_.is_overdue(timeout, fixture.now_));
     fixture.receive(make_chunk(6, 0, 1), second_peer);
-    CHECK(fixture.held_revision() == 6);
+    CHECK(fixture.held_version() == 6);
     CHECK_FALSE(fixture.book_.is_overdue(timeout, fixture.now_));
 }
 
-TEST_CASE("a revision that is no longer offered isn't overdue")
+TEST_CASE("a version that is no longer offered isn't overdue")
 {
     transfer_fixture fixture;
     fixture.offer(5, first_peer);
