Templates are ordered by their writer's version, not by the store's revision

Callers saw: after the store came back from a copy no later change was in force; requests were handled by the configuration from before the restoration. Cause: a template was taken only under a higher store revision than the one in force, and a restoration sets the revision back, so each change was refused as older until the counter had passed the old value by other writes. Why this works: the order is part of the value. The operator's own version rises with each change, whatever the store's counter does; the command line takes the time of the change, or the stored version plus one if that is higher. Balancers that know different histories of the store compare the same numbers, and an older copy never replaces what is in force. Values without a version are ordered by revision as before, below all others. New unit tests: a change after a restoration has a higher version than the lost ones, by a slow clock too; a configuration's version that isn't a whole number is refused.

--- a/include/daisytrail/types.hpp
+++ b/include/daisytrail/types.hpp
@@ -81,7 +81,10 @@
 // Revision of the configuration store; increases with each accepted change.
 using revision = std::uint64_t;
 
-// Orders the versions of an organisation's template; 0: none.
+// Orders the versions of an organisation's template; 0: none. Whoever writes a
+// template chooses its version and stores it in the value, so that the order
+// also holds after the store was restored from a copy and its revisions went
+// back.
 using template_version = std::uint64_t;
 
 } // namespace daisytrail
--- a/src/cli/change.cpp
+++ b/src/cli/change.cpp
@@ -3,6 +3,8 @@
 // state is read back.
 #include "cli/change.hpp"
 
+#include "net/adopted_template.hpp"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -183,6 +185,7 @@
         outcome.repeated_ = !may_have_applied_;
         outcome.revision_ = state_.accepted_->revision_;
         outcome.number_ = state_.accepted_->number_;
+        outcome.version_ = current_version();
         return outcome;
     }
 
@@ -208,6 +211,7 @@
             outcome.unchanged_ = true;
             outcome.revision_ = now;
             outcome.number_ = current_.number_;
+            outcome.version_ = current_version();
             return outcome;
         }
         if (breaks_flows(changes) && !request_.allow_breaking_)
@@ -351,11 +355,24 @@
             store_.swap(std::move(comparisons), std::move(writes)));
     }
 
+    template_version current_version() const
+    {
+        return state_.template_ ? version_of(*state_.template_) : 0;
+    }
+
+    // The time of the change is higher than the versions of changes that the
+    // store lost when it was restored from a copy.
+    template_version next_version() const
+    {
+        return std::max(current_version() + 1, request_.unix_ms_);
+    }
+
     std::vector<store_write> make_writes() const
     {
         auto const number = current_.number_ + 1;
         stored_template const value{request_.change_id_, request_.who_,
-                                    request_.when_, number, request_.text_};
+                                    request_.when_,      number,
+                                    request_.text_,      next_version()};
         audit_entry const entry{
             organisation_, request_.change_id_, request_.who_,  request_.when_,
             number,        current_.template_,  request_.text_, 0};
@@ -383,6 +400,7 @@
             outcome.result_ = change_result::accepted;
             outcome.revision_ = answer.revision_;
             outcome.number_ = current_.number_ + 1;
+            outcome.version_ = next_version();
             return outcome;
         }
         if (answer.error_)
--- a/src/cli/change.hpp
+++ b/src/cli/change.hpp
@@ -20,7 +20,8 @@
     std::string change_id_;       // unique in the organisation
     std::string who_;
     std::string when_;
-    revision base_ = 0; // expected revision; 0: no template yet
+    std::uint64_t unix_ms_ = 0; // time of the change
+    revision base_ = 0;         // expected revision; 0: no template yet
     bool allow_breaking_ = false;
     time_point deadline_;
 };
@@ -43,8 +44,10 @@
     std::string detail_;
     revision revision_ = 0;    // in force; of this change if accepted
     std::uint64_t number_ = 0; // of this change, if accepted
-    bool repeated_ = false;    // this change id was accepted before
-    bool unchanged_ = false;   // accepted without a write: no difference
+    // If accepted: of this change, or of the newer one that is stored by now.
+    template_version version_ = 0;
+    bool repeated_ = false;  // this change id was accepted before
+    bool unchanged_ = false; // accepted without a write: no difference
     std::vector<difference> differences_; // if refused: stored to requested
 };
 
--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -86,7 +86,7 @@
                      std::chrono::milliseconds timeout, command_result& result)
 {
     auto const lagging =
-        wait_until_in_force(context, organisation, outcome.revision_, timeout);
+        wait_until_in_force(context, organisation, outcome.version_, timeout);
     json::array list;
     for (auto const& line : lagging)
     {
@@ -112,6 +112,7 @@
     request.change_id_ = options.change_id_;
     request.who_ = options.who_;
     request.when_ = options.when_;
+    request.unix_ms_ = options.unix_ms_;
     request.allow_breaking_ = options.allow_breaking_;
     request.deadline_ = context.store_.environment().now_() + context.timeout_;
     retry_command const retry{command, options, request.base_};
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -44,6 +44,7 @@
     std::string change_id_;
     std::string who_;
     std::string when_;
+    std::uint64_t unix_ms_ = 0;
     std::optional<revision> base_; // apply: empty if no template exists yet
     bool current_base_ = false;    // use the revision in force as the base
     bool allow_breaking_ = false;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -64,6 +64,15 @@
     return {text.data(), size};
 }
 
+std::uint64_t unix_ms_now()
+{
+    auto const since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+            .count());
+}
+
 std::string new_change_id()
 {
     std::random_device device;
@@ -133,6 +142,7 @@
         change.change_id_.empty() ? new_change_id() : change.change_id_;
     change.who_ = change.who_.empty() ? user_name() : change.who_;
     change.when_ = utc_now("%Y-%m-%dT%H:%M:%SZ");
+    change.unix_ms_ = unix_ms_now();
     change.wait_timeout_ = to_milliseconds(given.wait_seconds_);
     change.current_base_ = given.base_ == "current";
     if (!given.base_.empty() && !change.current_base_)
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -3,6 +3,7 @@
 #include "cli/status.hpp"
 
 #include "cli/report.hpp"
+#include "net/adopted_template.hpp"
 
 #include <daisytrail/record.hpp>
 
@@ -42,14 +43,13 @@
 // Returns the stored version of each organisation; empty if the store can't be
 // read.
 std::map<std::string, template_version>
-stored_revisions(command_context const& context)
+stored_versions(command_context const& context)
 {
     std::map<std::string, template_version> result;
     auto const answer = context.store_.range(std::string(template_prefix), 0);
     for (auto const& entry : answer.entries_)
     {
-        result[entry.key_.substr(template_prefix.size())] =
-            entry.modified_revision_;
+        result[entry.key_.substr(template_prefix.size())] = version_of(entry);
     }
     return result;
 }
@@ -211,9 +211,9 @@
                        "nobody to ask; pass --process ADDRESS:PORT");
     }
     auto const processes = query_all_processes(context);
-    auto wanted = stored_revisions(context);
-    bool const has_stored_revisions = !wanted.empty();
-    if (!has_stored_revisions)
+    auto wanted = stored_versions(context);
+    bool const has_stored_versions = !wanted.empty();
+    if (!has_stored_versions)
     {
         wanted = newest_versions(processes);
     }
@@ -227,13 +227,13 @@
         result.text_ += process_line(process);
     }
     result.text_ += section("behind", lagging) + section("target", unready);
-    if (!has_stored_revisions)
+    if (!has_stored_versions)
     {
         result.text_ += "no versions from the store: compared with the "
                         "newest that any process runs\n";
     }
     result.json_ = {{"processes", std::move(list)},
-                    {"store_read", has_stored_revisions},
+                    {"store_read", has_stored_versions},
                     {"behind", lines_to_json(lagging)},
                     {"targets_not_ready", lines_to_json(unready)}};
     if (!lagging.empty())
--- a/src/cli/stored_change.cpp
+++ b/src/cli/stored_change.cpp
@@ -54,11 +54,11 @@
     return std::string(value->get_string());
 }
 
-// Returns the number of the change, or 0 if there is none, as in templates that
-// other tools wrote.
-std::uint64_t change_number(json::object const& object)
+// Returns a number from 0 on, or 0 if there is none, as in templates that other
+// tools wrote.
+std::uint64_t number_member(json::object const& object, std::string_view name)
 {
-    auto const* value = object.if_contains("number");
+    auto const* value = object.if_contains(name);
     if (value == nullptr || !value->is_int64() || value->get_int64() < 0)
     {
         return 0;
@@ -106,6 +106,7 @@
                                         {"who", value.who_},
                                         {"when", value.when_},
                                         {"number", value.number_},
+                                        {"version", value.version_},
                                         {"template", value.template_}});
 }
 
@@ -133,9 +134,10 @@
 stored_template parse_stored_template(std::string const& text)
 {
     auto const object = parse_object(text, "a template");
-    return {string_member(object, "change_id"), string_member(object, "who"),
-            string_member(object, "when"), change_number(object),
-            string_member(object, "template")};
+    return {
+        string_member(object, "change_id"), string_member(object, "who"),
+        string_member(object, "when"),      number_member(object, "number"),
+        string_member(object, "template"),  number_member(object, "version")};
 }
 
 audit_entry parse_audit_entry(store_entry const& entry)
@@ -145,7 +147,7 @@
             string_member(object, "change_id"),
             string_member(object, "who"),
             string_member(object, "when"),
-            change_number(object),
+            number_member(object, "number"),
             string_member(object, "before"),
             string_member(object, "after"),
             entry.modified_revision_};
--- a/src/cli/stored_change.hpp
+++ b/src/cli/stored_change.hpp
@@ -23,9 +23,10 @@
 {
     std::string change_id_;
     std::string who_;
-    std::string when_;         // UTC, "2026-12-04T01:02:03Z"
-    std::uint64_t number_ = 0; // counted from 1 in each organisation
-    std::string template_;     // the operator's text
+    std::string when_;             // UTC, "2026-12-04T01:02:03Z"
+    std::uint64_t number_ = 0;     // counted from 1 in each organisation
+    std::string template_;         // the operator's text
+    template_version version_ = 0; // 0: written by a release without versions
 };
 
 // One entry of the audit trail.
--- a/src/net/adopted_template.cpp
+++ b/src/net/adopted_template.cpp
@@ -27,20 +27,44 @@
                               : json::serialize(*value);
 }
 
-adopted_template read_value(std::string_view value)
+std::optional<template_version> read_version(json::object const& object)
+{
+    auto const* value = object.if_contains("version");
+    if (value == nullptr)
+    {
+        return std::nullopt;
+    }
+    json::error_code code;
+    auto const result = value->to_number<template_version>(code);
+    if (code)
+    {
+        throw error(error_kind::invalid_argument,
+                    "the stored value's member 'version' isn't a whole number "
+                    "from 0 on");
+    }
+    return result;
+}
+
+json::object read_object(std::string_view value)
 {
     boost::system::error_code code;
-    auto const parsed = json::parse(value, code);
+    auto parsed = json::parse(value, code);
     if (code || !parsed.is_object())
     {
         throw error(error_kind::invalid_argument,
                     "the stored value isn't a JSON object");
     }
-    auto const& object = parsed.get_object();
+    return std::move(parsed.get_object());
+}
+
+adopted_template read_value(std::string_view value)
+{
+    auto const object = read_object(value);
     adopted_template result;
     result.change_id_ = read_text(object, "change_id");
     result.who_ = read_text(object, "who");
     result.when_ = read_text(object, "when");
+    result.version_ = read_version(object);
     auto organisation = parse_organisation(read_text(object, "template"));
     std::string errors;
     for (auto const& fault : organisation.errors_)
@@ -82,6 +106,27 @@
     return cached.value_;
 }
 
+// The version of an invalid template counts too: it tells whether the value is
+// refused as older or as invalid.
+template_version version_of(store_entry const& entry)
+{
+    auto& cached = cache();
+    if (cached.text_ == entry.value_)
+    {
+        return cached.value_.version_.value_or(entry.modified_revision_);
+    }
+    try
+    {
+        return read_version(read_object(entry.value_))
+            .value_or(entry.modified_revision_);
+    }
+    catch (error const&)
+    {
+        // check_adopted_template() reports the value's fault.
+        return entry.modified_revision_;
+    }
+}
+
 std::optional<std::string> check_adopted_template(std::string_view value)
 {
     try
--- a/src/net/adopted_template.hpp
+++ b/src/net/adopted_template.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <daisytrail/organisation.hpp>
+#include <daisytrail/store.hpp>
 
 #include <optional>
 #include <string>
@@ -16,6 +17,8 @@
     std::string change_id_;
     std::string who_;
     std::string when_;
+    // Empty if the value was written by a release without versions.
+    std::optional<template_version> version_;
     organisation_template value_;
 };
 
@@ -23,6 +26,11 @@
 // Throws error(invalid_argument) that lists every fault of the template.
 adopted_template parse_adopted_template(std::string_view value);
 
+// Returns the version of a stored template. A value without a version is
+// ordered by the store's revision, which is lower than any version that is
+// chosen by the time of the change.
+template_version version_of(store_entry const& entry);
+
 // Returns the message of the error that parse_adopted_template() throws for
 // this value, or nothing if the value is valid.
 std::optional<std::string> check_adopted_template(std::string_view value);
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -247,7 +247,7 @@
         return;
     }
     runner_.run(membership_.offer(entry.key_.substr(template_prefix.size()),
-                                  entry.modified_revision_, entry.value_,
+                                  version_of(entry), entry.value_,
                                   steady_clock::now()));
 }
 
--- a/test/unit/change_test.cpp
+++ b/test/unit/change_test.cpp
@@ -4,6 +4,7 @@
 #include "cli/change.hpp"
 #include "cli/commands.hpp"
 #include "cli/status.hpp"
+#include "net/adopted_template.hpp"
 
 #include <doctest/doctest.h>
 
@@ -300,6 +301,43 @@
     CHECK(fixture.store_.entries_.contains(change_key("a", "c3")));
 }
 
+// A change after a restoration got the version of a change that the store lost,
+// or a lower one, and balancers that still held the lost one refused it.
+TEST_CASE("a change after the store was restored from a copy has a higher "
+          "version than the changes that were lost")
+{
+    change_fixture fixture;
+    REQUIRE(fixture.apply(first, "kept", 0).result_ == change_result::accepted);
+    auto const copy = fixture.store_.entries_;
+    auto lost = fixture.request(second, "lost", 1);
+    lost.unix_ms_ = 1'700'000'000'000;
+    auto const lost_outcome = apply_change(fixture.calls_, lost);
+    REQUIRE(lost_outcome.result_ == change_result::accepted);
+    fixture.store_.entries_ = copy;
+    fixture.store_.revision_ = 1;
+    auto next =
+        fixture.request(template_text("a", "203.0.113.1:80", 96), "next", 1);
+    next.unix_ms_ = lost.unix_ms_ + 1'000;
+    auto const outcome = apply_change(fixture.calls_, next);
+    REQUIRE(outcome.result_ == change_result::accepted);
+    CHECK(outcome.revision_ == lost_outcome.revision_);
+    CHECK(outcome.version_ > lost_outcome.version_);
+    CHECK(version_of(fixture.store_.entries_.at(template_key("a"))) ==
+          outcome.version_);
+}
+
+TEST_CASE("a change made by a slow clock still has a higher version")
+{
+    change_fixture fixture;
+    auto ahead = fixture.request(first, "ahead", 0);
+    ahead.unix_ms_ = 1'700'000'000'000;
+    auto const earlier = apply_change(fixture.calls_, ahead);
+    auto behind = fixture.request(second, "behind", 1);
+    behind.unix_ms_ = 1'600'000'000'000;
+    CHECK(apply_change(fixture.calls_, behind).version_ ==
+          earlier.version_ + 1);
+}
+
 TEST_CASE("history is paged, and each page refers to the next page")
 {
     change_fixture fixture;
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -140,3 +140,33 @@
     CHECK(stored.value_.routes_[0].name_ == "r-2");
     CHECK_THROWS_AS(to_stored_template("no document"), error);
 }
+
+TEST_CASE("a template is ordered by the operator's version, not by the store's "
+          "revision")
+{
+    std::string const document =
+        R"({"version": 15, "routes": [], "services": []})";
+    auto const value = to_stored_template(document);
+    CHECK(version_of({"daisytrail/templates/site", value, 12}) == 15);
+    CHECK(parse_adopted_template(value).change_id_ == "version 15");
+}
+
+TEST_CASE("a configuration whose version isn't a whole number is refused")
+{
+    for (auto const* version : {R"("15")", "-1", "1.5", "null"})
+    {
+        auto const document = R"({"version": )" + std::string(version) +
+                              R"(, "routes": [], "services": []})";
+        CHECK_THROWS_WITH(to_stored_template(document),
+                          "operator's configuration: field 'version' isn't a "
+                          "whole number from 0 on");
+    }
+}
+
+TEST_CASE("a stored value without a version is ordered by its revision")
+{
+    std::string const value =
+        R"({"change_id": "a", "who": "", "when": "", "template": {}})";
+    CHECK(version_of({"daisytrail/templates/site", value, 12}) == 12);
+    CHECK(version_of({"daisytrail/templates/site", "not JSON", 13}) == 13);
+}
