A watch of a restored store starts anew with a read

Callers would have seen: a change acknowledged after a restoration isn't in force until the next one. Cause: a watch continues from the revision of its last answer. If the restored store has passed that revision when the next poll arrives, the store answers it and the changes under revisions given out again are skipped in silence: a balancer that stands still through the restoration keeps an old template. An answer of another generation than that of the last read ends the watch, and the templates are read. Only equality is used, since etcd's identifiers have no order; two restorations in a row are one difference.

--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -36,6 +36,11 @@
 // they were.
 inline constexpr std::string_view target_list_key = "daisytrail/targets";
 
+// Identifies the history that the store's revisions and leases belong to. A
+// store that is restored from a copy starts another one, in which revisions and
+// lease numbers are given out again. 0: unknown.
+using store_generation = std::uint64_t;
+
 // A key with its value.
 struct store_entry
 {
@@ -62,6 +67,7 @@
     // For range(): the entries found. For swap(), if a comparison was false:
     // the current entries of the compared keys.
     std::vector<store_entry> entries_;
+    store_generation generation_ = 0;
     response_transfer transfer_; // empty if the store doesn't measure it
 };
 
--- a/src/net/template_follower.cpp
+++ b/src/net/template_follower.cpp
@@ -111,6 +111,7 @@
         return;
     }
     feed_.on_read_succeeded();
+    generation_ = answer.generation_;
     apply(answer);
     // Start the watch now rather than at the next tick.
     tick();
@@ -133,8 +134,9 @@
 
 void template_follower::on_watch(store_answer const& answer)
 {
-    if (answer.error_)
+    if (answer.error_ || is_of_other_generation(answer))
     {
+        store_.cancel_watches();
         feed_.on_watch_failed(steady_clock::now(), jitter());
         return;
     }
@@ -142,6 +144,14 @@
     apply(answer);
 }
 
+// The watch continues from a revision of another history, so that changes whose
+// revisions were given out again would be missed.
+bool template_follower::is_of_other_generation(store_answer const& answer) const
+{
+    return answer.generation_ != 0 && generation_ != 0 &&
+           answer.generation_ != generation_;
+}
+
 void template_follower::apply(store_answer const& answer)
 {
     template_confirmations_.record_confirmation(answer.revision_,
--- a/src/net/template_follower.hpp
+++ b/src/net/template_follower.hpp
@@ -44,6 +44,7 @@
     void on_read(store_answer const& answer);
     void watch();
     void on_watch(store_answer const& answer);
+    bool is_of_other_generation(store_answer const& answer) const;
     void apply(store_answer const& answer);
     double jitter();
 
@@ -54,7 +55,8 @@
     std::chrono::milliseconds progress_interval_; // requested from the store
     template_confirmation_log template_confirmations_;
     std::mt19937 random_;
-    revision next_revision_ = 0; // first revision that a new watch reports
+    revision next_revision_ = 0;      // first revision that a new watch reports
+    store_generation generation_ = 0; // that next_revision_ belongs to
     // Incremented by each read and each watch, so that responses to abandoned
     // calls are recognised and ignored.
     std::uint64_t epoch_ = 0;
--- a/src/store/etcd_codec.cpp
+++ b/src/store/etcd_codec.cpp
@@ -53,6 +53,33 @@
         integer_or_zero(body.at("header").as_object(), "revision"));
 }
 
+// The cluster's identifier. A restore from a snapshot creates a new one.
+store_generation header_generation(json::object const& body)
+{
+    auto const* header = body.if_contains("header");
+    auto const* value = header == nullptr
+                            ? nullptr
+                            : header->as_object().if_contains("cluster_id");
+    if (value == nullptr)
+    {
+        return 0;
+    }
+    if (!value->is_string())
+    {
+        return value->to_number<store_generation>();
+    }
+    auto const& text = value->get_string();
+    auto const* const end = text.data() + text.size();
+    store_generation result = 0;
+    if (std::from_chars(text.data(), end, result).ptr != end)
+    {
+        throw error(error_kind::invalid_argument,
+                    "store: found '" + std::string(text) +
+                        "' as the cluster's identifier");
+    }
+    return result;
+}
+
 store_entry read_entry(json::object const& pair)
 {
     return {text_or_empty(pair, "key"), text_or_empty(pair, "value"),
@@ -181,6 +208,7 @@
     auto const& object = body.as_object();
     store_answer answer;
     answer.revision_ = header_revision(object);
+    answer.generation_ = header_generation(object);
     append_entries(object, answer.entries_);
     return answer;
 }
@@ -190,6 +218,7 @@
     auto const& object = body.as_object();
     store_answer answer;
     answer.revision_ = header_revision(object);
+    answer.generation_ = header_generation(object);
     auto const* succeeded = object.if_contains("succeeded");
     answer.succeeded_ = succeeded != nullptr && succeeded->as_bool();
     auto const* responses = object.if_contains("responses");
@@ -211,8 +240,9 @@
 store_answer read_grant(json::value const& body)
 {
     store_answer answer;
-    answer.revision_ =
-        static_cast<revision>(integer_or_zero(body.as_object(), "ID"));
+    auto const& object = body.as_object();
+    answer.revision_ = static_cast<revision>(integer_or_zero(object, "ID"));
+    answer.generation_ = header_generation(object);
     return answer;
 }
 
@@ -220,6 +250,7 @@
 {
     store_answer answer;
     auto const& result = body.at("result").as_object();
+    answer.generation_ = header_generation(result);
     if (integer_or_zero(result, "TTL") <= 0)
     {
         answer.error_ = error_kind::not_found;
@@ -233,6 +264,7 @@
     auto const& result = body.at("result").as_object();
     store_answer answer;
     answer.revision_ = header_revision(result);
+    answer.generation_ = header_generation(result);
     auto const* events = result.if_contains("events");
     if (auto const* canceled = result.if_contains("canceled");
         canceled != nullptr && canceled->as_bool())
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +36,10 @@
     std::function<void()> before_swap_;  // called once, before the next swap
     std::size_t applied_swaps_ = 0;      // swaps that took effect
     store_handler watch_handler_;        // of the last watch
+    revision watch_from_ = 0;            // of the last watch
+    store_generation generation_ = 1;
+    std::set<std::int64_t> leases_;
+    std::int64_t last_lease_ = 0;
 
     void range(std::string const& prefix, std::size_t limit,
                store_handler handler) override
@@ -99,17 +104,37 @@
 
     void grant_lease(std::chrono::seconds, store_handler handler) override
     {
-        post(std::move(handler), {});
+        leases_.insert(++last_lease_);
+        store_answer answer;
+        answer.revision_ = static_cast<revision>(last_lease_);
+        post(std::move(handler), std::move(answer));
+    }
+
+    void keep_alive(std::int64_t lease, store_handler handler) override
+    {
+        store_answer answer;
+        if (!leases_.contains(lease))
+        {
+            answer.error_ = error_kind::not_found;
+        }
+        post(std::move(handler), std::move(answer));
     }
 
-    void keep_alive(std::int64_t, store_handler handler) override
+    // Goes back to the given entries, which a copy held: revisions and lease
+    // numbers are given out again.
+    void restore(std::map<std::string, store_entry> entries)
     {
-        post(std::move(handler), {});
+        entries_ = std::move(entries);
+        revision_ = 1;
+        last_lease_ = 0;
+        leases_.clear();
+        ++generation_;
     }
 
-    void watch(std::string const&, revision, std::chrono::milliseconds,
+    void watch(std::string const&, revision from, std::chrono::milliseconds,
                store_handler handler) override
     {
+        watch_from_ = from;
         watch_handler_ = std::move(handler);
     }
 
@@ -134,6 +159,7 @@
 private:
     void post(store_handler handler, store_answer answer)
     {
+        answer.generation_ = generation_;
         events_.push_back([handler = std::move(handler),
                            answer = std::move(answer)] { handler(answer); });
     }
--- a/test/unit/store_watcher_test.cpp
+++ b/test/unit/store_watcher_test.cpp
@@ -66,3 +66,95 @@
     CHECK(applied == std::vector<std::string>{"b", "a, third"});
     watcher.stop();
 }
+
+namespace
+{
+
+// A balancer's watcher that holds a contact key and writes the list of targets.
+class watcher_fixture
+{
+public:
+    watcher_fixture()
+    {
+        auto fake = std::make_unique<fake_store>();
+        store_ = fake.get();
+        put_template(15, "before");
+        watcher_ = std::make_unique<store_watcher>(
+            io_, std::move(fake), balancer_settings{}, counters_,
+            [this](store_entry const& entry)
+            { applied_.push_back(entry.value_); });
+        watcher_->start([](auto const&) {}, [](auto const&) {});
+        store_duties duties;
+        duties.watches_templates_ = true;
+        duties.contact_key_ = contact_key_;
+        duties.target_list_ = "listed";
+        watcher_->set_duties(duties);
+    }
+
+    ~watcher_fixture()
+    {
+        watcher_->stop();
+    }
+
+    watcher_fixture(watcher_fixture const&) = delete;
+    watcher_fixture& operator=(watcher_fixture const&) = delete;
+
+    // Runs timers and delivers the store's answers.
+    void run_for(std::chrono::milliseconds time)
+    {
+        auto const end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end)
+        {
+            io_.restart();
+            io_.run_for(std::chrono::milliseconds(5));
+            store_->run();
+        }
+    }
+
+    bool store_has(std::string const& key) const
+    {
+        return store_->entries_.contains(key);
+    }
+
+    void put_template(revision at, std::string const& value)
+    {
+        std::string const key = std::string(template_prefix) + "org";
+        store_->entries_[key] = {key, value, at};
+        store_->revision_ = at;
+    }
+
+    // Answers the last watch without a change, as of the store's revision.
+    void answer_watch()
+    {
+        store_answer answer;
+        answer.revision_ = store_->revision_;
+        answer.generation_ = store_->generation_;
+        auto const handler = store_->watch_handler_;
+        handler(answer);
+    }
+
+    std::string const contact_key_ = std::string(contact_prefix) + "north/0";
+    boost::asio::io_context io_;
+    metrics counters_;
+    std::vector<std::string> applied_;
+    fake_store* store_ = nullptr;
+    std::unique_ptr<store_watcher> watcher_;
+};
+
+} // namespace
+
+// CONFIG: a watch continued from its revision in the old history after the
+// restored store had passed that revision, and skipped the changes before it.
+TEST_CASE("a change is missed after a restoration: a watch continues past "
+          "revisions that were given out again")
+{
+    watcher_fixture fixture;
+    fixture.run_for(std::chrono::milliseconds(400));
+    REQUIRE(fixture.applied_ == std::vector<std::string>{"before"});
+    fixture.store_->restore({});
+    fixture.put_template(12, "after");
+    fixture.store_->revision_ = 20;
+    fixture.answer_watch();
+    fixture.run_for(std::chrono::milliseconds(1'000));
+    CHECK(fixture.applied_.back() == "after");
+}
