Contacts and the list of targets are written again after a restoration

Callers would have seen: balancers that start after a restoration find no contact and no list of targets at the store; they drop SYNs until gossip reaches them. Cause: what was written once was taken as still there. The contact was renewed each 20 s and then registered anew; the list was written only when it changed. A lease number that is given out again made it worse: the renewal of 'mine' succeeded, kept somebody else's lease alive, and the contact stayed away for good. Why this works: the generation of the store is noticed in any answer (store_restored, daisytrail_store_restorations_total); lease and list belong to the generation that answered their write, and are written again, without waiting for a backoff, if the store shows another. A renewal that another generation answers counts as ended, and so does a contact that was written under a lease of the generation before. Answers to calls that began before the restoration was noticed don't set it back. Left: one renewal that reaches the restored store before any other answer still extends a foreign lease by its time to live.

--- a/src/net/store_call_log.cpp
+++ b/src/net/store_call_log.cpp
@@ -31,7 +31,8 @@
 
 store_call_log::store_call_log(metrics& counters)
     : call_seconds_(counters.latency("daisytrail_store_call_seconds")),
-      transfer_seconds_(counters.latency("daisytrail_store_transfer_seconds"))
+      transfer_seconds_(counters.latency("daisytrail_store_transfer_seconds")),
+      restorations_(counters.counter("daisytrail_store_restorations_total"))
 {
     for (std::size_t i = 0; i < states_.size(); ++i)
     {
@@ -63,6 +64,7 @@
 void store_call_log::on_ended(store_call call, time_point started_at,
                               store_answer const& answer)
 {
+    observe_generation(call, started_at, answer.generation_);
     auto& status = states_[static_cast<std::size_t>(call)];
     auto const elapsed = steady_clock::now() - started_at;
     if (call != store_call::watch_templates)
@@ -96,6 +98,27 @@
     }
 }
 
+void store_call_log::observe_generation(store_call call, time_point started_at,
+                                        store_generation seen)
+{
+    if (seen == 0 || seen == generation_ || started_at < generation_changed_at_)
+    {
+        return;
+    }
+    auto const previous = std::exchange(generation_, seen);
+    if (previous == 0)
+    {
+        return;
+    }
+    generation_changed_at_ = steady_clock::now();
+    ++restorations_;
+    log_event(log_level::warning, "store_restored",
+              {{"call", store_call_names[static_cast<std::size_t>(call)]},
+               {"generation", seen},
+               {"previous_generation", previous},
+               {"effect", "leases and later writes are lost"}});
+}
+
 void store_call_log::on_failure(store_call call, state& status,
                                 duration elapsed, store_answer const& answer)
 {
--- a/src/net/store_call_log.hpp
+++ b/src/net/store_call_log.hpp
@@ -1,6 +1,7 @@
 // Metrics and log lines on calls to the configuration store. For each kind of
 // call, one line is logged when it starts to fail, one when it succeeds again,
-// and one for each response that arrived slowly.
+// and one for each response that arrived slowly; one line tells that the store
+// was restored from a copy.
 #pragma once
 
 #include "net/metrics.hpp"
@@ -39,6 +40,12 @@
 public:
     explicit store_call_log(metrics& counters);
 
+    // The generation that the store's answers show; 0: unknown.
+    store_generation generation() const
+    {
+        return generation_;
+    }
+
     // Counts a call that starts now. Returns a handler that records the result
     // of the call and passes it to `handler`. Once `alive` has expired, the
     // returned handler does nothing.
@@ -56,6 +63,8 @@
 
     void on_ended(store_call call, time_point started_at,
                   store_answer const& answer);
+    void observe_generation(store_call call, time_point started_at,
+                            store_generation seen);
     void on_failure(store_call call, state& status, duration elapsed,
                     store_answer const& answer);
 
@@ -63,6 +72,10 @@
     histogram&
         transfer_seconds_; // from the first byte of a response to its last
     std::array<state, static_cast<std::size_t>(store_call::count)> states_;
+    std::uint64_t& restorations_;
+    store_generation generation_ = 0;
+    // Calls that started earlier may still be answered by the old generation.
+    time_point generation_changed_at_{};
     double healthy_ = 0; // 1 if the last call succeeded, else 0
 };
 
--- a/src/net/store_watcher.cpp
+++ b/src/net/store_watcher.cpp
@@ -86,6 +86,7 @@
 void store_watcher::tick()
 {
     templates_.tick();
+    notice_restoration();
     if (duties_.needs_contacts_ && !is_contacts_call_pending_ &&
         try_start_call(contacts_backoff_))
     {
@@ -95,9 +96,7 @@
     {
         read_list();
     }
-    bool const list_changed =
-        duties_.target_list_ && *duties_.target_list_ != written_list_;
-    if (!on_list_ && list_changed && !is_list_call_pending_ &&
+    if (!on_list_ && must_write_list() && !is_list_call_pending_ &&
         try_start_call(list_backoff_))
     {
         write_list();
@@ -109,6 +108,30 @@
     }
 }
 
+// Writes again what a restored store has lost, without waiting for the next
+// renewal.
+void store_watcher::notice_restoration()
+{
+    auto const current = call_log_.generation();
+    auto const previous = std::exchange(noticed_generation_, current);
+    if (previous != 0 && previous != current)
+    {
+        lease_backoff_ = {};
+        list_backoff_ = {};
+    }
+}
+
+bool store_watcher::must_write_list() const
+{
+    if (!duties_.target_list_)
+    {
+        return false;
+    }
+    bool const is_lost =
+        !written_list_.empty() && written_generation_ != call_log_.generation();
+    return is_lost || *duties_.target_list_ != written_list_;
+}
+
 bool store_watcher::try_start_call(backoff const& state)
 {
     auto const now = steady_clock::now();
@@ -149,7 +172,9 @@
 
 void store_watcher::maintain_contact()
 {
-    if (!duties_.contact_key_ || leased_key_ != *duties_.contact_key_)
+    bool const is_lost = lease_generation_ != call_log_.generation();
+    if (!duties_.contact_key_ || leased_key_ != *duties_.contact_key_ ||
+        is_lost)
     {
         // The store expires a lease that isn't renewed.
         lease_id_ = 0;
@@ -165,23 +190,28 @@
         register_contact();
         return;
     }
-    store_->keep_alive(
-        lease_id_, track_call(store_call::renew_lease,
-                              [this](store_answer const& answer)
-                              {
-                                  is_lease_call_pending_ = false;
-                                  if (!answer.error_)
-                                  {
-                                      record_success(lease_backoff_,
-                                                     renew_interval);
-                                      return;
-                                  }
-                                  if (answer.error_ == error_kind::not_found)
-                                  {
-                                      lease_id_ = 0;
-                                  }
-                                  record_failure(lease_backoff_);
-                              }));
+    store_->keep_alive(lease_id_, track_call(store_call::renew_lease,
+                                             [this](store_answer const& answer)
+                                             { on_contact_renewed(answer); }));
+}
+
+void store_watcher::on_contact_renewed(store_answer const& answer)
+{
+    is_lease_call_pending_ = false;
+    // In another generation the same number belongs to somebody else's lease.
+    bool const has_ended = answer.error_
+                               ? answer.error_ == error_kind::not_found
+                               : answer.generation_ != lease_generation_;
+    if (has_ended)
+    {
+        lease_id_ = 0;
+    }
+    if (answer.error_ || has_ended)
+    {
+        record_failure(lease_backoff_);
+        return;
+    }
+    record_success(lease_backoff_, renew_interval);
 }
 
 void store_watcher::register_contact()
@@ -196,22 +226,25 @@
         }
         is_lease_call_pending_ = true;
         auto const lease = static_cast<std::int64_t>(granted.revision_);
+        auto const generation = granted.generation_;
         auto const key = *duties_.contact_key_;
+        auto const on_written =
+            [this, lease, generation, key](store_answer const& answer)
+        {
+            is_lease_call_pending_ = false;
+            // The lease may have been granted before the store was restored.
+            if (answer.error_ || answer.generation_ != generation)
+            {
+                record_failure(lease_backoff_);
+                return;
+            }
+            lease_id_ = lease;
+            lease_generation_ = generation;
+            leased_key_ = key;
+            record_success(lease_backoff_, renew_interval);
+        };
         store_->swap({}, {{key, to_string(contact_), false, lease}},
-                     track_call(store_call::write_contact,
-                                [this, lease, key](store_answer const& answer)
-                                {
-                                    is_lease_call_pending_ = false;
-                                    if (answer.error_)
-                                    {
-                                        record_failure(lease_backoff_);
-                                        return;
-                                    }
-                                    lease_id_ = lease;
-                                    leased_key_ = key;
-                                    record_success(lease_backoff_,
-                                                   renew_interval);
-                                }));
+                     track_call(store_call::write_contact, on_written));
     };
     store_->grant_lease(lease_ttl, track_call(store_call::grant_lease, put));
 }
@@ -255,6 +288,7 @@
                                     return;
                                 }
                                 written_list_ = value;
+                                written_generation_ = answer.generation_;
                                 record_success(list_backoff_, list_interval);
                             }));
 }
--- a/src/net/store_watcher.hpp
+++ b/src/net/store_watcher.hpp
@@ -73,7 +73,10 @@
     bool try_start_call(backoff const& state);
     void record_success(backoff& state, std::chrono::milliseconds delay);
     void record_failure(backoff& state);
+    void notice_restoration();
+    bool must_write_list() const;
     void maintain_contact();
+    void on_contact_renewed(store_answer const& answer);
     void register_contact();
     void read_contacts();
     void read_list();
@@ -95,9 +98,14 @@
     bool is_contacts_call_pending_ = false;
     bool is_lease_call_pending_ = false;
     bool is_list_call_pending_ = false;
-    std::string written_list_; // last list of targets written to the store
+    // The list of targets that was last written, and the lease of the contact
+    // key, each with the generation of the store that holds it.
+    std::string written_list_;
+    store_generation written_generation_ = 0;
     std::int64_t lease_id_ = 0;
+    store_generation lease_generation_ = 0;
     std::string leased_key_;
+    store_generation noticed_generation_ = 0;
     bool is_stopped_ = false;
     std::shared_ptr<bool> alive_;
     store_call_log call_log_;
--- a/test/unit/store_watcher_test.cpp
+++ b/test/unit/store_watcher_test.cpp
@@ -141,8 +141,42 @@
     std::unique_ptr<store_watcher> watcher_;
 };
 
+// What balancers keep at the store is back this long after its return.
+constexpr std::chrono::milliseconds return_limit{2'000};
+
 } // namespace
 
+// After a restoration a contact was missing until its next renewal, 20 s at
+// most, and the list of targets until the next change of a target.
+TEST_CASE("contacts and the list of targets are missing after the store was "
+          "restored from a copy")
+{
+    watcher_fixture fixture;
+    fixture.run_for(std::chrono::milliseconds(2'500));
+    REQUIRE(fixture.store_has(fixture.contact_key_));
+    REQUIRE(fixture.store_has(std::string(target_list_key)));
+    fixture.store_->restore({});
+    fixture.answer_watch();
+    fixture.run_for(return_limit);
+    CHECK(fixture.store_has(fixture.contact_key_));
+    CHECK(fixture.store_has(std::string(target_list_key)));
+}
+
+// A restored store gives out the number of a lease again. Renewing it kept
+// somebody else's lease alive, and the own contact stayed away.
+TEST_CASE("a contact is missing after a restoration because somebody else's "
+          "lease of the same number is renewed")
+{
+    watcher_fixture fixture;
+    fixture.run_for(std::chrono::milliseconds(400));
+    REQUIRE(fixture.store_has(fixture.contact_key_));
+    fixture.store_->restore({});
+    fixture.store_->leases_.insert(++fixture.store_->last_lease_);
+    fixture.answer_watch();
+    fixture.run_for(return_limit);
+    CHECK(fixture.store_has(fixture.contact_key_));
+}
+
 // CONFIG: a watch continued from its revision in the old history after the
 // restored store had passed that revision, and skipped the changes before it.
 TEST_CASE("a change is missed after a restoration: a watch continues past "
