A contact is renewed as soon as the store answers again

Callers would have seen: balancers that start after a long outage of the store find no contact there for up to 20 s. Cause: the renewal waited for its own interval; the lease had lapsed meanwhile. Why this works: the first call of any kind that succeeds after failures makes the renewal due, at most once a second; a lapsed lease is then granted anew at once. Test: failed before.

--- a/src/net/store_call_log.cpp
+++ b/src/net/store_call_log.cpp
@@ -89,6 +89,7 @@
     }
     if (auto const failures = std::exchange(status.consecutive_failures_, 0))
     {
+        ++recoveries_;
         log_event(log_level::info, "store_answers_again",
                   {{"call", store_call_names[static_cast<std::size_t>(call)]},
                    {"failures", failures},
--- a/src/net/store_call_log.hpp
+++ b/src/net/store_call_log.hpp
@@ -46,6 +46,12 @@
         return generation_;
     }
 
+    // Number of times that a kind of call has succeeded after failures.
+    std::uint64_t recoveries() const
+    {
+        return recoveries_;
+    }
+
     // Counts a call that starts now. Returns a handler that records the result
     // of the call and passes it to `handler`. Once `alive` has expired, the
     // returned handler does nothing.
@@ -76,6 +82,7 @@
     store_generation generation_ = 0;
     // Calls that started earlier may still be answered by the old generation.
     time_point generation_changed_at_{};
+    std::uint64_t recoveries_ = 0;
     double healthy_ = 0; // 1 if the last call succeeded, else 0
 };
 
--- a/src/net/store_watcher.cpp
+++ b/src/net/store_watcher.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds max_backoff{2'000};
 constexpr milliseconds contacts_interval{2'000};
 constexpr milliseconds renew_interval{20'000};
+// A store that loses answers seems to return again and again.
+constexpr milliseconds min_renew_interval{1'000};
 constexpr milliseconds list_interval{2'000}; // between writes
 constexpr std::chrono::seconds lease_ttl{60};
 // Average rate of calls to the store, except calls for templates. Short bursts
@@ -87,6 +89,7 @@
 {
     templates_.tick();
     notice_restoration();
+    notice_recovery();
     if (duties_.needs_contacts_ && !is_contacts_call_pending_ &&
         try_start_call(contacts_backoff_))
     {
@@ -121,6 +124,18 @@
     }
 }
 
+// Renews the contact as soon as the store answers again: its lease may have
+// lapsed meanwhile.
+void store_watcher::notice_recovery()
+{
+    auto const current = call_log_.recoveries();
+    if (std::exchange(noticed_recoveries_, current) != current &&
+        steady_clock::now() >= contact_renewed_at_ + min_renew_interval)
+    {
+        lease_backoff_ = {};
+    }
+}
+
 bool store_watcher::must_write_list() const
 {
     if (!duties_.target_list_)
@@ -211,6 +226,7 @@
         record_failure(lease_backoff_);
         return;
     }
+    contact_renewed_at_ = steady_clock::now();
     record_success(lease_backoff_, renew_interval);
 }
 
@@ -241,6 +257,7 @@
             lease_id_ = lease;
             lease_generation_ = generation;
             leased_key_ = key;
+            contact_renewed_at_ = steady_clock::now();
             record_success(lease_backoff_, renew_interval);
         };
         store_->swap({}, {{key, to_string(contact_), false, lease}},
--- a/src/net/store_watcher.hpp
+++ b/src/net/store_watcher.hpp
@@ -74,6 +74,7 @@
     void record_success(backoff& state, std::chrono::milliseconds delay);
     void record_failure(backoff& state);
     void notice_restoration();
+    void notice_recovery();
     bool must_write_list() const;
     void maintain_contact();
     void on_contact_renewed(store_answer const& answer);
@@ -106,6 +107,8 @@
     store_generation lease_generation_ = 0;
     std::string leased_key_;
     store_generation noticed_generation_ = 0;
+    std::uint64_t noticed_recoveries_ = 0;
+    time_point contact_renewed_at_{};
     bool is_stopped_ = false;
     std::shared_ptr<bool> alive_;
     store_call_log call_log_;
--- a/test/unit/store_watcher_test.cpp
+++ b/test/unit/store_watcher_test.cpp
@@ -123,6 +123,14 @@
         store_->revision_ = at;
     }
 
+    // The end of a watch of a store that is away.
+    static store_answer outage()
+    {
+        store_answer answer;
+        answer.error_ = error_kind::unavailable;
+        return answer;
+    }
+
     // Answers the last watch without a change, as of the store's revision.
     void answer_watch()
     {
@@ -162,6 +170,24 @@
     CHECK(fixture.store_has(std::string(target_list_key)));
 }
 
+// A contact whose lease lapsed while the store was away was missing until its
+// next renewal, 20 s at most.
+TEST_CASE("a contact that lapsed while the store was away is missing after its "
+          "return")
+{
+    watcher_fixture fixture;
+    fixture.run_for(std::chrono::milliseconds(400));
+    REQUIRE(fixture.store_has(fixture.contact_key_));
+    fixture.store_->is_down_ = true;
+    fixture.store_->watch_handler_(fixture.outage());
+    fixture.run_for(std::chrono::milliseconds(1'500));
+    fixture.store_->leases_.clear();
+    fixture.store_->entries_.erase(fixture.contact_key_);
+    fixture.store_->is_down_ = false;
+    fixture.run_for(return_limit);
+    CHECK(fixture.store_has(fixture.contact_key_));
+}
+
 // A restored store gives out the number of a lease again. Renewing it kept
 // somebody else's lease alive, and the own contact stayed away.
 TEST_CASE("a contact is missing after a restoration because somebody else's "
