Failed reads of templates back off by 1.5 s at most

Cause: the store's return is noticed by the next read, whose backoff grows to a quarter of apply_within, 3 s with the default of 12 s, so a contact was back after up to 4.9 s. The backoff is at most 1.5 s now; on the users' platform it was 0.75 to 1.25 s before and still is.

--- a/src/core/template_feed.cpp
+++ b/src/core/template_feed.cpp
@@ -6,13 +6,22 @@
 namespace daisytrail
 {
 
+namespace
+{
+
+// What balancers keep at the store has to be back 2 s after the store's return,
+// which a read notices.
+constexpr std::chrono::milliseconds longest_backoff{1'500};
+
+} // namespace
+
 template_feed_timing feed_timing(duration apply_within)
 {
     template_feed_timing result;
     result.watch_timeout_ = apply_within / 2;
     result.call_timeout_ = apply_within / 4;
     result.first_backoff_ = apply_within / 16;
-    result.max_backoff_ = apply_within / 4;
+    result.max_backoff_ = std::min<duration>(apply_within / 4, longest_backoff);
     return result;
 }
 
