A change builds on a template's version, not on a revision of the store

Why this works: versions are never given out again, so the base of a lost change matches nothing else. Test: with revisions as the base the new test failed (accepted instead of refused). operators.sh reads the base from "version" now, each check as before: all good. Left: a restoration within the milliseconds between an attempt's read and its swap.

--- a/src/cli/change.cpp
+++ b/src/cli/change.cpp
@@ -92,7 +92,7 @@
     }
 
     // Reads the template before the change id. If the template is past the
-    // base revision, no delayed swap of this change can succeed, so that the
+    // base version, no delayed swap of this change can succeed, so that the
     // entry of the change id that is read afterwards is final.
     bool read()
     {
@@ -191,8 +191,7 @@
 
     std::optional<change_outcome> check_refusal() const
     {
-        auto const now =
-            state_.template_ ? state_.template_->modified_revision_ : 0;
+        auto const now = current_version();
         if (now != request_.base_)
         {
             return conflict(now);
@@ -209,7 +208,7 @@
             change_outcome outcome;
             outcome.result_ = change_result::accepted;
             outcome.unchanged_ = true;
-            outcome.revision_ = now;
+            outcome.revision_ = current_revision();
             outcome.number_ = current_.number_;
             outcome.version_ = current_version();
             return outcome;
@@ -226,13 +225,13 @@
         return std::nullopt;
     }
 
-    change_outcome conflict(revision now) const
+    change_outcome conflict(template_version now) const
     {
         if (now < request_.base_)
         {
             auto outcome = refuse(
                 error_kind::stale,
-                "the store holds revision " + std::to_string(now) +
+                "the store holds version " + std::to_string(now) +
                     ", older than the base " + std::to_string(request_.base_));
             // A store that was reset to an older state can't show the outcome
             // of an earlier attempt.
@@ -242,7 +241,7 @@
         }
         auto outcome = refuse(
             error_kind::conflict,
-            "the template is at revision " + std::to_string(now) + " by " +
+            "the template is at version " + std::to_string(now) + " by " +
                 current_.who_ + " (change " + current_.change_id_ +
                 "), not at the base " + std::to_string(request_.base_));
         outcome.differences_ = differences_from(current_.template_);
@@ -262,8 +261,7 @@
         outcome.result_ = change_result::refused;
         outcome.kind_ = kind;
         outcome.detail_ = std::move(detail);
-        outcome.revision_ =
-            state_.template_ ? state_.template_->modified_revision_ : 0;
+        outcome.revision_ = current_revision();
         return outcome;
     }
 
@@ -328,7 +326,7 @@
     std::optional<change_outcome> send()
     {
         std::vector<store_comparison> comparisons{
-            {template_key(organisation_), request_.base_},
+            {template_key(organisation_), current_revision()},
             {change_key(organisation_, request_.change_id_), 0}};
         auto writes = make_writes();
         for (auto const& [key, claims] : changed_buckets())
@@ -355,6 +353,11 @@
             store_.swap(std::move(comparisons), std::move(writes)));
     }
 
+    revision current_revision() const
+    {
+        return state_.template_ ? state_.template_->modified_revision_ : 0;
+    }
+
     template_version current_version() const
     {
         return state_.template_ ? version_of(*state_.template_) : 0;
--- a/src/cli/change.hpp
+++ b/src/cli/change.hpp
@@ -21,7 +21,8 @@
     std::string who_;
     std::string when_;
     std::uint64_t unix_ms_ = 0; // time of the change
-    revision base_ = 0;         // expected revision; 0: no template yet
+    // Version that the change builds on; 0: no template yet.
+    template_version base_ = 0;
     bool allow_breaking_ = false;
     time_point deadline_;
 };
@@ -53,7 +54,7 @@
 
 // Applies the change. If the answer to an attempt is lost, the change id is
 // read back to find the outcome. The same swap is retried only while the
-// template is at the base revision, so that at most one attempt succeeds.
+// template is at the base version, so that at most one attempt succeeds.
 change_outcome apply_change(blocking_store& store,
                             change_request const& request);
 
--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -18,7 +18,7 @@
 {
     std::string command_; // without the options that text() adds
     change_options const& options_;
-    revision base_;
+    template_version base_;
 
     std::string text() const
     {
@@ -36,9 +36,10 @@
         return std::string(outcome.unchanged_  ? "no difference: nothing sent"
                            : outcome.repeated_ ? "accepted before"
                                                : "accepted") +
-               ": change " + std::to_string(outcome.number_) + " at revision " +
-               std::to_string(outcome.revision_) + "\nnext change: --base " +
-               std::to_string(outcome.revision_) + "\n";
+               ": change " + std::to_string(outcome.number_) +
+               " with version " + std::to_string(outcome.version_) +
+               "\nnext change: --base " + std::to_string(outcome.version_) +
+               "\n";
     case change_result::refused:
         return "refused (" + std::string(response_for(outcome.kind_).name_) +
                "): " + outcome.detail_ + "\n" + to_string(outcome.differences_);
@@ -57,7 +58,8 @@
         {"outcome",
          change_result_names[static_cast<std::size_t>(outcome.result_)]},
         {"change_id", retry.options_.change_id_},
-        {"revision", outcome.revision_}};
+        {"revision", outcome.revision_},
+        {"version", outcome.version_}};
     if (outcome.result_ == change_result::accepted)
     {
         result.json_["number"] = outcome.number_;
@@ -129,16 +131,16 @@
     return result;
 }
 
-// Returns the base revision of the change.
-revision choose_base(command_context const& context,
-                     std::string const& organisation,
-                     change_options const& options)
+// Returns the version that the change builds on.
+template_version choose_base(command_context const& context,
+                             std::string const& organisation,
+                             change_options const& options)
 {
     if (options.base_)
     {
         return *options.base_;
     }
-    return options.current_base_ ? read_current(context, organisation).revision_
+    return options.current_base_ ? read_current(context, organisation).version_
                                  : 0;
 }
 
@@ -196,7 +198,7 @@
     request.value_ = std::move(parsed.value_);
     request.base_ = options.base_
                         ? *options.base_
-                        : read_current(context, organisation).revision_;
+                        : read_current(context, organisation).version_;
     return run_change(context, std::move(request), options,
                       context.program_ + " rollback " + organisation +
                           " --to " + std::to_string(number));
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -45,8 +45,9 @@
     std::string who_;
     std::string when_;
     std::uint64_t unix_ms_ = 0;
-    std::optional<revision> base_; // apply: empty if no template exists yet
-    bool current_base_ = false;    // use the revision in force as the base
+    std::optional<template_version>
+        base_;                  // apply: empty if no template exists yet
+    bool current_base_ = false; // use the version in the store as the base
     bool allow_breaking_ = false;
     bool wait_ = false;
     std::chrono::milliseconds wait_timeout_{30'000};
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -178,7 +178,7 @@
 {
     command
         .add_option("--base", given.base_,
-                    "revision that the change builds on, as plan and show "
+                    "version that the change builds on, as plan and show "
                     "print it, or 'current'")
         ->check(CLI::Number | CLI::IsMember({"current"}));
     command.add_option("--change-id", given.change_.change_id_,
--- a/src/cli/read_commands.cpp
+++ b/src/cli/read_commands.cpp
@@ -157,7 +157,7 @@
     result.text_ = changes.empty() ? "no difference\n" : to_string(changes);
     std::string const command =
         context.program_ + " apply " + file.name_ +
-        base_option(current.revision_) +
+        base_option(current.version_) +
         (breaks_flows(changes) ? " --allow-breaking" : "");
     if (breaks_flows(changes))
     {
@@ -165,7 +165,7 @@
     }
     result.text_ += "to apply: " + command + "\n";
     result.json_ = {{"organisation", wanted.name_},
-                    {"base", current.revision_},
+                    {"base", current.version_},
                     {"breaks_flows", breaks_flows(changes)},
                     {"differences", differences_to_json(changes)},
                     {"command", command}};
@@ -183,11 +183,12 @@
     }
     command_result result;
     result.text_ = current.stored_.template_;
-    context.progress_("revision " + std::to_string(current.revision_) +
+    context.progress_("version " + std::to_string(current.version_) +
                       ", change " + current.stored_.change_id_ + " by " +
                       current.stored_.who_ + " at " + current.stored_.when_);
     result.json_ = {{"organisation", organisation},
                     {"revision", current.revision_},
+                    {"version", current.version_},
                     {"number", current.stored_.number_},
                     {"change_id", current.stored_.change_id_},
                     {"who", current.stored_.who_},
--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -1,6 +1,8 @@
 // Functions that commands share.
 #include "cli/report.hpp"
 
+#include "net/adopted_template.hpp"
+
 #include <boost/json/parse.hpp>
 
 namespace daisytrail
@@ -31,10 +33,11 @@
         return {};
     }
     auto const& entry = answer.entries_.front();
-    return {entry.modified_revision_, parse_stored_template(entry.value_)};
+    return {entry.modified_revision_, version_of(entry),
+            parse_stored_template(entry.value_)};
 }
 
-std::string base_option(revision base)
+std::string base_option(template_version base)
 {
     return base == 0 ? "" : " --base " + std::to_string(base);
 }
--- a/src/cli/report.hpp
+++ b/src/cli/report.hpp
@@ -15,10 +15,11 @@
 namespace daisytrail
 {
 
-// The template in force; revision_ is 0 if there is none.
+// The stored template; revision_ and version_ are 0 if there is none.
 struct current_template
 {
     revision revision_ = 0;
+    template_version version_ = 0;
     stored_template stored_;
 
     organisation_template organisation() const;
@@ -29,7 +30,7 @@
                               std::string const& organisation);
 
 // Returns " --base 12", or an empty string if there is no template yet.
-std::string base_option(revision base);
+std::string base_option(template_version base);
 
 boost::json::array
 differences_to_json(std::vector<difference> const& differences);
--- a/test/integration/operators.sh
+++ b/test/integration/operators.sh
@@ -74,7 +74,7 @@
     "$daisytrail" plan "$work/a1.json"
 expect "the first apply" 0 "accepted: change 1" \
     "$daisytrail" apply "$work/a1.json" --change-id one --who amutenya
-base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"revision":[0-9]*' | cut -d: -f2)
+base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"version":[0-9]*' | cut -d: -f2)
 expect "the same change id again" 0 "accepted before: change 1" \
     "$daisytrail" apply "$work/a1.json" --change-id one
 expect "a VIP of another organisation" 4 "belongs to organisation 'a'" \
@@ -90,7 +90,7 @@
 expect "nothing was applied twice" 0 "2" applied a
 
 # Two operators at once, from the same base.
-base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"revision":[0-9]*' | cut -d: -f2)
+base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"version":[0-9]*' | cut -d: -f2)
 fault '{"slow_ms": 200}'
 "$daisytrail" apply "$work/a1.json" --base "$base" >"$work/left" 2>&1 &
 left=$!
@@ -106,7 +106,7 @@
 # A command killed at any moment: the change is there once or not at all, and
 # the same change id settles which.
 for delay in 0.00 0.02 0.05 0.10 0.15 0.20 0.30 0.50; do
-    base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"revision":[0-9]*' | cut -d: -f2)
+    base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"version":[0-9]*' | cut -d: -f2)
     before=$(applied a)
     fault '{"slow_ms": 40}'
     template a 203.0.113.1:80 "$((100 + before))" >"$work/killed.json"
@@ -134,7 +134,7 @@
     curl -sf -X POST "http://$proxy_http/fault" -d \
         "{\"link\": \"*\", \"direction\": \"$1\", \"set\": $2}" >/dev/null
 }
-base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"revision":[0-9]*' | cut -d: -f2)
+base=$("$daisytrail" --json show a 2>/dev/null | grep -o '"version":[0-9]*' | cut -d: -f2)
 before=$(applied a)
 template a 203.0.113.1:80 77 >"$work/parted.json"
 link back '{"delay_ms": 300}'
--- a/test/unit/change_test.cpp
+++ b/test/unit/change_test.cpp
@@ -326,13 +326,37 @@
           outcome.version_);
 }
 
+// The base was a revision of the store. A restored store gives revisions out
+// again, so that the base of a lost change matched another operator's change.
+TEST_CASE("a change overwrites another operator's change after the store was "
+          "restored from a copy")
+{
+    change_fixture fixture;
+    REQUIRE(fixture.apply(first, "kept", 0).result_ == change_result::accepted);
+    auto const copy = fixture.store_.entries_;
+    auto lost = fixture.request(second, "lost", 1);
+    lost.unix_ms_ = 1'700'000'000'000;
+    auto const lost_outcome = apply_change(fixture.calls_, lost);
+    fixture.store_.restore(copy);
+    auto other =
+        fixture.request(template_text("a", "203.0.113.1:80", 96), "other", 1);
+    other.unix_ms_ = lost.unix_ms_ + 1'000;
+    auto const other_outcome = apply_change(fixture.calls_, other);
+    REQUIRE(other_outcome.revision_ == lost_outcome.revision_);
+    auto const outcome =
+        fixture.apply(template_text("a", "203.0.113.1:80", 128), "next",
+                      lost_outcome.version_);
+    CHECK(outcome.result_ == change_result::refused);
+    CHECK(outcome.kind_ == error_kind::conflict);
+}
+
 TEST_CASE("a change made by a slow clock still has a higher version")
 {
     change_fixture fixture;
     auto ahead = fixture.request(first, "ahead", 0);
     ahead.unix_ms_ = 1'700'000'000'000;
     auto const earlier = apply_change(fixture.calls_, ahead);
-    auto behind = fixture.request(second, "behind", 1);
+    auto behind = fixture.request(second, "behind", earlier.version_);
     behind.unix_ms_ = 1'600'000'000'000;
     CHECK(apply_change(fixture.calls_, behind).version_ ==
           earlier.version_ + 1);
