--- a/test/unit/membership_test.cpp
+++ b/test/unit/membership_test.cpp
@@ -301,6 +301,38 @@
     }
 }
 
+// CONFIG after a restoration: balancers that know different histories of the
+// store, cut off or just started, bring an older template back by gossip.
+TEST_CASE("an older template comes back by gossip after a restoration")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        control_fleet fleet(seed, heavy_loss);
+        build_fleet(fleet, 4, 8);
+        auto const runs_everywhere = [&](template_version expected)
+        {
+            return fleet.all_of([expected](process& each)
+                                { return each.templates_["org"] == expected; });
+        };
+        fleet.offer(fleet.at("b0"), 9, "in the copy");
+        fleet.run_for(seconds(5));
+        fleet.at("b3").partition_ = 1; // holds version 9 from now on
+        fleet.offer(fleet.at("b0"), 12, "lost by the store");
+        fleet.run_for(seconds(5));
+        // The restored store shows the copy to a balancer that runs 12.
+        fleet.offer(fleet.at("b1"), 9, "in the copy");
+        fleet.at("b3").partition_ = 0;
+        // One that has just started reads the copy before it meets the others.
+        auto& young = fleet.add_balancer("young");
+        fleet.offer(young, 9, "in the copy");
+        fleet.run_for(seconds(8));
+        CHECK(runs_everywhere(12));
+        fleet.offer(young, 15, "after the restoration");
+        CHECK(fleet.run_until([&] { return runs_everywhere(15); },
+                              seconds(10)) <= seconds(5));
+    }
+}
+
 TEST_CASE("a process that starts late receives templates from its peers")
 {
     control_fleet fleet(11, heavy_loss);
