--- a/test/unit/etcd_codec_test.cpp
+++ b/test/unit/etcd_codec_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace daisytrail;
 using namespace daisytrail::detail;
+namespace json = boost::json;
 
 TEST_CASE("base64 preserves all bytes and rejects invalid text")
 {
@@ -23,6 +24,30 @@
     CHECK(prefix_end("\xFF") == std::string(1, '\0'));
 }
 
+TEST_CASE("every response shows the generation of the store, the cluster's "
+          "identifier")
+{
+    constexpr store_generation expected = 14'841'639'068'965'178'418U;
+    std::string const header =
+        R"("header":{"cluster_id":"14841639068965178418","revision":"9"})";
+    auto const object = [&](std::string const& more)
+    {
+        return json::parse("{" + header + more + "}");
+    };
+    json::value const in_result{{"result", object(R"(,"TTL":"60")")}};
+    CHECK(read_range(object("")).generation_ == expected);
+    CHECK(read_swap(object(R"(,"succeeded":true)")).generation_ == expected);
+    CHECK(read_grant(object(R"(,"ID":"7")")).generation_ == expected);
+    CHECK(read_keep_alive(in_result).generation_ == expected);
+    CHECK(read_watch(in_result).generation_ == expected);
+}
+
+TEST_CASE("a cluster's identifier that isn't a number is an error")
+{
+    CHECK_THROWS_AS(read_range(json::parse(R"({"header":{"cluster_id":"x"}})")),
+                    error);
+}
+
 TEST_CASE("a range response contains keys, values and revisions")
 {
     auto const answer = read_range(boost::json::parse(
