Smaller read buffers in agents

Found by reading the change: each exchange with a backend server got a buffer of 64 KB, 128 MB for 2,000 long responses; it is 8 KB now, five turns for a response of 40 KB instead of 80. metadata_store's test takes a free port.

--- a/src/agent/requests_exchange.cpp
+++ b/src/agent/requests_exchange.cpp
@@ -27,6 +27,8 @@
 
 constexpr std::chrono::seconds connect_timeout{2};
 constexpr std::size_t body_buffer_bytes = 16'384;
+// An agent may have thousands of exchanges with long responses.
+constexpr std::size_t bytes_per_read = 8'192;
 constexpr std::size_t max_unsent_bytes = 262'144;
 constexpr std::uint32_t max_response_header_bytes = 65'536;
 
@@ -223,7 +225,7 @@
     bool paused_ = false; // waits for resume()
     std::string sending_; // in an asynchronous write
     std::string unsent_;
-    beast::flat_buffer parse_buffer_ = make_http_buffer();
+    beast::flat_buffer parse_buffer_ = make_http_buffer(bytes_per_read);
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, body_buffer_bytes> body_buffer_{};
 };
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -22,6 +22,8 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+constexpr std::size_t bytes_per_read = 64UL << 10U;
+
 // Phase of a call.
 enum class call_phase
 {
@@ -176,7 +178,7 @@
     call_phase phase_ = call_phase::connecting;
     http_request request_;
     std::function<void(http_outcome)> handler_; // empty after its only call
-    beast::flat_buffer buffer_ = make_http_buffer();
+    beast::flat_buffer buffer_ = make_http_buffer(bytes_per_read);
     http::response_parser<http::string_body> parser_;
 };
 
--- a/src/net/store_call_log.hpp
+++ b/src/net/store_call_log.hpp
@@ -74,9 +74,8 @@
     void on_failure(store_call call, state& status, duration elapsed,
                     store_answer const& answer);
 
-    histogram& call_seconds_; // durations of all calls except watches
-    histogram&
-        transfer_seconds_; // from the first byte of a response to its last
+    histogram& call_seconds_;     // durations of all calls except watches
+    histogram& transfer_seconds_; // first to last part of a response
     std::array<state, static_cast<std::size_t>(store_call::count)> states_;
     std::uint64_t& restorations_;
     store_generation generation_ = 0;
--- a/src/store/watch_stream.cpp
+++ b/src/store/watch_stream.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::chrono::seconds connect_timeout{2};
 constexpr std::size_t max_line_bytes = 4ULL << 20U;
+constexpr std::size_t bytes_per_read = 64UL << 10U;
 
 } // namespace
 
@@ -36,7 +37,7 @@
 
     beast::tcp_stream stream_;
     http_request request_;
-    beast::flat_buffer buffer_ = make_http_buffer();
+    beast::flat_buffer buffer_ = make_http_buffer(bytes_per_read);
     http::response_parser<http::buffer_body> parser_;
     std::array<char, 16'384> chunk_{};
 };
--- a/test/unit/metadata_store_test.cpp
+++ b/test/unit/metadata_store_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/metadata_store.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
 #include <doctest/doctest.h>
 
@@ -17,9 +18,18 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
-constexpr endpoint store_address{0x7F000001, 23'950};
 constexpr milliseconds call_timeout{400};
 
+// Returns an address on loopback at which nothing listens.
+endpoint free_address(boost::asio::io_context& io)
+{
+    using boost::asio::ip::tcp;
+    tcp::acceptor const probe(
+        io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    auto const local = probe.local_endpoint();
+    return {local.address().to_v4().to_uint(), local.port()};
+}
+
 // Returns an answer to a watch with one change, at this revision.
 http_response make_change(revision at)
 {
@@ -40,6 +50,7 @@
     // Half a call's timeout passes between two answers with changes.
     constexpr int max_polls = 6; // in 1 s
     boost::asio::io_context io;
+    auto const store_address = free_address(io);
     http_server server(io, store_address);
     int polls = 0;
     server.route("GET", "/api/kv-watch",
