--- a/src/net/adopted_template.cpp
+++ b/src/net/adopted_template.cpp
@@ -110,10 +110,11 @@
 // refused as older or as invalid.
 template_version version_of(store_entry const& entry)
 {
-    auto& cached = cache();
-    if (cached.text_ == entry.value_)
+    // A valid value is parsed whole, since it is used next.
+    if (!check_adopted_template(entry.value_))
     {
-        return cached.value_.version_.value_or(entry.modified_revision_);
+        return parse_adopted_template(entry.value_)
+            .version_.value_or(entry.modified_revision_);
     }
     try
     {
@@ -122,7 +123,7 @@
     }
     catch (error const&)
     {
-        // check_adopted_template() reports the value's fault.
+        // The value's fault is reported when the value is offered.
         return entry.modified_revision_;
     }
 }
