--- a/test/integration/control.sh
+++ b/test/integration/control.sh
@@ -7,19 +7,6 @@
 # shellcheck source=../support/topology.sh
 source test/support/topology.sh
 trap 'stop_all; rm -rf "$WORK"' EXIT
-failed=0
-
-# expect NAME COMMAND...: the command must succeed.
-expect() {
-    local name=$1
-    shift
-    if "$@"; then
-        echo "ok: $name"
-    else
-        echo "not ok: $name"
-        failed=$((failed + 1))
-    fi
-}
 
 page() { curl -s -m 2 "http://127.0.0.1:${PROCESS_HTTP[$1]}$2"; }
 
@@ -106,12 +93,12 @@
 agents=(agent-depot-orders-1 agent-depot-orders-2 agent-depot-orders-3)
 everyone=("${balancers[@]}" "${agents[@]}")
 
-expect "the first change is accepted" \
+check "the first change is accepted" \
     apply_template "$(template 4s)" --change-id first
-expect "it is in force everywhere within 12 s" \
+check "it is in force everywhere within 12 s" \
     within 12000 in_force first "${everyone[@]}"
 for i in 1 2 3; do
-    expect "target $i is ready on every balancer" \
+    check "target $i is ready on every balancer" \
         within 15000 seen_as "depot-orders-$i" ready "${balancers[@]}"
 done
 older=$(store_revision)
@@ -125,9 +112,9 @@
     return 1
 }
 apply_template "$(template 7s)" --base current --change-id spread
-expect "a balancer has the change" within 5000 anyone_has spread
+check "a balancer has the change" within 5000 anyone_has spread
 fault '{"down":true,"lapse_leases":true}'
-expect "it is in force everywhere though the store went down" \
+check "it is in force everywhere though the store went down" \
     within 12000 in_force spread "${everyone[@]}"
 fault '{"down":false}'
 
@@ -137,43 +124,43 @@
 fault '{"down":true}'
 sleep 1
 fault '{"down":false}'
-expect "an unread change is in force within 12 s of the store's return" \
+check "an unread change is in force within 12 s of the store's return" \
     within 12000 in_force unread "${everyone[@]}"
 watching() {
     curl -s -m 2 "http://127.0.0.1:$store_port/stats" |
         grep -qE '"watches":[1-9]'
 }
-expect "the watch is opened again" within 30000 watching
+check "the watch is opened again" within 30000 watching
 
 # A balancer sleeps through a change, and the store is gone when it wakes.
 before=$(incarnation_of balancer-1 balancer-3)
 stop_process balancer-3 STOP
-expect "the second change is accepted" \
+check "the second change is accepted" \
     apply_template "$(template 6s)" --base current --change-id second
-expect "it is in force at those who are awake" \
+check "it is in force at those who are awake" \
     within 12000 in_force second balancer-1 balancer-2 "${agents[@]}"
-expect "a balancer that stands still is found dead within 5 s" \
+check "a balancer that stands still is found dead within 5 s" \
     within 5000 seen_as balancer-3 dead balancer-1 balancer-2
 fault '{"down":true}'
 stop_process balancer-3 CONT
-expect "it learns the change from peers, with the store down" \
+check "it learns the change from peers, with the store down" \
     within 12000 in_force second balancer-3
-expect "it comes back for all" \
+check "it comes back for all" \
     within 12000 seen_as balancer-3 ready "${balancers[@]}"
-expect "under a higher incarnation" \
+check "under a higher incarnation" \
     test "$(incarnation_of balancer-1 balancer-3)" -gt "$before"
 
 # With the store still down: starts, drains and deaths go on.
 start_balancer 4
 start_target depot-orders 4
-expect "a balancer that starts now learns the change from peers" \
+check "a balancer that starts now learns the change from peers" \
     within 12000 in_force second balancer-4
-expect "so does an agent" within 12000 in_force second agent-depot-orders-4
+check "so does an agent" within 12000 in_force second agent-depot-orders-4
 balancers+=(balancer-4)
-expect "the new target is ready everywhere" \
+check "the new target is ready everywhere" \
     within 12000 seen_as depot-orders-4 ready "${balancers[@]}"
 stop_process agent-depot-orders-2 KILL
-expect "the death of a target is known everywhere within 5 s" \
+check "the death of a target is known everywhere within 5 s" \
     within 5000 seen_as depot-orders-2 dead "${balancers[@]}"
 
 # no_new_work MEMBER BALANCER...
@@ -185,14 +172,14 @@
     done
 }
 stop_process agent-depot-orders-1 TERM
-expect "a draining target gets no new work after 2 s" \
+check "a draining target gets no new work after 2 s" \
     within 2000 no_new_work depot-orders-1 "${balancers[@]}"
 
 # The store comes back with an older state.
 fault "{\"down\":false,\"rollback_to\":$older}"
-expect "an older value is refused and reported" \
+check "an older value is refused and reported" \
     within 45000 at_least_one_refused_older "${balancers[@]}"
-expect "nobody went back" in_force second "${balancers[@]}" \
+check "nobody went back" in_force second "${balancers[@]}" \
     agent-depot-orders-3 agent-depot-orders-4
 
 # Datagrams that aren't ours are dropped and counted.
@@ -202,7 +189,7 @@
     (($(metric balancer-1 \
         'daisytrail_control_datagrams_total{verdict="bad_code"}') > 0))
 }
-expect "a datagram without our key is counted" within 2000 counted
+check "a datagram without our key is counted" within 2000 counted
 
 if ((failed > 0)); then
     for name in "${balancers[@]}"; do
--- a/test/integration/platform_config.sh
+++ b/test/integration/platform_config.sh
@@ -9,24 +9,12 @@
 # shellcheck source=../support/platform_fleet.sh
 source test/support/platform_fleet.sh
 trap 'stop_all; [[ -n ${KEEP:-} ]] && cp -r "$WORK" "$KEEP"; rm -rf "$WORK"' EXIT
-failed=0
 
 # Bounds of the platform's settings: a change is in force this long after its
 # acknowledgement, and this long after the end of a fault.
 apply_ms=3000
 calm_ms=4000
 
-expect() {
-    local name=$1
-    shift
-    if "$@"; then
-        echo "ok: $name"
-    else
-        echo "not ok: $name"
-        failed=$((failed + 1))
-    fi
-}
-
 now_ms() { date +%s%3N; }
 
 balancers=(balancer-1 balancer-2 balancer-3)
@@ -34,11 +22,11 @@
 for i in 1 2 3; do start_platform_balancer "$i"; done
 
 put_config 11
-expect "the first configuration is in force" \
+check "the first configuration is in force" \
     in_force_after 11 "$(acknowledged_at 11)" "$apply_ms" "${balancers[@]}"
 sleep 1
 put_config 14
-expect "a change on a calm day is in force" \
+check "a change on a calm day is in force" \
     in_force_after 14 "$(acknowledged_at 14)" "$apply_ms" "${balancers[@]}"
 
 # Regression: CONFIG, silent connections to the store (issue 16). Watches that
@@ -47,14 +35,14 @@
 store_fault '{"silence_connections": true}'
 sleep 1
 put_config 20
-expect "a change is in force while open connections to the store are silent" \
+check "a change is in force while open connections to the store are silent" \
     in_force_after 20 "$(acknowledged_at 20)" "$apply_ms" "${balancers[@]}"
 # At other moments of a watch, and again and again.
 for version in 21 22 25; do
     sleep 4.3
     store_fault '{"silence_connections": true}'
     put_config "$version"
-    expect "a change is in force when connections fall silent again" \
+    check "a change is in force when connections fall silent again" \
         in_force_after "$version" "$(acknowledged_at "$version")" \
         "$apply_ms" "${balancers[@]}"
 done
@@ -69,7 +57,7 @@
     put_config "$version"
     sleep 1
     store_fault '{"mode": "serve"}'
-    expect "a change is in force after the store was $mode" \
+    check "a change is in force after the store was $mode" \
         in_force_after "$version" "$(now_ms)" "$calm_ms" "${balancers[@]}"
     version=$((version + 7))
 done
@@ -79,7 +67,7 @@
 store_fault "{\"ports\": [$(store_way 2)], \"mode\": \"silent\"}"
 sleep 1
 put_config "$version"
-expect "a machine that the store doesn't answer hears of a change from others" \
+check "a machine that the store doesn't answer hears of a change from others" \
     in_force_after "$version" "$(acknowledged_at "$version")" "$apply_ms" \
     "${balancers[@]}"
 store_fault '{"mode": "serve"}'
@@ -89,10 +77,10 @@
 put_config 900 2 op/config-draft
 version=$((version + 7))
 put_config "$version"
-expect "a change is in force after a write beside the configuration's key" \
+check "a change is in force after a write beside the configuration's key" \
     in_force_after "$version" "$(acknowledged_at "$version")" "$apply_ms" \
     "${balancers[@]}"
-expect "what was written beside it is in force nowhere" \
+check "what was written beside it is in force nowhere" \
     test -z "$(adopted_at balancer-1 900)$(adopted_at balancer-2 900)"
 
 # Most balancers of a large fleet hear of a change from others, whose budget
@@ -103,15 +91,15 @@
 start_platform_store 3
 for i in 1 2 3; do start_platform_balancer "$i"; done
 put_config 101 10
-expect "a small configuration reaches balancers that don't watch" \
+check "a small configuration reaches balancers that don't watch" \
     in_force_after 101 "$(acknowledged_at 101)" "$apply_ms" "${balancers[@]}"
 sleep 6
 put_config 103 2000
-expect "a large configuration reaches balancers that don't watch" \
+check "a large configuration reaches balancers that don't watch" \
     in_force_after 103 "$(acknowledged_at 103)" "$apply_ms" "${balancers[@]}"
 
 for name in "${balancers[@]}"; do
-    expect "$name never took an older version" \
+    check "$name never took an older version" \
         test "$(metric "$name" \
             'daisytrail_control_reports_total{kind="refused_older"}')" = 0
 done
--- a/test/integration/restored_store.sh
+++ b/test/integration/restored_store.sh
@@ -9,7 +9,6 @@
 # shellcheck source=../support/platform_fleet.sh
 source test/support/platform_fleet.sh
 trap 'stop_all; [[ -n ${KEEP:-} ]] && cp -r "$WORK" "$KEEP"; rm -rf "$WORK"' EXIT
-failed=0
 
 # Bounds of the platform's settings: a change is in force this long after its
 # acknowledgement, and what balancers keep at the store is back this long after
@@ -17,17 +16,6 @@
 apply_ms=3000
 return_ms=2000
 
-expect() {
-    local name=$1
-    shift
-    if "$@"; then
-        echo "ok: $name"
-    else
-        echo "not ok: $name"
-        failed=$((failed + 1))
-    fi
-}
-
 # stored PREFIX: the keys that the store holds.
 stored() {
     curl -s -m 2 "http://127.0.0.1:$(store_way 1)/api/kv-range?prefix=$1" |
@@ -54,14 +42,14 @@
 start_platform_store 3
 for i in 1 2 3; do start_platform_balancer "$i"; done
 put_config 11
-expect "the first configuration is in force" \
+check "the first configuration is in force" \
     in_force_after 11 "$(acknowledged_at 11)" "$apply_ms" "${balancers[@]}"
-expect "balancers have written their contacts" \
+check "balancers have written their contacts" \
     stored_within daisytrail/contacts/ "$return_ms"
 store_fault '{"save_copy": true}'
 for i in 1 2 3 4 5 6 7 8; do put_config "$i" 1 op/draft; done
 put_config 20
-expect "a change that will be lost is in force" \
+check "a change that will be lost is in force" \
     in_force_after 20 "$(acknowledged_at 20)" "$apply_ms" "${balancers[@]}"
 
 # Away for two seconds; the operator writes its last change again.
@@ -70,11 +58,11 @@
 sleep 2
 put_config 20
 store_fault '{"mode": "serve"}'
-expect "contacts are back after a restoration" \
+check "contacts are back after a restoration" \
     stored_within daisytrail/contacts/ "$return_ms"
 sleep 2
 put_config 26
-expect "a change after a restoration is in force" \
+check "a change after a restoration is in force" \
     in_force_after 26 "$(acknowledged_at 26)" "$apply_ms" "${balancers[@]}"
 
 # A balancer that stands still meanwhile: its watch's position is reached and
@@ -86,7 +74,7 @@
 for i in 1 2 3 4 5 6 7 8; do put_config "$i" 1 op/draft; done
 sleep 0.5
 stop_process balancer-2 CONT
-expect "a change under a revision that is given out again is in force" \
+check "a change under a revision that is given out again is in force" \
     in_force_after 31 "$(date +%s%3N)" "$apply_ms" "${balancers[@]}"
 
 # Two restorations in a row, while one machine is turned away.
@@ -96,16 +84,16 @@
 store_fault '{"restore_copy": true}'
 sleep 1
 put_config 37
-expect "a change after two restorations is in force" \
+check "a change after two restorations is in force" \
     in_force_after 37 "$(acknowledged_at 37)" "$apply_ms" "${balancers[@]}"
 store_fault '{"mode": "serve"}'
 sleep 1
 put_config 41
-expect "the next change is in force" \
+check "the next change is in force" \
     in_force_after 41 "$(acknowledged_at 41)" "$apply_ms" "${balancers[@]}"
 
 for name in "${balancers[@]}"; do
-    expect "$name never took an older version" never_went_back "$name"
+    check "$name never took an older version" never_went_back "$name"
 done
 echo "$failed failures"
 ((failed == 0))
--- a/test/support/topology.sh
+++ b/test/support/topology.sh
@@ -51,6 +51,20 @@
     echo $((PORT_BASE + 100 + (offset + $2) * 6))
 }
 
+# check NAME COMMAND...: the command must succeed; a failure is counted in
+# `failed`.
+failed=0
+check() {
+    local name=$1
+    shift
+    if "$@"; then
+        echo "ok: $name"
+    else
+        echo "not ok: $name"
+        failed=$((failed + 1))
+    fi
+}
+
 # launch NAME PROGRAM ARGS...: starts a process and keeps its log.
 launch() {
     local name=$1 program=$2
