--- a/test/unit/change_test.cpp
+++ b/test/unit/change_test.cpp
@@ -68,7 +68,7 @@
         auto lost =
             request(template_text("a", "203.0.113.1:80", 32), "lost", 1);
         lost.unix_ms_ = time_of_lost_change;
-        auto const outcome = apply_change(calls_, lost);
+        auto outcome = apply_change(calls_, lost);
         store_.restore(copy);
         return outcome;
     }
