--- a/review/build.sh
+++ b/review/build.sh
@@ -16,9 +16,9 @@
     test/stand_ins/platform_store.cpp test/support/platform_database.cpp \
     -Wl,--start-group "${libraries[@]}" -Wl,--end-group \
     $packages -lboost_json
-for case in review/stand_ins/*.cpp; do
-    name=$(basename "$case" .cpp)
+for case in review/stand_ins/*.cc; do
+    name=$(basename "$case" .cc)
     [[ $name != fleet ]] || continue
     g++ "${flags[@]}" -o "$out/${name//_/-}" "$case" \
-        review/stand_ins/fleet.cpp
+        review/stand_ins/fleet.cc
 done
--- a/review/stand_ins/clock_jump.cpp
+++ b/review/stand_ins/clock_jump.cc
@@ -1,7 +1,7 @@
 // Case: a target starts while the time of day of its machine is 2.4 s ahead and
 // crashes; the time of day jumps back, and the target starts again. Later it
 // drains.
-#include "fleet.hpp"
+#include "fleet.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/stand_ins/fleet.cpp
+++ b/review/stand_ins/fleet.cc
@@ -1,4 +1,4 @@
-#include "fleet.hpp"
+#include "fleet.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/review/stand_ins/late_heartbeats.cpp
+++ b/review/stand_ins/late_heartbeats.cc
@@ -2,7 +2,7 @@
 // The nodes beside them are restarted in turn, and late heartbeats of the
 // former incarnations arrive meanwhile. Then a node is added to the zone of the
 // clients.
-#include "fleet.hpp"
+#include "fleet.h"
 
 #include <csignal>
 #include <cstdlib>
