--- a/review/stand_ins/fleet.cc
+++ b/review/stand_ins/fleet.cc
@@ -641,7 +641,8 @@
     replace_all(text, "{{#bounds.configApplyMs}}", "");
     replace_all(text, "{{/bounds.configApplyMs}}", "");
     replace_all(text, "{{bounds.configApplyMs}}", "3000");
-    replace_all(text, "{{#seeds}}{{.|json}}{{,}}{{/seeds}}", seeds());
+    replace_all(text, "{{#seeds}}{{.|json}}{{,}}{{/seeds}}",
+                value.seeds.empty() ? seeds() : value.seeds);
     return text;
 }
 
