--- a/review/stand_ins/late_heartbeats.cc
+++ b/review/stand_ins/late_heartbeats.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t flow_count = 48;
 
 // Delivers heartbeats that the former incarnations of the targets sent before
-// they crashed: one to each node every 770 ms.
+// they crashed: one to each node every 600 ms, at most twelve.
 class late_heartbeats
 {
 public:
@@ -39,20 +39,23 @@
     void run()
     {
         constexpr milliseconds stagger{97};
+        constexpr milliseconds interval{600};
+        constexpr std::uint64_t first_seq = 5;
+        constexpr std::uint64_t count = 12;
         log_.line("late heartbeats of the former incarnations arrive");
         std::vector<clock::time_point> next;
         for (std::size_t i = 0; i < nodes_.size(); ++i)
         {
             next.push_back(clock::now() + stagger * static_cast<int>(i));
         }
-        std::vector<std::uint64_t> seq(nodes_.size(), 5);
+        std::vector<std::uint64_t> seq(nodes_.size(), first_seq);
         while (!is_stopped_)
         {
             for (std::size_t i = 0; i < nodes_.size(); ++i)
             {
-                if (clock::now() >= next[i])
+                if (clock::now() >= next[i] && seq[i] < first_seq + count)
                 {
-                    next[i] += heartbeat_interval;
+                    next[i] += interval;
                     send(*nodes_[i], seq[i]++);
                 }
             }
@@ -133,7 +136,7 @@
     {
         throw std::runtime_error("the balancers don't become ready");
     }
-    all.run(milliseconds(3'000));
+    all.run(milliseconds(11'000));
     all.targets().clear();
     log.line("the former incarnations crash");
     all.run(milliseconds(2'000));
