A stored template has no bounds of an operator's text

Cause: parse_organisation() serves two readers. Its bound of 300,000 bytes exists because an audit entry of the product's own store holds a template twice, and so do its bounds on services, shares, weights and names protect an operator's change. Each process applied them again to what a store had acknowledged, also to the platform's document, for which no audit entry is written and whose store takes 1,048,576 bytes.

Change: parse_stored_organisation() checks what a template means and no bounds; parse_organisation() keeps them for what an operator writes, in the command line. A stored value is parsed once for its version, its check and its use, also if it is invalid, and shared in place of being copied. The reason of a refusal lists eight faults and counts the others: it is logged and kept 256 times, and a document of thousands of routes has thousands of faults. Readers of a JSON tree build a path only for an error.

--- a/include/daisytrail/organisation.hpp
+++ b/include/daisytrail/organisation.hpp
@@ -137,6 +137,11 @@
 //   if (!parsed.errors_.empty()) ...
 parsed_organisation parse_organisation(std::string_view text);
 
+// Parses a template that a store has acknowledged. The bounds of an operator's
+// text on its length, lists, names and weights don't apply: a process takes
+// what the store took.
+parsed_organisation parse_stored_organisation(std::string_view text);
+
 // Formats an error, for example as
 // "12:7: services[0].mode: found 'strem', expected 'stream' or 'requests'".
 std::string to_string(template_error const& fault);
--- a/src/cli/read_commands.cpp
+++ b/src/cli/read_commands.cpp
@@ -67,8 +67,8 @@
 {
     auto const before = entry.before_.empty()
                             ? organisation_template{}
-                            : parse_organisation(entry.before_).value_;
-    auto const after = parse_organisation(entry.after_).value_;
+                            : parse_stored_organisation(entry.before_).value_;
+    auto const after = parse_stored_organisation(entry.after_).value_;
     auto const count = diff_templates(before, after).size();
     return std::to_string(count) + (count == 1 ? " value" : " values");
 }
--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -13,7 +13,7 @@
 organisation_template current_template::organisation() const
 {
     return revision_ == 0 ? organisation_template{}
-                          : parse_organisation(stored_.template_).value_;
+                          : parse_stored_organisation(stored_.template_).value_;
 }
 
 current_template read_current(command_context const& context,
--- a/src/config/field_reader.cpp
+++ b/src/config/field_reader.cpp
@@ -97,9 +97,24 @@
 
 } // namespace
 
+std::string value_reader::path() const
+{
+    if (parent_ == nullptr)
+    {
+        return {};
+    }
+    auto result = parent_->path();
+    auto const& siblings = parent_->node_->children_;
+    if (parent_->node_->type_ == json_type::array)
+    {
+        return result + "[" + std::to_string(node_ - siblings.data()) + "]";
+    }
+    return result.empty() ? node_->key_ : result + "." + node_->key_;
+}
+
 void value_reader::add_error(std::string found, std::string expected) const
 {
-    errors_->push_back({path_, node_->position_.line_, node_->position_.column_,
+    errors_->push_back({path(), node_->position_.line_, node_->position_.column_,
                         std::move(found), std::move(expected)});
 }
 
@@ -110,21 +125,19 @@
 
 value_reader value_reader::element(std::size_t index) const
 {
-    return {node_->children_[index], path_ + "[" + std::to_string(index) + "]",
-            *errors_};
+    return {node_->children_[index], *this};
 }
 
 value_reader value_reader::member(std::size_t index) const
 {
-    auto const& child = node_->children_[index];
-    return {child, path_.empty() ? child.key_ : path_ + "." + child.key_,
-            *errors_};
+    return {node_->children_[index], *this};
 }
 
 bool value_reader::require_array(std::size_t minimum, std::size_t maximum) const
 {
     auto const size = node_->children_.size();
-    if (node_->type_ == json_type::array && size >= minimum && size <= maximum)
+    bool const fits = size >= minimum && (size <= maximum || !has_bounds());
+    if (node_->type_ == json_type::array && fits)
     {
         return true;
     }
@@ -145,6 +158,11 @@
 
 void value_reader::name(std::string& out) const
 {
+    if (!has_bounds())
+    {
+        text(out);
+        return;
+    }
     if (node_->type_ != json_type::string || !is_name(node_->text_))
     {
         reject("a name of lower-case letters, digits, '-' and '.', at most " +
--- a/src/config/field_reader.hpp
+++ b/src/config/field_reader.hpp
@@ -18,13 +18,26 @@
 
 using error_list = std::vector<template_error>;
 
+// Who vouches for the text, and so which bounds apply.
+enum class text_origin : std::uint8_t
+{
+    // An operator: lists, names and weights have bounds.
+    operator_text,
+    // A store that has acknowledged the text: only its meaning is checked,
+    // since a bound of the reader would refuse what the store took.
+    stored_text
+};
+
 // A value of the tree and its path. The functions that read a single value add
-// an error and leave `out` unchanged if the value is invalid.
+// an error and leave `out` unchanged if the value is invalid. A reader of a
+// child refers to its parent's reader, which must outlive it.
 class value_reader
 {
 public:
-    value_reader(json_node const& node, std::string path, error_list& errors)
-        : node_(&node), path_(std::move(path)), errors_(&errors)
+    // Reads the root of a document.
+    value_reader(json_node const& root, error_list& errors,
+                 text_origin origin = text_origin::operator_text)
+        : node_(&root), errors_(&errors), origin_(origin)
     {
     }
 
@@ -33,9 +46,12 @@
         return *node_;
     }
 
-    std::string const& path() const
+    // Returns the path from the root, for example "services[0].limits.queue".
+    std::string path() const;
+
+    bool has_bounds() const
     {
-        return path_;
+        return origin_ == text_origin::operator_text;
     }
 
     void add_error(std::string found, std::string expected) const;
@@ -46,12 +62,13 @@
     value_reader member(std::size_t index) const;
 
     // Returns true if the value is an array of `minimum` to `maximum` elements;
-    // adds an error otherwise.
+    // adds an error otherwise. `maximum` is a bound of operator_text only.
     bool require_array(std::size_t minimum, std::size_t maximum) const;
 
     void text(std::string& out) const;
     // A name of lower-case letters, digits, '-' and '.', at most 63 bytes long,
-    // that starts with a letter or digit.
+    // that starts with a letter or digit. In stored_text any text that isn't
+    // empty is a name.
     void name(std::string& out) const;
     void boolean(bool& out) const;
     void real(double& out, double minimum, double maximum) const;
@@ -79,9 +96,16 @@
     std::optional<std::uint64_t> whole_number(std::uint64_t minimum,
                                               std::uint64_t maximum) const;
 
+    value_reader(json_node const& node, value_reader const& parent)
+        : node_(&node), parent_(&parent), errors_(parent.errors_),
+          origin_(parent.origin_)
+    {
+    }
+
     json_node const* node_;
-    std::string path_;
+    value_reader const* parent_ = nullptr; // nullptr: the root
     error_list* errors_;
+    text_origin origin_;
 };
 
 // Parses a duration such as "250ms", "30s", "5m" or "1h"; returns std::nullopt
--- a/src/config/organisation.cpp
+++ b/src/config/organisation.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -17,8 +18,9 @@
 using detail::presence;
 using detail::value_reader;
 
-// The store limits a value to one megabyte, and an audit entry holds the
-// template before and after a change with its quotes escaped.
+// Bounds of an operator's text. The store limits a value to one megabyte, and
+// an audit entry holds the template before and after a change with its quotes
+// escaped. A template that a store has acknowledged has no bounds here.
 constexpr std::size_t max_template_bytes = 300'000;
 constexpr std::size_t max_services = 5'000;
 constexpr std::size_t max_vips = 1'000;
@@ -318,7 +320,9 @@
     {"weight", presence::optional,
      [](value_reader const& in, unresolved_share& out)
      {
-         in.number(out.weight_, 0, max_share_weight);
+         in.number(out.weight_, 0,
+                   in.has_bounds() ? max_share_weight
+                                   : std::numeric_limits<std::uint32_t>::max());
      }},
 }};
 
@@ -454,31 +458,42 @@
     }
 }
 
-} // namespace
-
-parsed_organisation parse_organisation(std::string_view text)
+parsed_organisation parse(std::string_view text, detail::text_origin origin)
 {
     parsed_organisation result;
-    if (text.size() > max_template_bytes)
-    {
-        result.errors_.push_back(
-            {"", 0, 0, std::to_string(text.size()) + " bytes",
-             "at most " + std::to_string(max_template_bytes) + " bytes"});
-        return result;
-    }
     auto document = detail::read_json(text);
     result.errors_ = std::move(document.errors_);
     if (!result.errors_.empty())
     {
         return result;
     }
-    value_reader const root(document.root_, "", result.errors_);
+    value_reader const root(document.root_, result.errors_, origin);
     detail::read_object(root, organisation_fields, result.value_);
     detail::sort_errors(result.errors_);
     assign_service_ids(result.value_);
     return result;
 }
 
+} // namespace
+
+parsed_organisation parse_organisation(std::string_view text)
+{
+    if (text.size() > max_template_bytes)
+    {
+        parsed_organisation result;
+        result.errors_.push_back(
+            {"", 0, 0, std::to_string(text.size()) + " bytes",
+             "at most " + std::to_string(max_template_bytes) + " bytes"});
+        return result;
+    }
+    return parse(text, detail::text_origin::operator_text);
+}
+
+parsed_organisation parse_stored_organisation(std::string_view text)
+{
+    return parse(text, detail::text_origin::stored_text);
+}
+
 std::string to_string(template_error const& fault)
 {
     std::string text;
--- a/src/net/adopted_template.cpp
+++ b/src/net/adopted_template.cpp
@@ -6,6 +6,10 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 namespace daisytrail
 {
 
@@ -57,88 +61,120 @@
     return std::move(parsed.get_object());
 }
 
-adopted_template read_value(std::string_view value)
+// Number of a template's faults that the message of its refusal lists. The
+// message is logged and kept, and a long template may have thousands of faults.
+constexpr std::size_t max_listed_faults = 8;
+
+std::string list_faults(std::vector<template_error> const& faults)
+{
+    std::string text;
+    auto const listed = std::min(faults.size(), max_listed_faults);
+    for (std::size_t i = 0; i < listed; ++i)
+    {
+        text += (i == 0 ? "" : "; ") + to_string(faults[i]);
+    }
+    if (listed < faults.size())
+    {
+        text += "; and " + std::to_string(faults.size() - listed) + " more";
+    }
+    return text;
+}
+
+// Result of parsing a value. A version is known even if the template is
+// invalid.
+struct parsed_value
+{
+    std::string text_;
+    std::optional<template_version> version_;
+    adopted_template_ptr template_; // nullptr: invalid
+    std::string fault_;             // why it's invalid
+};
+
+adopted_template read_template(json::object const& object)
 {
-    auto const object = read_object(value);
     adopted_template result;
     result.change_id_ = read_text(object, "change_id");
     result.who_ = read_text(object, "who");
     result.when_ = read_text(object, "when");
     result.version_ = read_version(object);
-    auto organisation = parse_organisation(read_text(object, "template"));
-    std::string errors;
-    for (auto const& fault : organisation.errors_)
+    auto organisation =
+        parse_stored_organisation(read_text(object, "template"));
+    if (!organisation.errors_.empty())
     {
-        errors += (errors.empty() ? "" : "; ") + to_string(fault);
+        throw error(error_kind::invalid_argument,
+                    list_faults(organisation.errors_));
     }
-    if (!errors.empty())
+    result.value_ = std::move(organisation.value_);
+    return result;
+}
+
+parsed_value parse_value(std::string_view text)
+{
+    parsed_value result;
+    result.text_ = text;
+    try
     {
-        throw error(error_kind::invalid_argument, errors);
+        auto const object = read_object(text);
+        result.version_ = read_version(object);
+        result.template_ =
+            std::make_shared<adopted_template>(read_template(object));
+    }
+    catch (error const& fault)
+    {
+        result.fault_ = fault.what();
     }
-    result.value_ = std::move(organisation.value_);
     return result;
 }
 
-// Holds the last parsed value. Each value is parsed twice in a row, first to
-// check it and then to use it, and parsing a large template takes milliseconds.
-struct cached_template
+// The last value that was parsed. Each value is needed several times in a row:
+// for its version, for its check and for its use.
+parsed_value& last_parsed()
 {
-    std::string text_;
-    adopted_template value_;
-};
+    thread_local parsed_value last;
+    return last;
+}
 
-cached_template& cache()
+parsed_value const& parse_once(std::string_view text)
 {
-    thread_local cached_template cached;
-    return cached;
+    auto& last = last_parsed();
+    bool const is_same =
+        last.text_ == text && (last.template_ || !last.fault_.empty());
+    if (!is_same)
+    {
+        last = parse_value(text);
+    }
+    return last;
 }
 
 } // namespace
 
-adopted_template parse_adopted_template(std::string_view value)
+adopted_template_ptr parse_adopted_template(std::string_view value)
 {
-    auto& cached = cache();
-    if (cached.text_ != value || value.empty())
+    auto const& parsed = parse_once(value);
+    if (!parsed.template_)
     {
-        auto fresh = read_value(value);
-        cached = {std::string(value), std::move(fresh)};
+        throw error(error_kind::invalid_argument, parsed.fault_);
     }
-    return cached.value_;
+    return parsed.template_;
+}
+
+void remember_adopted_template(std::string value, adopted_template_ptr parsed)
+{
+    auto const version = parsed->version_;
+    last_parsed() = {std::move(value), version, std::move(parsed), {}};
 }
 
 // The version of an invalid template counts too: it tells whether the value is
 // refused as older or as invalid.
 template_version version_of(store_entry const& entry)
 {
-    // A valid value is parsed whole, since it is used next.
-    if (!check_adopted_template(entry.value_))
-    {
-        return parse_adopted_template(entry.value_)
-            .version_.value_or(entry.modified_revision_);
-    }
-    try
-    {
-        return read_version(read_object(entry.value_))
-            .value_or(entry.modified_revision_);
-    }
-    catch (error const&)
-    {
-        // The value's fault is reported when the value is offered.
-        return entry.modified_revision_;
-    }
+    return parse_once(entry.value_).version_.value_or(entry.modified_revision_);
 }
 
 std::optional<std::string> check_adopted_template(std::string_view value)
 {
-    try
-    {
-        parse_adopted_template(value);
-        return std::nullopt;
-    }
-    catch (error const& fault)
-    {
-        return fault.what();
-    }
+    auto const& parsed = parse_once(value);
+    return parsed.template_ ? std::nullopt : std::optional(parsed.fault_);
 }
 
 } // namespace daisytrail
--- a/src/net/adopted_template.hpp
+++ b/src/net/adopted_template.hpp
@@ -5,6 +5,7 @@
 #include <daisytrail/organisation.hpp>
 #include <daisytrail/store.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,11 +21,21 @@
     // Empty if the value was written by a release without versions.
     std::optional<template_version> version_;
     organisation_template value_;
+
+    bool operator==(adopted_template const&) const = default;
 };
 
+// A large template is shared, not copied.
+using adopted_template_ptr = std::shared_ptr<adopted_template const>;
+
 // Parses {"change_id", "who", "when", "template"} and checks the template.
-// Throws error(invalid_argument) that lists every fault of the template.
-adopted_template parse_adopted_template(std::string_view value);
+// Throws error(invalid_argument) that lists the first faults of the template.
+adopted_template_ptr parse_adopted_template(std::string_view value);
+
+// Stores the result of parsing this value, so that the next call of
+// parse_adopted_template() with it parses nothing. `parsed` must equal what the
+// call would return.
+void remember_adopted_template(std::string value, adopted_template_ptr parsed);
 
 // Returns the version of a stored template. A value without a version is
 // ordered by the store's revision, which is lower than any version that is
--- a/test/unit/config_test.cpp
+++ b/test/unit/config_test.cpp
@@ -203,6 +203,25 @@
 {
     std::string const padding(300'000, ' ');
     CHECK(errors_of(service_with("") + padding).size() == 1);
+    auto const longest = service_with("") + padding;
+    CHECK(errors_of(longest.substr(0, 300'000)).empty());
+    CHECK(errors_of(longest.substr(0, 300'001)).size() == 1);
+}
+
+// CONFIG: the bounds of an operator's text applied to what a store holds.
+TEST_CASE("a stored template is refused for the bounds of an operator's text")
+{
+    std::string const padding(300'000, ' ');
+    auto const errors_of_stored = [](std::string const& text)
+    {
+        return parse_stored_organisation(text).errors_.size();
+    };
+    CHECK(errors_of_stored(service_with("") + padding) == 0);
+    std::string const named = R"({"name": "Corner_Shop", "services": []})";
+    CHECK(errors_of(named).size() == 1);
+    CHECK(errors_of_stored(named) == 0);
+    CHECK(errors_of_stored(R"({"name": "", "services": []})") == 1);
+    CHECK(errors_of_stored(R"({"name": "o", "service": []})") == 2);
 }
 
 TEST_CASE("classes belong to services of mode requests")
