A refused version is told of once, and the last good one is fetched

When the newest version was refused, a balancer that started had no template: it ignored offers of every version up to the refused one, and so never fetched the older one that its peers had in force.

Change: refusals are kept by version, and only a refused version itself isn't fetched. A refusal is reported when it is new. It shows in /adopted and /health, in the gauge daisytrail_templates_refused and in 'daisytrail status', until a newer version, or any that the store holds, is in force. A value that is longer than a transfer may be is refused aloud; its chunks were dropped in silence and requested again for ever.

--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -68,6 +68,13 @@
                                       template_version version,
                                       std::string value, time_point now);
 
+    // Records that the store holds a template of this version that can't be
+    // used.
+    std::vector<control_action> refuse(std::string const& organisation,
+                                       template_version version,
+                                       std::string const& reason,
+                                       time_point now);
+
     // Asks other balancers whether they know targets that this balancer doesn't
     // know, unless a round of questions is running already. A
     // view_confirmed_action is returned, now or by a later call, once enough of
--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -47,6 +47,9 @@
     std::string key_;
     std::string value_;
     revision modified_revision_ = 0; // store revision of the last change
+    // Why the value can't be used, from the code that reads it; empty if it
+    // can.
+    std::string fault_ = {};
 };
 
 // Size of a response and the time from its first part to its last.
@@ -69,6 +72,8 @@
     std::vector<store_entry> entries_;
     store_generation generation_ = 0;
     response_transfer transfer_; // empty if the store doesn't measure it
+    // Of a watch: an answer is still arriving, and all other members are empty.
+    bool is_partial_ = false;
 };
 
 // One comparison of swap(): true if the key was last modified at this revision,
@@ -122,8 +127,9 @@
 
     // Reports each change under `prefix` from revision `from` on, in batches.
     // An empty batch reports that the watch is alive; a store that supports
-    // such notifications sends one at least every `progress_interval`. When the
-    // watch ends, the handler is called a last time, with an error.
+    // such notifications sends one at least every `progress_interval`. A partial
+    // answer reports that a batch is on its way. When the watch ends, the
+    // handler is called a last time, with an error.
     virtual void watch(std::string const& prefix, revision from,
                        std::chrono::milliseconds progress_interval,
                        store_handler handler) = 0;
--- a/include/daisytrail/template_versions.hpp
+++ b/include/daisytrail/template_versions.hpp
@@ -17,6 +17,9 @@
 namespace daisytrail
 {
 
+// Source of templates that were read from the store.
+inline constexpr std::string_view store_source = "store";
+
 // Result of offering a template to a process.
 enum class adoption : std::uint8_t
 {
@@ -47,8 +50,9 @@
 // Maximum number of entries in the adoption log; the oldest are dropped.
 inline constexpr std::size_t max_adoption_records = 256;
 
-// Maximum size of a template's value.
-inline constexpr std::size_t max_template_bytes = 1ULL << 20U;
+// Maximum size of a value that is fetched from peers. It limits the memory of a
+// transfer; the longest value of a store is much shorter.
+inline constexpr std::size_t max_transfer_bytes = 16ULL << 20U;
 
 // Maximum number of bytes of a template in one datagram.
 inline constexpr std::size_t template_chunk_bytes = 1'000;
@@ -58,6 +62,15 @@
 using template_check =
     std::function<std::optional<std::string>(std::string_view value)>;
 
+// A version that this process refused as invalid and that is newer than the one
+// in force, which therefore stays.
+struct refused_template
+{
+    std::string organisation_;
+    template_version version_ = 0;
+    std::string reason_;
+};
+
 // A template in force.
 struct held_template
 {
@@ -84,12 +97,19 @@
     }
 
     // Adopts a complete value from the store or a peer if it is newer than the
-    // template in force and valid. Logs adoptions and refusals.
+    // template in force and valid. Logs adoptions and refusals; the refusal of
+    // an invalid version is reported once.
     adoption try_adopt(std::string const& organisation,
                        template_version version, std::string value,
                        std::string const& source, time_point now,
                        std::vector<control_action>& out);
 
+    // Records that a version newer than the one in force can't be used, and
+    // reports it once.
+    void refuse(std::string const& organisation, template_version version,
+                std::string const& reason, std::string const& source,
+                time_point now, std::vector<control_action>& out);
+
     // Handles a peer's offer of this version: starts a transfer if the version
     // is newer than the template in force. Returns true if the version wasn't
     // known to this process.
@@ -128,6 +148,9 @@
 
     std::vector<held_template> held_templates() const;
 
+    // Returns the refused versions that are newer than the versions in force.
+    std::vector<refused_template> refused_templates() const;
+
     std::deque<adoption_record> const& adoption_records() const
     {
         return records_;
@@ -164,6 +187,12 @@
                       std::vector<control_action>& out);
     adoption evaluate(std::uint64_t id, template_version version,
                       std::string const& value, std::string& detail) const;
+    void refuse_too_long(template_chunk const& chunk, endpoint const& from,
+                         time_point now, std::vector<control_action>& out);
+    bool record_refusal(std::uint64_t id, refused_template refused);
+    void forget_refusals(std::uint64_t id, template_version adopted,
+                         std::string const& source);
+    bool is_refused(std::uint64_t id, template_version version) const;
 
     template_check validate_;
     change_callback on_change_;
@@ -173,8 +202,11 @@
     std::map<std::uint64_t, pending_version> pending_versions_;
     // Organisations in the order of their last change, newest first.
     std::deque<std::uint64_t> last_changed_;
-    // Newest versions that failed validation; they aren't fetched again.
-    std::map<std::uint64_t, template_version> invalid_;
+    // Versions that failed validation and are newer than the one in force, the
+    // newest max_refused_versions for each organisation. They aren't fetched
+    // again; older versions are, since a valid one may be among them.
+    std::map<std::uint64_t, std::map<template_version, refused_template>>
+        refused_;
     std::deque<adoption_record> records_;
 };
 
--- a/src/cli/fleet_client.cpp
+++ b/src/cli/fleet_client.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace daisytrail
 {
@@ -71,6 +72,23 @@
     }
 }
 
+void read_refusals(json::object const& adopted, process_status& status)
+{
+    for (auto const& entry : array_member(adopted, "refused"))
+    {
+        auto const* version =
+            entry.is_object() ? entry.get_object().if_contains("version")
+                              : nullptr;
+        if (version != nullptr)
+        {
+            status.refusals_.push_back(
+                string_member(entry.get_object(), "organisation") + "@" +
+                json::serialize(*version) + ": " +
+                string_member(entry.get_object(), "reason"));
+        }
+    }
+}
+
 std::optional<json::object> parse_object(std::string const& text)
 {
     json::error_code code;
@@ -151,6 +169,7 @@
     }
     status.name_ = string_member(*adopted_json, "process");
     read_versions(*adopted_json, status);
+    read_refusals(*adopted_json, status);
     if (auto const view_json = parse_object(view.body_);
         view_json && !view.error_)
     {
--- a/src/cli/fleet_client.hpp
+++ b/src/cli/fleet_client.hpp
@@ -52,6 +52,9 @@
     // its service's organisation.
     bool is_balancer_ = false;
     std::map<std::string, template_version> versions_; // by organisation
+    // "organisation@version: reason" of each version that the process refused
+    // and that is newer than the one it runs.
+    std::vector<std::string> refusals_;
     std::vector<reported_target> targets_;
 };
 
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -88,6 +88,22 @@
     return result;
 }
 
+// Returns "process organisation@version: reason" for each version that a
+// process refused and that is newer than the one it runs.
+std::vector<std::string>
+refusals(std::vector<process_status> const& processes)
+{
+    std::vector<std::string> result;
+    for (auto const& process : processes)
+    {
+        for (auto const& refusal : process.refusals_)
+        {
+            result.push_back(label(process) + " " + refusal);
+        }
+    }
+    return result;
+}
+
 json::object to_json(process_status const& process)
 {
     json::object versions;
@@ -226,7 +242,9 @@
         list.emplace_back(to_json(process));
         result.text_ += process_line(process);
     }
-    result.text_ += section("behind", lagging) + section("target", unready);
+    auto const refused = refusals(processes);
+    result.text_ += section("behind", lagging) + section("refused", refused) +
+                    section("target", unready);
     if (!has_stored_versions)
     {
         result.text_ += "no versions from the store: compared with the "
@@ -235,6 +253,7 @@
     result.json_ = {{"processes", std::move(list)},
                     {"store_read", has_stored_versions},
                     {"behind", lines_to_json(lagging)},
+                    {"refused", lines_to_json(refused)},
                     {"targets_not_ready", lines_to_json(unready)}};
     if (!lagging.empty())
     {
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -165,8 +165,19 @@
                            time_point now)
 {
     now_ = now;
-    templates_.try_adopt(organisation, version, std::move(value), "store", now,
-                         actions_);
+    templates_.try_adopt(organisation, version, std::move(value),
+                         std::string(store_source), now, actions_);
+    return std::exchange(actions_, {});
+}
+
+std::vector<control_action>
+balancer_membership::refuse(std::string const& organisation,
+                            template_version version, std::string const& reason,
+                            time_point now)
+{
+    now_ = now;
+    templates_.refuse(organisation, version, reason, std::string(store_source),
+                      now, actions_);
     return std::exchange(actions_, {});
 }
 
--- a/src/core/template_versions.cpp
+++ b/src/core/template_versions.cpp
@@ -16,6 +16,7 @@
 constexpr int max_attempts = 5; // requests for one chunk
 constexpr std::size_t max_transfer_peers = 4;
 constexpr std::size_t max_latest_versions = 8;
+constexpr std::size_t max_refused_versions = 16;
 // Peers repeat the offer of a newer version more often than this, so an older
 // offer is obsolete.
 constexpr milliseconds offer_lifetime{10'000};
@@ -28,8 +29,6 @@
         return report_kind::refused_older;
     case adoption::refused_conflict:
         return report_kind::refused_conflict;
-    case adoption::refused_invalid:
-        return report_kind::refused_invalid;
     default:
         return std::nullopt;
     }
@@ -80,6 +79,11 @@
     {
         return outcome;
     }
+    if (outcome == adoption::refused_invalid)
+    {
+        refuse(organisation, version, detail, source, now, out);
+        return outcome;
+    }
     add_record({organisation, version, outcome, source, now, detail});
     if (auto const kind = report_for(outcome))
     {
@@ -98,16 +102,13 @@
     {
         pending_versions_.erase(pending);
     }
-    if (outcome == adoption::refused_invalid)
-    {
-        invalid_[id] = version;
-    }
     if (outcome != adoption::adopted)
     {
         return outcome;
     }
     auto const before = find(id);
     held_[id] = {organisation, version, value};
+    forget_refusals(id, version, source);
     mark_changed(id);
     if (on_change_)
     {
@@ -118,16 +119,94 @@
     return outcome;
 }
 
+void template_versions::refuse(std::string const& organisation,
+                               template_version version,
+                               std::string const& reason,
+                               std::string const& source, time_point now,
+                               std::vector<control_action>& out)
+{
+    auto const id = hash_name(organisation);
+    auto const held = held_.find(id);
+    if (held != held_.end() && version <= held->second.version_)
+    {
+        return;
+    }
+    if (auto const pending = pending_versions_.find(id);
+        pending != pending_versions_.end() &&
+        version >= pending->second.version_)
+    {
+        pending_versions_.erase(pending);
+    }
+    bool const is_news = record_refusal(id, {organisation, version, reason});
+    add_record({organisation, version, adoption::refused_invalid, source, now,
+                reason});
+    if (is_news)
+    {
+        out.emplace_back(report_action{
+            report_kind::refused_invalid,
+            organisation + " version " + std::to_string(version) + " from " +
+                source + ": " + reason});
+    }
+}
+
+// Returns true unless this version was refused for the same reason before.
+bool template_versions::record_refusal(std::uint64_t id,
+                                       refused_template refused)
+{
+    auto& versions = refused_[id];
+    auto const version = refused.version_;
+    auto const known = versions.find(version);
+    bool const is_new =
+        known == versions.end() || known->second.reason_ != refused.reason_;
+    versions[version] = std::move(refused);
+    if (versions.size() > max_refused_versions)
+    {
+        versions.erase(versions.begin());
+    }
+    return is_new;
+}
+
+// The store holds the newest version only, so that no refused one is newer than
+// what was read from it.
+void template_versions::forget_refusals(std::uint64_t id,
+                                        template_version adopted,
+                                        std::string const& source)
+{
+    auto& refused = refused_[id];
+    auto const end = source == store_source ? refused.end()
+                                            : refused.upper_bound(adopted);
+    refused.erase(refused.begin(), end);
+}
+
+bool template_versions::is_refused(std::uint64_t id,
+                                   template_version version) const
+{
+    auto const found = refused_.find(id);
+    return found != refused_.end() && found->second.contains(version);
+}
+
+std::vector<refused_template> template_versions::refused_templates() const
+{
+    std::vector<refused_template> result;
+    for (auto const& [id, versions] : refused_)
+    {
+        for (auto const& [version, refused] : versions)
+        {
+            result.push_back(refused);
+        }
+    }
+    return result;
+}
+
 bool template_versions::on_offer(item const& offered, endpoint const& from,
                                  time_point now,
                                  std::vector<control_action>& out)
 {
     auto const version = offered.version_.incarnation_;
     auto const held = held_.find(offered.id_);
-    auto const invalid = invalid_.find(offered.id_);
     if ((only_organisation_ && *only_organisation_ != offered.id_) ||
         (held != held_.end() && version <= held->second.version_) ||
-        (invalid != invalid_.end() && version <= invalid->second))
+        is_refused(offered.id_, version))
     {
         return false;
     }
@@ -264,11 +343,16 @@
         ongoing.version_ = chunk.version_;
         ongoing.peers_ = {from};
     }
-    if (chunk.index_ != ongoing.next_index_ ||
-        ongoing.value_.size() + chunk.bytes_.size() > max_template_bytes)
+    if (chunk.index_ != ongoing.next_index_)
     {
         return;
     }
+    if (ongoing.value_.size() + chunk.bytes_.size() > max_transfer_bytes)
+    {
+        transfers_.erase(active);
+        refuse_too_long(chunk, from, now, out);
+        return;
+    }
     ongoing.value_ += chunk.bytes_;
     ++ongoing.next_index_;
     ongoing.attempts_ = 0;
@@ -283,6 +367,15 @@
               to_string(from), now, out);
 }
 
+void template_versions::refuse_too_long(template_chunk const& chunk,
+                                        endpoint const& from, time_point now,
+                                        std::vector<control_action>& out)
+{
+    refuse(chunk.organisation_, chunk.version_,
+           "more than " + std::to_string(max_transfer_bytes) + " bytes",
+           to_string(from), now, out);
+}
+
 void template_versions::tick(time_point now, std::vector<control_action>& out)
 {
     // An abandoned transfer restarts when the next digest offers the version.
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -84,7 +84,9 @@
                                     {"stopping", stops_at_.has_value()},
                                     {"routes", directory_.route_count()},
                                     {"targets", directory_.targets().size()},
-                                    {"version", directory_.newest_version()}};
+                                    {"version", directory_.newest_version()},
+                                    {"refused_version",
+                                     control_.refused_version()}};
             return make_response(is_ready() ? 200 : 503, json::serialize(body));
         });
     http_server_.route("GET", "/metrics",
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -79,6 +79,11 @@
             return age_in_seconds(
                 membership_.view_confirmed_as_of().value_or(started_at_));
         });
+    counters.gauge("daisytrail_templates_refused",
+                   [this] {
+                       return static_cast<double>(
+                           membership_.templates().refused_templates().size());
+                   });
     if (store)
     {
         watcher_ = std::make_unique<store_watcher>(
@@ -125,6 +130,16 @@
     return detail::to_json(membership_.templates(), membership_.self().name_);
 }
 
+template_version balancer_control::refused_version() const
+{
+    template_version newest = 0;
+    for (auto const& refused : membership_.templates().refused_templates())
+    {
+        newest = std::max(newest, refused.version_);
+    }
+    return newest;
+}
+
 json::value balancer_control::members() const
 {
     json::array list;
@@ -228,15 +243,22 @@
 
 void balancer_control::offer_template(store_entry const& entry)
 {
+    auto const organisation = entry.key_.substr(template_prefix.size());
+    auto const now = steady_clock::now();
+    if (!entry.fault_.empty())
+    {
+        runner_.run(membership_.refuse(organisation, entry.modified_revision_,
+                                       entry.fault_, now));
+        return;
+    }
     // An empty value means that the key was deleted; the template stays in
     // force.
     if (entry.value_.empty())
     {
         return;
     }
-    runner_.run(membership_.offer(entry.key_.substr(template_prefix.size()),
-                                  version_of(entry), entry.value_,
-                                  steady_clock::now()));
+    runner_.run(membership_.offer(organisation, version_of(entry), entry.value_,
+                                  now));
 }
 
 } // namespace daisytrail
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -38,6 +38,10 @@
     // GET /adopted.
     boost::json::value adopted() const;
 
+    // Returns the newest version that was refused as invalid and is newer than
+    // the one in force; 0 if there is none.
+    template_version refused_version() const;
+
     // Returns all members that this balancer knows, for GET /members.
     boost::json::value members() const;
 
--- a/src/net/control_outputs.cpp
+++ b/src/net/control_outputs.cpp
@@ -83,14 +83,14 @@
     log_event(log_level::info, "template_adopted",
               {{"organisation", action.organisation_},
                {"version", action.version_},
-               {"change_id", stored.change_id_},
+               {"change_id", stored->change_id_},
                {"source", action.source_},
                {"offered_ms_ago",
                 action.offered_ago_ ? std::chrono::duration_cast<milliseconds>(
                                           *action.offered_ago_)
                                           .count()
                                     : -1}});
-    events_.on_organisation(stored.value_, action.version_);
+    events_.on_organisation(stored->value_, action.version_);
 }
 
 void action_runner::execute(report_action const& action)
@@ -121,7 +121,14 @@
         auto const stored = parse_adopted_template(value.value_);
         in_force.push_back(json::object{{"organisation", value.organisation_},
                                         {"version", value.version_},
-                                        {"change_id", stored.change_id_}});
+                                        {"change_id", stored->change_id_}});
+    }
+    json::array refused;
+    for (auto const& each : versions.refused_templates())
+    {
+        refused.push_back(json::object{{"organisation", each.organisation_},
+                                       {"version", each.version_},
+                                       {"reason", each.reason_}});
     }
     json::array records;
     for (auto const& entry : versions.adoption_records())
@@ -135,8 +142,10 @@
             {"at_ms", to_unix_ms(entry.at_)},
             {"detail", entry.detail_}});
     }
-    return json::object{
-        {"process", process}, {"in_force", in_force}, {"records", records}};
+    return json::object{{"process", process},
+                        {"in_force", in_force},
+                        {"refused", refused},
+                        {"records", records}};
 }
 
 incarnation make_incarnation()
--- a/src/net/control_outputs.hpp
+++ b/src/net/control_outputs.hpp
@@ -37,8 +37,9 @@
         report_counters_{};
 };
 
-// Returns the templates in force in this process, and the recorded results of
-// template offers with their times and sources.
+// Returns the templates in force in this process, the newer versions that it
+// refused, and the recorded results of template offers with their times and
+// sources.
 boost::json::value to_json(template_versions const& versions,
                            std::string const& process);
 
--- a/test/unit/template_versions_test.cpp
+++ b/test/unit/template_versions_test.cpp
@@ -190,4 +190,134 @@
     CHECK_FALSE(fixture.book_.is_overdue(milliseconds(750), fixture.now_));
 }
 
+namespace
+{
+
+// Refuses values that begin with "x".
+std::optional<std::string> refuse_x(std::string_view value)
+{
+    return value.starts_with('x') ? std::optional<std::string>("an x")
+                                  : std::nullopt;
+}
+
+std::size_t count_refusals(std::vector<control_action> const& out)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        out,
+        [](control_action const& action)
+        {
+            auto const* report = std::get_if<report_action>(&action);
+            return report != nullptr &&
+                   report->kind_ == report_kind::refused_invalid;
+        }));
+}
+
+} // namespace
+
+// RECOVER: a balancer that started while the newest version was refused never
+// fetched the last good one, which its peers had in force.
+TEST_CASE("a process that starts while the newest version is refused has no "
+          "template at all")
+{
+    template_versions versions(refuse_x);
+    std::vector<control_action> out;
+    time_point const now{};
+    versions.try_adopt("site", 18, "x", "store", now, out);
+    CHECK_FALSE(versions.find(hash_name("site")));
+    out.clear();
+    versions.on_offer(make_offer(15), first_peer, now, out);
+    REQUIRE(find_request(out));
+    versions.on_chunk(make_chunk(15, 0, 1), first_peer, now, out);
+    REQUIRE(versions.find(hash_name("site")));
+    CHECK(versions.find(hash_name("site"))->version_.incarnation_ == 15);
+    // The refused version itself isn't fetched.
+    out.clear();
+    versions.on_offer(make_offer(18), first_peer, now, out);
+    CHECK_FALSE(find_request(out));
+}
+
+// The store is read again after each failed watch; the log had a line and the
+// counter a refusal for each read.
+TEST_CASE("an invalid version is reported with each read of the store")
+{
+    template_versions versions(refuse_x);
+    std::vector<control_action> out;
+    time_point const now{};
+    for (int read = 0; read < 3; ++read)
+    {
+        versions.try_adopt("site", 18, "x", "store", now, out);
+    }
+    CHECK(count_refusals(out) == 1);
+    versions.refuse("site", 19, "not a document", "store", now, out);
+    versions.refuse("site", 19, "not a document", "store", now, out);
+    CHECK(count_refusals(out) == 2);
+}
+
+// Nothing told that a process served by an older version than the store held.
+TEST_CASE("a refused version isn't shown beside the older one in force")
+{
+    template_versions versions(refuse_x);
+    std::vector<control_action> out;
+    time_point const now{};
+    versions.try_adopt("site", 15, "a", "store", now, out);
+    versions.try_adopt("site", 18, "x", "store", now, out);
+    auto const refused = versions.refused_templates();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.front().version_ == 18);
+    CHECK(refused.front().reason_ == "an x");
+    // A refusal is over once a newer version is in force, or any version that
+    // the store holds now.
+    SUBCASE("a newer one from a peer")
+    {
+        versions.try_adopt("site", 19, "b", "10.0.0.1:7000", now, out);
+        CHECK(versions.refused_templates().empty());
+    }
+    SUBCASE("an older one from a peer")
+    {
+        versions.try_adopt("site", 17, "b", "10.0.0.1:7000", now, out);
+        CHECK(versions.refused_templates().size() == 1);
+    }
+    SUBCASE("the one in the store")
+    {
+        versions.refuse("site", 400, "not a document", "store", now, out);
+        versions.try_adopt("site", 20, "b", "store", now, out);
+        CHECK(versions.refused_templates().empty());
+    }
+}
+
+// CONFIG: chunks beyond a bound of a transfer were ignored without a word.
+TEST_CASE("a value that is too long for a transfer is requested for ever")
+{
+    constexpr std::size_t chunks = max_transfer_bytes / template_chunk_bytes;
+    template_versions versions(accept);
+    std::vector<control_action> out;
+    time_point const now{};
+    versions.on_offer(make_offer(18), first_peer, now, out);
+    template_chunk chunk;
+    chunk.organisation_ = "site";
+    chunk.version_ = 18;
+    chunk.bytes_ = std::string(template_chunk_bytes, 'a');
+    for (chunk.index_ = 0; chunk.index_ < chunks; ++chunk.index_)
+    {
+        chunk.count_ = static_cast<std::uint32_t>(chunks + 1);
+        versions.on_chunk(chunk, first_peer, now, out);
+    }
+    CHECK(count_refusals(out) == 0);
+    SUBCASE("the longest one is adopted")
+    {
+        chunk.bytes_.resize(max_transfer_bytes -
+                            chunks * template_chunk_bytes);
+        versions.on_chunk(chunk, first_peer, now, out);
+        CHECK(versions.find(hash_name("site")));
+    }
+    SUBCASE("a longer one is refused and reported")
+    {
+        versions.on_chunk(chunk, first_peer, now, out);
+        CHECK(count_refusals(out) == 1);
+        out.clear();
+        versions.on_offer(make_offer(18), first_peer, now, out);
+        CHECK_FALSE(find_request(out));
+    }
+}
+
 } // namespace daisytrail
