Templates that are longer together than one answer are read in pages

The store's client read all templates of all organisations in one answer of at most 2 MiB. Beyond that (some seven templates of the longest kind) a balancer that started read none, again and again.

Change: reads of a prefix go by pages of 256 entries; a page that would pass the limit of an answer, now 4 MiB, is read again with half as many. The answer tells the revision of the first page, so that a watch from it misses no change that came between two pages.

--- a/src/store/etcd_codec.cpp
+++ b/src/store/etcd_codec.cpp
@@ -153,9 +153,10 @@
     return prefix;
 }
 
-json::object range_body(std::string const& prefix, std::size_t limit)
+json::object range_body(std::string const& prefix, std::string const& first_key,
+                        std::size_t limit)
 {
-    return {{"key", encode_base64(prefix)},
+    return {{"key", encode_base64(first_key)},
             {"range_end", encode_base64(prefix_end(prefix))},
             {"limit", std::to_string(limit)}};
 }
--- a/src/store/etcd_codec.hpp
+++ b/src/store/etcd_codec.hpp
@@ -23,7 +23,9 @@
 // after them.
 std::string prefix_end(std::string prefix);
 
-boost::json::object range_body(std::string const& prefix, std::size_t limit);
+// Request for at most `limit` entries with the prefix, from `first_key` on.
+boost::json::object range_body(std::string const& prefix,
+                               std::string const& first_key, std::size_t limit);
 boost::json::object swap_body(std::vector<store_comparison> const& comparisons,
                               std::vector<store_write> const& writes);
 boost::json::object watch_body(std::string const& prefix, revision from);
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -8,6 +8,11 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <utility>
+
 namespace daisytrail
 {
 
@@ -18,6 +23,15 @@
 namespace json = boost::json;
 
 constexpr std::chrono::milliseconds call_timeout{2'000};
+
+// Maximum length of an answer. The store takes values of up to 1.5 MiB, which
+// are base64 text in an answer.
+constexpr std::size_t max_answer_bytes = 4ULL << 20U;
+
+// Entries that one page of a read holds at most. A page that would exceed
+// max_answer_bytes is read again with half as many.
+constexpr std::size_t max_page_entries = 256;
+
 constexpr unsigned status_ok = 200;
 
 store_answer failed(error_kind kind, std::string detail)
@@ -52,9 +66,11 @@
         is_write ? error_kind::outcome_unknown : error_kind::unavailable;
     if (outcome.error_)
     {
+        bool const is_undetermined =
+            *outcome.error_ == error_kind::outcome_unknown ||
+            (is_write && *outcome.error_ == error_kind::limit_exceeded);
         return failed(
-            *outcome.error_ == error_kind::outcome_unknown ? kind_after_sending
-                                                           : *outcome.error_,
+            is_undetermined ? kind_after_sending : *outcome.error_,
             "configuration store " + to_string(peer) + ": " + outcome.detail_);
     }
     auto const status = outcome.response_.result_int();
@@ -92,8 +108,74 @@
 void etcd_store::range(std::string const& prefix, std::size_t limit,
                        store_handler handler)
 {
-    call("/v3/kv/range", detail::range_body(prefix, limit), false,
-         detail::read_range, std::move(handler));
+    auto read = std::make_shared<paged_read>();
+    read->prefix_ = prefix;
+    read->next_key_ = prefix;
+    read->wanted_ =
+        limit == 0 ? std::numeric_limits<std::size_t>::max() : limit;
+    read->page_entries_ = max_page_entries;
+    read->handler_ = std::move(handler);
+    read_page(read);
+}
+
+void etcd_store::read_page(std::shared_ptr<paged_read> const& read)
+{
+    read->page_entries_ =
+        std::min(read->page_entries_,
+                 read->wanted_ - read->answer_.entries_.size());
+    call("/v3/kv/range",
+         detail::range_body(read->prefix_, read->next_key_,
+                            read->page_entries_),
+         false, detail::read_range,
+         [this, alive = std::weak_ptr(alive_), read](store_answer page)
+         {
+             if (alive.expired())
+             {
+                 read->handler_(failed(error_kind::unavailable,
+                                       "the client of the store has ended"));
+                 return;
+             }
+             on_page(read, std::move(page));
+         });
+}
+
+// The answer tells the revision of the first page. Later pages may be newer; a
+// watch from that revision reports their changes again.
+void etcd_store::on_page(std::shared_ptr<paged_read> const& read,
+                         store_answer page)
+{
+    if (page.error_ == error_kind::limit_exceeded && read->page_entries_ > 1)
+    {
+        read->page_entries_ /= 2;
+        read_page(read);
+        return;
+    }
+    auto& whole = read->answer_;
+    bool const is_first = read->next_key_ == read->prefix_;
+    if (!page.error_ && !is_first && page.generation_ != whole.generation_)
+    {
+        page = failed(error_kind::unavailable,
+                      "the store was restored between two pages");
+    }
+    if (page.error_)
+    {
+        read->handler_(std::move(page));
+        return;
+    }
+    auto const count = page.entries_.size();
+    auto entries = std::exchange(page.entries_, {});
+    if (is_first)
+    {
+        whole = std::move(page);
+    }
+    std::ranges::move(entries, std::back_inserter(whole.entries_));
+    if (count < read->page_entries_ || whole.entries_.size() >= read->wanted_)
+    {
+        read->handler_(std::move(whole));
+        return;
+    }
+    read->next_key_ = whole.entries_.back().key_ + '\0';
+    read_page(read);
 }
 
 void etcd_store::swap(std::vector<store_comparison> comparisons,
@@ -173,12 +255,16 @@
 {
     ++calls_;
     async_http_call(io_, endpoints_[current_endpoint_],
-                    make_request(path, body), call_timeout,
+                    make_request(path, body),
+                    http_call_options{call_timeout, max_answer_bytes},
                     [this, peer = endpoints_[current_endpoint_],
                      alive = std::weak_ptr(alive_), is_write, read,
                      handler = std::move(handler)](http_outcome const& outcome)
                     {
-                        if (outcome.error_ && !alive.expired())
+                        bool const is_endpoint_at_fault =
+                            outcome.error_ &&
+                            outcome.error_ != error_kind::limit_exceeded;
+                        if (is_endpoint_at_fault && !alive.expired())
                         {
                             current_endpoint_ =
                                 (current_endpoint_ + 1) % endpoints_.size();
--- a/src/store/etcd_store.hpp
+++ b/src/store/etcd_store.hpp
@@ -54,6 +54,19 @@
 private:
     using reader = store_answer (*)(boost::json::value const&);
 
+    // A read of a prefix, page by page.
+    struct paged_read
+    {
+        std::string prefix_;
+        std::string next_key_;         // first key of the next page
+        std::size_t wanted_ = 0;       // entries in all
+        std::size_t page_entries_ = 0; // of the next page, at most
+        store_answer answer_;          // of the pages read so far
+        store_handler handler_;
+    };
+
+    void read_page(std::shared_ptr<paged_read> const& read);
+    void on_page(std::shared_ptr<paged_read> const& read, store_answer page);
     void call(char const* path, boost::json::object const& body, bool is_write,
               reader read, store_handler handler);
     http_request make_request(char const* path,
