A directory's routes are one sorted vector

Each version built a tree of all routes anew, node by node, while packets waited. One vector that is sorted by VIP is built in one pass and searched in as many steps.

--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -150,6 +150,7 @@
 
 private:
     void rebuild_members();
+    void rebuild_routes();
     bool discover(target_id target);
     void note_removed(endpoint const& vip);
 
@@ -161,8 +162,10 @@
     std::uint64_t member_changes_ = 0;
     std::map<std::string, template_version> versions_; // by organisation
     std::map<std::string, std::vector<route_template>> templates_;
-    // The values point into templates_.
-    std::map<endpoint, route_template const*> routes_;
+    // The routes of all templates in order of their VIPs, each VIP once. They
+    // point into templates_. One vector in place of a tree: a version with
+    // thousands of routes is built in one pass, while packets wait.
+    std::vector<route_template const*> routes_;
     std::set<endpoint> removed_vips_;          // removed, maybe added again
     std::deque<endpoint> removed_vips_by_age_; // oldest first
     template_version newest_version_ = 0;
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -113,26 +113,40 @@
     newest_version_ = std::max(newest_version_, version);
     auto const previous_routes =
         std::exchange(templates_[value.name_], value.routes_);
+    rebuild_routes();
+    for (auto const& route : previous_routes)
+    {
+        note_removed(route.vip_);
+    }
+    return true;
+}
+
+// Of several routes with one VIP, which only different organisations can have,
+// the first one holds.
+void forward_directory::rebuild_routes()
+{
+    constexpr auto vip_of = [](route_template const* route) -> endpoint const&
+    {
+        return route->vip_;
+    };
     routes_.clear();
     for (auto const& [organisation, routes] : templates_)
     {
         for (auto const& route : routes)
         {
-            routes_.emplace(route.vip_, &route);
+            routes_.push_back(&route);
         }
     }
-    for (auto const& route : previous_routes)
-    {
-        note_removed(route.vip_);
-    }
-    return true;
+    std::ranges::stable_sort(routes_, {}, vip_of);
+    auto const repeated = std::ranges::unique(routes_, {}, vip_of);
+    routes_.erase(repeated.begin(), repeated.end());
 }
 
 // Remembers a VIP without a route. A VIP that gets a route again stays
 // remembered, which does no harm: find_route() is consulted first.
 void forward_directory::note_removed(endpoint const& vip)
 {
-    bool const is_removed = !routes_.contains(vip);
+    bool const is_removed = find_route(vip) == nullptr;
     if (!is_removed || !removed_vips_.insert(vip).second)
     {
         return;
@@ -196,8 +210,10 @@
 
 route_template const* forward_directory::find_route(endpoint const& vip) const
 {
-    auto const found = routes_.find(vip);
-    return found == routes_.end() ? nullptr : found->second;
+    auto const found =
+        std::ranges::lower_bound(routes_, vip, {}, [](auto const* route)
+                                 { return route->vip_; });
+    return found == routes_.end() || (*found)->vip_ != vip ? nullptr : *found;
 }
 
 forward_directory::target_list const&
