A long document is read alone, once, and converted in pieces

With longer documents a version came into force ever later on the smallest balancers, which forwarded nothing meanwhile.

A watch's answer with several versions of a long document was longer than the 2 MiB that an answer might have, and the watch failed. A document on a slow link was on its way for longer than a watch may be silent (half of the time to apply a change), was abandoned and fetched again. A document that couldn't be converted looked like a failure of the store, was read again with each backoff and refused nowhere. One route or service that the product can't use kept all others out of force.

An answer of a watch is limited to the longest document, by the store's own limit from the settings; a longer one has outdated versions, and the newest is read by itself. The parts of an answer on its way show that the watch is alive. What can't be converted comes as an entry with its fault.

--- a/include/daisytrail/settings.hpp
+++ b/include/daisytrail/settings.hpp
@@ -28,6 +28,9 @@
     std::uint32_t control_bytes_per_second_ = 9'000;
 };
 
+// Longest value of a store whose settings don't tell it.
+inline constexpr std::uint32_t default_store_value_bytes = 1U << 20U;
+
 // Settings of a balancer.
 struct balancer_settings
 {
@@ -37,6 +40,9 @@
     // Number of balancers that watch the store. The other balancers receive
     // changes from them.
     std::uint32_t store_watchers_ = 2;
+    // Longest value that the store takes. A balancer takes each document that
+    // the store has acknowledged.
+    std::uint32_t store_value_bytes_ = default_store_value_bytes;
     // Delay from the store's acknowledgement of a change until the change is in
     // force.
     std::chrono::milliseconds apply_within_{12'000};
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace daisytrail
 {
@@ -23,6 +24,7 @@
 constexpr std::uint32_t max_control_bytes_per_second = 10'000'000;
 constexpr std::uint32_t max_port = 65'535;
 constexpr std::uint32_t max_store_watchers = 1'000;
+constexpr std::uint32_t min_store_value_bytes = 1'000;
 constexpr double max_cross_domain_ms_per_kilobyte = 10'000;
 constexpr double min_apply_within_ms = 500;
 constexpr double max_apply_within_ms = 600'000;
@@ -131,7 +133,7 @@
      }},
 }};
 
-constexpr std::array<field<forward_balancer_settings>, 7>
+constexpr std::array<field<forward_balancer_settings>, 8>
     forward_balancer_fields{{
         {"apply_within_ms", presence::optional,
          [](value_reader const& in, forward_balancer_settings& out)
@@ -153,6 +155,12 @@
          {
              in.number(out.balancer_.store_watchers_, 1, max_store_watchers);
          }},
+        {"store_value_bytes", presence::optional,
+         [](value_reader const& in, forward_balancer_settings& out)
+         {
+             in.number(out.balancer_.store_value_bytes_, min_store_value_bytes,
+                       std::numeric_limits<std::uint32_t>::max());
+         }},
         {"relay", presence::required,
          [](value_reader const& in, forward_balancer_settings& out)
          {
@@ -180,7 +188,8 @@
     {"service", presence::required,
      [](value_reader const& in, forward_agent_settings& out)
      {
-         in.name(out.agent_.service_);
+         // The platform names the services.
+         in.text(out.agent_.service_);
      }},
     {"tunnel", presence::required,
      [](value_reader const& in, forward_agent_settings& out)
@@ -297,7 +306,7 @@
     {
         return result;
     }
-    value_reader const root(document.root_, "", result.errors_);
+    value_reader const root(document.root_, result.errors_);
     detail::read_object(root, join_fields(own), result.value_);
     detail::sort_errors(result.errors_);
     set_seed_ports(common_of(result.value_));
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -49,14 +49,15 @@
 {
 public:
     http_call(asio::io_context& io, http_request request,
+              http_call_options options,
               std::function<void(http_outcome)> handler)
-        : stream_(io), request_(std::move(request)),
-          handler_(std::move(handler))
+        : stream_(io), options_(std::move(options)),
+          request_(std::move(request)), handler_(std::move(handler))
     {
-        parser_.body_limit(max_http_body_bytes);
+        parser_.body_limit(options_.max_body_bytes_);
     }
 
-    void start(endpoint const& peer, std::chrono::milliseconds idle_timeout)
+    void start(endpoint const& peer)
     {
         if (!request_.has_content_length())
         {
@@ -66,10 +67,9 @@
         {
             request_.set(http::field::host, to_string(peer));
         }
-        idle_timeout_ = idle_timeout;
         deadline_ = std::chrono::steady_clock::now() +
-                    call_timeout_multiple * idle_timeout;
-        stream_.expires_after(idle_timeout_);
+                    call_timeout_multiple * options_.idle_timeout_;
+        stream_.expires_after(options_.idle_timeout_);
         stream_.async_connect(
             asio::ip::tcp::endpoint(asio::ip::address_v4(peer.address_),
                                     peer.port_),
@@ -94,7 +94,7 @@
     void write()
     {
         phase_ = call_phase::sending;
-        stream_.expires_after(idle_timeout_);
+        stream_.expires_after(options_.idle_timeout_);
         http::async_write(stream_, request_,
                           [self = shared_from_this()](beast::error_code code,
                                                       std::size_t written)
@@ -114,7 +114,7 @@
     void read()
     {
         phase_ = call_phase::waiting;
-        stream_.expires_after(idle_timeout_);
+        stream_.expires_after(options_.idle_timeout_);
         http::async_read_some(
             stream_, buffer_, parser_,
             [self = shared_from_this()](beast::error_code code, std::size_t)
@@ -122,7 +122,12 @@
                 auto const now = std::chrono::steady_clock::now();
                 self->response_began_at_ =
                     self->response_began_at_.value_or(now);
-                if (code)
+                if (code == http::error::body_limit)
+                {
+                    self->stream_.close();
+                    self->fail_too_long();
+                }
+                else if (code)
                 {
                     self->fail(error_kind::outcome_unknown, code);
                 }
@@ -142,11 +147,28 @@
                 }
                 else
                 {
-                    self->read();
+                    self->on_part();
                 }
             });
     }
 
+    void on_part()
+    {
+        if (options_.on_part_ && handler_)
+        {
+            options_.on_part_();
+        }
+        read();
+    }
+
+    void fail_too_long()
+    {
+        finish({error_kind::limit_exceeded,
+                "the response has more than " +
+                    std::to_string(options_.max_body_bytes_) + " bytes",
+                {}});
+    }
+
     void fail(error_kind kind, beast::error_code code)
     {
         finish({kind, describe(code), {}});
@@ -158,7 +180,7 @@
         if (code == beast::error::timeout)
         {
             return std::string(text.timeout_text_) + " for " +
-                   std::to_string(idle_timeout_.count()) + " ms";
+                   std::to_string(options_.idle_timeout_.count()) + " ms";
         }
         return std::string(text.name_) + ": " + code.message();
     }
@@ -172,7 +194,7 @@
     }
 
     beast::tcp_stream stream_;
-    std::chrono::milliseconds idle_timeout_{0}; // per step of the call
+    http_call_options options_;
     std::chrono::steady_clock::time_point deadline_;
     std::optional<std::chrono::steady_clock::time_point> response_began_at_;
     call_phase phase_ = call_phase::connecting;
@@ -190,9 +212,19 @@
                                       std::chrono::milliseconds idle_timeout,
                                       std::function<void(http_outcome)> handler)
 {
-    auto call =
-        std::make_shared<http_call>(io, std::move(request), std::move(handler));
-    call->start(peer, idle_timeout);
+    return async_http_call(io, peer, std::move(request),
+                           http_call_options{idle_timeout}, std::move(handler));
+}
+
+std::function<void()> async_http_call(asio::io_context& io,
+                                      endpoint const& peer,
+                                      http_request request,
+                                      http_call_options options,
+                                      std::function<void(http_outcome)> handler)
+{
+    auto call = std::make_shared<http_call>(
+        io, std::move(request), std::move(options), std::move(handler));
+    call->start(peer);
     return [weak = std::weak_ptr(call)]
     {
         if (auto const alive = weak.lock())
--- a/src/net/store_call_log.cpp
+++ b/src/net/store_call_log.cpp
@@ -53,11 +53,15 @@
         [this, call, alive = std::move(alive), started_at = steady_clock::now(),
          handler = std::move(handler)](store_answer const& answer)
     {
-        if (!alive.expired())
+        if (alive.expired())
+        {
+            return;
+        }
+        if (!answer.is_partial_)
         {
             on_ended(call, started_at, answer);
-            handler(answer);
         }
+        handler(answer);
     };
 }
 
--- a/src/net/template_follower.cpp
+++ b/src/net/template_follower.cpp
@@ -134,6 +134,11 @@
 
 void template_follower::on_watch(store_answer const& answer)
 {
+    if (answer.is_partial_)
+    {
+        feed_.on_watch_progress(steady_clock::now());
+        return;
+    }
     if (answer.error_ || is_of_other_generation(answer))
     {
         store_.cancel_watches();
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -37,6 +37,7 @@
     std::size_t applied_swaps_ = 0;      // swaps that took effect
     store_handler watch_handler_;        // of the last watch
     revision watch_from_ = 0;            // of the last watch
+    std::size_t watches_ = 0;            // that were started
     store_generation generation_ = 1;
     std::set<std::int64_t> leases_;
     std::int64_t last_lease_ = 0;
@@ -134,6 +135,7 @@
     void watch(std::string const&, revision from, std::chrono::milliseconds,
                store_handler handler) override
     {
+        ++watches_;
         watch_from_ = from;
         watch_handler_ = std::move(handler);
     }
--- a/test/unit/etcd_store_test.cpp
+++ b/test/unit/etcd_store_test.cpp
@@ -74,7 +74,7 @@
             std::stoul(std::string(request.at("limit").as_string()));
         json::array pairs;
         for (auto at = values_.lower_bound(first);
-             at != values_.end() && pairs.size() < limit; ++at)
+             at != values_.end() && (limit == 0 || pairs.size() < limit); ++at)
         {
             pairs.push_back(
                 json::object{{"key", detail::encode_base64(at->first)},
--- a/test/unit/http_call_test.cpp
+++ b/test/unit/http_call_test.cpp
@@ -30,9 +30,17 @@
     slow_server(asio::io_context& io, std::size_t parts, std::size_t parts_sent,
                 milliseconds pause)
         : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-          socket_(io), timer_(io), parts_left_(parts_sent), pause_(pause)
+          socket_(io), timer_(io), parts_sent_(parts_sent), pause_(pause)
     {
         body_bytes_ = parts * part_.size();
+        accept();
+    }
+
+    // Waits for the next connection, which ends the current one.
+    void accept()
+    {
+        parts_left_ = parts_sent_;
+        socket_ = tcp::socket(acceptor_.get_executor());
         acceptor_.async_accept(socket_,
                                [this](boost::system::error_code code)
                                {
@@ -83,7 +91,8 @@
     std::string const part_ = std::string(1'000, 'x');
     std::string head_;
     std::size_t body_bytes_ = 0;
-    std::size_t parts_left_;
+    std::size_t parts_sent_;
+    std::size_t parts_left_ = 0;
     milliseconds pause_;
 };
 
@@ -146,11 +155,13 @@
     int turns_ = 0;
 };
 
-http_outcome call(asio::io_context& io, endpoint const& peer)
+http_outcome call(asio::io_context& io, endpoint const& peer,
+                  http_call_options options = {idle_timeout})
 {
     std::optional<http_outcome> result;
     http_request request{boost::beast::http::verb::get, "/", 11};
-    async_http_call(io, peer, std::move(request), idle_timeout,
+    io.restart();
+    async_http_call(io, peer, std::move(request), std::move(options),
                     [&](http_outcome outcome)
                     {
                         result = std::move(outcome);
@@ -240,4 +251,35 @@
     CHECK(outcome.detail_ == "connecting: Connection refused");
 }
 
+// CONFIG: the limit of a response was below what the store may send, and the
+// call took until its end to fail.
+TEST_CASE("a response that is longer than its limit fails after its last part")
+{
+    asio::io_context io;
+    slow_server server(io, 10, 10, milliseconds(1));
+    CHECK_FALSE(call(io, server.address(), {idle_timeout, 10'000}).error_);
+    server.accept();
+    auto const outcome = call(io, server.address(), {idle_timeout, 9'999});
+    REQUIRE(outcome.error_);
+    CHECK(*outcome.error_ == error_kind::limit_exceeded);
+    CHECK(outcome.detail_ == "the response has more than 9999 bytes");
+    CHECK(outcome.transfer_time_ == milliseconds(0));
+}
+
+// A watch whose answer takes longer to arrive than a watch may be silent was
+// abandoned, and the document was fetched once more.
+TEST_CASE("nothing tells that a long response is on its way")
+{
+    asio::io_context io;
+    slow_server server(io, 5, 5, milliseconds(20));
+    int parts = 0;
+    http_call_options options{idle_timeout};
+    options.on_part_ = [&parts]
+    {
+        ++parts;
+    };
+    CHECK_FALSE(call(io, server.address(), options).error_);
+    CHECK(parts >= 4);
+}
+
 } // namespace daisytrail
--- a/test/unit/metadata_store_test.cpp
+++ b/test/unit/metadata_store_test.cpp
@@ -1,13 +1,19 @@
 // Tests of calls to the platform's metadata store over HTTP on loopback.
+#include "net/adopted_template.hpp"
 #include "net/http_server.hpp"
+#include "platform/base64.hpp"
 #include "platform/metadata_store.hpp"
+#include "support/operator_documents.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace daisytrail
 {
@@ -71,4 +77,201 @@
     server.stop();
 }
 
+namespace
+{
+
+json::object make_item(std::string const& document, revision at)
+{
+    return {{"key", "op/config"},
+            {"value", platform::encode_base64(document)},
+            {"revision", at},
+            {"createRevision", 1},
+            {"lease", 0},
+            {"storeRevision", at}};
+}
+
+http_response make_events(std::vector<std::string> const& documents)
+{
+    json::array events;
+    revision at = 0;
+    for (auto const& document : documents)
+    {
+        events.push_back(make_item(document, ++at));
+    }
+    return make_response(200, json::serialize(json::object{
+                                  {"events", events}, {"storeRevision", at}}));
+}
+
+// A store that has the given answers, and a client of it.
+class client_fixture
+{
+public:
+    client_fixture()
+    {
+        server_.route("GET", "/api/kv-key",
+                      [this](http_request const&)
+                      {
+                          ++reads_;
+                          return make_response(200, json::serialize(read_));
+                      });
+        server_.route("GET", "/api/kv-watch",
+                      [this](http_request const&)
+                      {
+                          ++polls_;
+                          return make_events(polls_ == 1 ? events_
+                                                         : no_events_);
+                      });
+    }
+
+    ~client_fixture()
+    {
+        store_.cancel_watches();
+        server_.stop();
+    }
+
+    client_fixture(client_fixture const&) = delete;
+    client_fixture& operator=(client_fixture const&) = delete;
+
+    // Returns the first answer of a watch that has an entry or an error.
+    store_answer watch()
+    {
+        std::optional<store_answer> result;
+        store_.watch(std::string(template_prefix), 1, milliseconds(1'000),
+                     [&result](store_answer const& answer)
+                     {
+                         bool const counts =
+                             answer.error_ || !answer.entries_.empty();
+                         if (counts && !result)
+                         {
+                             result = answer;
+                         }
+                     });
+        return wait_for(result);
+    }
+
+    store_answer read()
+    {
+        std::optional<store_answer> result;
+        store_.range(std::string(template_prefix), 0,
+                     [&result](store_answer const& answer)
+                     { result = answer; });
+        return wait_for(result);
+    }
+
+    boost::asio::io_context io_;
+    endpoint address_ = free_address(io_);
+    http_server server_{io_, address_};
+    platform::metadata_store store_{io_, address_, call_timeout,
+                                    platform_value_bytes};
+    json::object read_;
+    std::vector<std::string> events_; // of the first poll
+    std::vector<std::string> no_events_;
+    int reads_ = 0;
+    int polls_ = 0;
+
+private:
+    store_answer wait_for(std::optional<store_answer> const& result)
+    {
+        auto const end =
+            std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!result && std::chrono::steady_clock::now() < end)
+        {
+            io_.run_one();
+        }
+        REQUIRE(result);
+        return *result;
+    }
+};
+
+template_version version_in(store_answer const& answer)
+{
+    REQUIRE(answer.entries_.size() == 1);
+    return version_of(answer.entries_.front());
+}
+
+// Counts the turns of an event loop in which another handler ran.
+class turn_counter
+{
+public:
+    explicit turn_counter(boost::asio::io_context& io) : io_(io)
+    {
+        run();
+    }
+
+    int turns_ = 0;
+
+private:
+    void run()
+    {
+        ++turns_;
+        boost::asio::post(io_, [this] { run(); });
+    }
+
+    boost::asio::io_context& io_;
+};
+
+} // namespace
+
+// CONFIG: the store's answer to a watch with several versions of a long
+// document was longer than an answer might be, and the watch failed.
+TEST_CASE("a change is late in force: a watch fails whose answer has several "
+          "versions of a long document")
+{
+    client_fixture fixture;
+    fixture.events_ = {make_longest_document(16, platform_value_bytes),
+                       make_longest_document(17, platform_value_bytes)};
+    fixture.read_ =
+        make_item(make_longest_document(18, platform_value_bytes), 18);
+    auto const answer = fixture.watch();
+    CHECK_FALSE(answer.error_);
+    CHECK(version_in(answer) == 18);
+    CHECK(fixture.reads_ == 1);
+}
+
+TEST_CASE("a watch doesn't bring the longest document that the store takes")
+{
+    client_fixture fixture;
+    fixture.events_ = {make_longest_document(16, platform_value_bytes)};
+    auto const answer = fixture.watch();
+    CHECK_FALSE(answer.error_);
+    CHECK(version_in(answer) == 16);
+    CHECK(fixture.reads_ == 0);
+}
+
+// Packets waited in the sockets while a balancer converted a long document.
+TEST_CASE("nothing is forwarded while a long document is converted")
+{
+    constexpr int min_turns = 100;
+    client_fixture fixture;
+    fixture.read_ =
+        make_item(make_longest_document(18, platform_value_bytes), 18);
+    turn_counter const long_turns(fixture.io_);
+    CHECK(version_in(fixture.read()) == 18);
+    auto const first_read = long_turns.turns_;
+    CHECK(first_read > min_turns);
+    // The same document isn't converted again.
+    CHECK(version_in(fixture.read()) == 18);
+    CHECK(long_turns.turns_ - first_read < first_read);
+    REQUIRE(parse_adopted_template(fixture.read().entries_.front().value_));
+}
+
+// A document that couldn't be converted looked like a failure of the store: it
+// was read again and again, and nothing told that it was refused.
+TEST_CASE("an unreadable document is taken for a failure of the store")
+{
+    client_fixture fixture;
+    for (std::string const document :
+         {"no JSON", R"({"version": 18})", R"([])", R"({"version": 1)"})
+    {
+        CAPTURE(document);
+        fixture.read_ = make_item(document, 412);
+        auto const answer = fixture.read();
+        CHECK_FALSE(answer.error_);
+        REQUIRE(answer.entries_.size() == 1);
+        CHECK(answer.entries_.front().fault_.starts_with(
+            "operator's configuration: "));
+        CHECK(answer.entries_.front().modified_revision_ == 412);
+    }
+}
+
 } // namespace daisytrail
--- a/test/unit/store_watcher_test.cpp
+++ b/test/unit/store_watcher_test.cpp
@@ -74,13 +74,13 @@
 class watcher_fixture
 {
 public:
-    watcher_fixture()
+    explicit watcher_fixture(balancer_settings const& settings = {})
     {
         auto fake = std::make_unique<fake_store>();
         store_ = fake.get();
         put_template(15, "before");
         watcher_ = std::make_unique<store_watcher>(
-            io_, std::move(fake), balancer_settings{}, counters_,
+            io_, std::move(fake), settings, counters_,
             [this](store_entry const& entry)
             { applied_.push_back(entry.value_); });
         watcher_->start([](auto const&) {}, [](auto const&) {});
@@ -267,3 +267,27 @@
     CHECK(refused == 2);
     watcher.stop();
 }
+
+// CONFIG: a long document on a slow link was on its way for longer than a watch
+// may be silent. The watch was abandoned, and the document fetched once more.
+TEST_CASE("a watch whose answer is arriving is abandoned as silent")
+{
+    // Half of the time to apply a change is the longest silence of a watch.
+    constexpr std::chrono::milliseconds parts_interval{100};
+    constexpr int parts = 12;
+    balancer_settings settings;
+    settings.apply_within_ = std::chrono::seconds(1);
+    watcher_fixture fixture(settings);
+    fixture.run_for(std::chrono::milliseconds(200));
+    auto const watch = fixture.store_->watches_;
+    REQUIRE(watch > 0);
+    for (int i = 0; i < parts; ++i)
+    {
+        fixture.run_for(parts_interval);
+        store_answer part;
+        part.is_partial_ = true;
+        auto const handler = fixture.store_->watch_handler_;
+        handler(part);
+    }
+    CHECK(fixture.store_->watches_ == watch);
+}
