--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -50,6 +50,8 @@
     // Why the value can't be used, from the code that reads it; empty if it
     // can.
     std::string fault_ = {};
+    // Version of a value that can't be used; 0: unknown.
+    template_version fault_version_ = 0;
 };
 
 // Size of a response and the time from its first part to its last.
@@ -127,9 +129,9 @@
 
     // Reports each change under `prefix` from revision `from` on, in batches.
     // An empty batch reports that the watch is alive; a store that supports
-    // such notifications sends one at least every `progress_interval`. A partial
-    // answer reports that a batch is on its way. When the watch ends, the
-    // handler is called a last time, with an error.
+    // such notifications sends one at least every `progress_interval`. A
+    // partial answer reports that a batch is on its way. When the watch ends,
+    // the handler is called a last time, with an error.
     virtual void watch(std::string const& prefix, revision from,
                        std::chrono::milliseconds progress_interval,
                        store_handler handler) = 0;
--- a/include/daisytrail/template_versions.hpp
+++ b/include/daisytrail/template_versions.hpp
@@ -105,7 +105,7 @@
                        std::vector<control_action>& out);
 
     // Records that a version newer than the one in force can't be used, and
-    // reports it once.
+    // reports it once. 0: unknown, counts as newer.
     void refuse(std::string const& organisation, template_version version,
                 std::string const& reason, std::string const& source,
                 time_point now, std::vector<control_action>& out);
--- a/src/cli/change.cpp
+++ b/src/cli/change.cpp
@@ -250,8 +250,9 @@
 
     std::vector<difference> differences_from(std::string const& text) const
     {
-        auto const current = text.empty() ? organisation_template{}
-                                          : parse_stored_organisation(text).value_;
+        auto const current = text.empty()
+                                 ? organisation_template{}
+                                 : parse_stored_organisation(text).value_;
         return diff_templates(current, request_.value_);
     }
 
--- a/src/cli/fleet_client.cpp
+++ b/src/cli/fleet_client.cpp
@@ -76,9 +76,9 @@
 {
     for (auto const& entry : array_member(adopted, "refused"))
     {
-        auto const* version =
-            entry.is_object() ? entry.get_object().if_contains("version")
-                              : nullptr;
+        auto const* version = entry.is_object()
+                                  ? entry.get_object().if_contains("version")
+                                  : nullptr;
         if (version != nullptr)
         {
             status.refusals_.push_back(
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -90,8 +90,7 @@
 
 // Returns "process organisation@version: reason" for each version that a
 // process refused and that is newer than the one it runs.
-std::vector<std::string>
-refusals(std::vector<process_status> const& processes)
+std::vector<std::string> refusals(std::vector<process_status> const& processes)
 {
     std::vector<std::string> result;
     for (auto const& process : processes)
--- a/src/config/field_reader.cpp
+++ b/src/config/field_reader.cpp
@@ -114,8 +114,9 @@
 
 void value_reader::add_error(std::string found, std::string expected) const
 {
-    errors_->push_back({path(), node_->position_.line_, node_->position_.column_,
-                        std::move(found), std::move(expected)});
+    errors_->push_back({path(), node_->position_.line_,
+                        node_->position_.column_, std::move(found),
+                        std::move(expected)});
 }
 
 void value_reader::reject(std::string expected) const
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -210,9 +210,8 @@
 
 route_template const* forward_directory::find_route(endpoint const& vip) const
 {
-    auto const found =
-        std::ranges::lower_bound(routes_, vip, {}, [](auto const* route)
-                                 { return route->vip_; });
+    auto const found = std::ranges::lower_bound(
+        routes_, vip, {}, [](auto const* route) { return route->vip_; });
     return found == routes_.end() || (*found)->vip_ != vip ? nullptr : *found;
 }
 
--- a/src/core/template_versions.cpp
+++ b/src/core/template_versions.cpp
@@ -127,7 +127,9 @@
 {
     auto const id = hash_name(organisation);
     auto const held = held_.find(id);
-    if (held != held_.end() && version <= held->second.version_)
+    bool const is_older =
+        version != 0 && held != held_.end() && version <= held->second.version_;
+    if (is_older)
     {
         return;
     }
@@ -142,10 +144,10 @@
                 reason});
     if (is_news)
     {
-        out.emplace_back(report_action{
-            report_kind::refused_invalid,
-            organisation + " version " + std::to_string(version) + " from " +
-                source + ": " + reason});
+        out.emplace_back(report_action{report_kind::refused_invalid,
+                                       organisation + " version " +
+                                           std::to_string(version) + " from " +
+                                           source + ": " + reason});
     }
 }
 
@@ -173,8 +175,8 @@
                                         std::string const& source)
 {
     auto& refused = refused_[id];
-    auto const end = source == store_source ? refused.end()
-                                            : refused.upper_bound(adopted);
+    auto const end =
+        source == store_source ? refused.end() : refused.upper_bound(adopted);
     refused.erase(refused.begin(), end);
 }
 
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -76,19 +76,19 @@
 
 void forward_balancer::add_http_routes()
 {
-    http_server_.route(
-        "GET", "/health",
-        [this](http_request const&)
-        {
-            json::object const body{{"ready", is_ready()},
-                                    {"stopping", stops_at_.has_value()},
-                                    {"routes", directory_.route_count()},
-                                    {"targets", directory_.targets().size()},
-                                    {"version", directory_.newest_version()},
-                                    {"refused_version",
-                                     control_.refused_version()}};
-            return make_response(is_ready() ? 200 : 503, json::serialize(body));
-        });
+    http_server_.route("GET", "/health",
+                       [this](http_request const&)
+                       {
+                           json::object const body{
+                               {"ready", is_ready()},
+                               {"stopping", stops_at_.has_value()},
+                               {"routes", directory_.route_count()},
+                               {"targets", directory_.targets().size()},
+                               {"version", directory_.newest_version()},
+                               {"refused_version", control_.refused_version()}};
+                           return make_response(is_ready() ? 200 : 503,
+                                                json::serialize(body));
+                       });
     http_server_.route("GET", "/metrics",
                        [this](http_request const&) {
                            return make_response(200, metrics_.text(),
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -80,7 +80,8 @@
                 membership_.view_confirmed_as_of().value_or(started_at_));
         });
     counters.gauge("daisytrail_templates_refused",
-                   [this] {
+                   [this]
+                   {
                        return static_cast<double>(
                            membership_.templates().refused_templates().size());
                    });
@@ -247,7 +248,7 @@
     auto const now = steady_clock::now();
     if (!entry.fault_.empty())
     {
-        runner_.run(membership_.refuse(organisation, entry.modified_revision_,
+        runner_.run(membership_.refuse(organisation, entry.fault_version_,
                                        entry.fault_, now));
         return;
     }
@@ -257,8 +258,8 @@
     {
         return;
     }
-    runner_.run(membership_.offer(organisation, version_of(entry), entry.value_,
-                                  now));
+    runner_.run(
+        membership_.offer(organisation, version_of(entry), entry.value_, now));
 }
 
 } // namespace daisytrail
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -69,9 +69,9 @@
         bool const is_undetermined =
             *outcome.error_ == error_kind::outcome_unknown ||
             (is_write && *outcome.error_ == error_kind::limit_exceeded);
-        return failed(
-            is_undetermined ? kind_after_sending : *outcome.error_,
-            "configuration store " + to_string(peer) + ": " + outcome.detail_);
+        return failed(is_undetermined ? kind_after_sending : *outcome.error_,
+                      "configuration store " + to_string(peer) + ": " +
+                          outcome.detail_);
     }
     auto const status = outcome.response_.result_int();
     if (status != status_ok)
@@ -120,23 +120,22 @@
 
 void etcd_store::read_page(std::shared_ptr<paged_read> const& read)
 {
-    read->page_entries_ =
-        std::min(read->page_entries_,
-                 read->wanted_ - read->answer_.entries_.size());
-    call("/v3/kv/range",
-         detail::range_body(read->prefix_, read->next_key_,
-                            read->page_entries_),
-         false, detail::read_range,
-         [this, alive = std::weak_ptr(alive_), read](store_answer page)
-         {
-             if (alive.expired())
-             {
-                 read->handler_(failed(error_kind::unavailable,
-                                       "the client of the store has ended"));
-                 return;
-             }
-             on_page(read, std::move(page));
-         });
+    read->page_entries_ = std::min(
+        read->page_entries_, read->wanted_ - read->answer_.entries_.size());
+    call(
+        "/v3/kv/range",
+        detail::range_body(read->prefix_, read->next_key_, read->page_entries_),
+        false, detail::read_range,
+        [this, alive = std::weak_ptr(alive_), read](store_answer page)
+        {
+            if (alive.expired())
+            {
+                read->handler_(failed(error_kind::unavailable,
+                                      "the client of the store has ended"));
+                return;
+            }
+            on_page(read, std::move(page));
+        });
 }
 
 // The answer tells the revision of the first page. Later pages may be newer; a
@@ -254,23 +253,21 @@
                       reader read, store_handler handler)
 {
     ++calls_;
-    async_http_call(io_, endpoints_[current_endpoint_],
-                    make_request(path, body),
-                    http_call_options{call_timeout, max_answer_bytes},
-                    [this, peer = endpoints_[current_endpoint_],
-                     alive = std::weak_ptr(alive_), is_write, read,
-                     handler = std::move(handler)](http_outcome const& outcome)
-                    {
-                        bool const is_endpoint_at_fault =
-                            outcome.error_ &&
-                            outcome.error_ != error_kind::limit_exceeded;
-                        if (is_endpoint_at_fault && !alive.expired())
-                        {
-                            current_endpoint_ =
-                                (current_endpoint_ + 1) % endpoints_.size();
-                        }
-                        handler(to_answer(peer, outcome, is_write, read));
-                    });
+    async_http_call(
+        io_, endpoints_[current_endpoint_], make_request(path, body),
+        http_call_options{call_timeout, max_answer_bytes},
+        [this, peer = endpoints_[current_endpoint_],
+         alive = std::weak_ptr(alive_), is_write, read,
+         handler = std::move(handler)](http_outcome const& outcome)
+        {
+            bool const is_endpoint_at_fault =
+                outcome.error_ && outcome.error_ != error_kind::limit_exceeded;
+            if (is_endpoint_at_fault && !alive.expired())
+            {
+                current_endpoint_ = (current_endpoint_ + 1) % endpoints_.size();
+            }
+            handler(to_answer(peer, outcome, is_write, read));
+        });
 }
 
 http_request etcd_store::make_request(char const* path,
--- a/test/integration/platform_config.sh
+++ b/test/integration/platform_config.sh
@@ -98,6 +98,57 @@
 check "a large configuration reaches balancers that don't watch" \
     in_force_after 103 "$(acknowledged_at 103)" "$apply_ms" "${balancers[@]}"
 
+# Regression: CONFIG, a document as long as the store takes (issue 37). It was in
+# force nowhere, and a balancer that started then had no template at all.
+stop_all
+for name in "${balancers[@]}"; do rm -f "$WORK/$name.log"; done
+STORE_WATCHERS=32
+start_platform_store 3
+for i in 1 2 3; do start_platform_balancer "$i"; done
+put_config 201 2
+sleep 1
+put_config 203 7000 op/config "$longest_value"
+check "the longest configuration that the store takes is in force" \
+    in_force_after 203 "$(acknowledged_at 203)" "$apply_ms" "${balancers[@]}"
+put_config 205 7000 op/config "$longest_value"
+check "a single change of it is in force" \
+    in_force_after 205 "$(acknowledged_at 205)" "$apply_ms" "${balancers[@]}"
+for name in "${balancers[@]}"; do
+    stop_process "$name" KILL
+    wait_process "$name"
+    rm -f "$WORK/$name.log"
+done
+restarted_at=$(now_ms)
+for i in 1 2 3; do start_platform_balancer "$i"; done
+check "the longest configuration is in force after all balancers were killed" \
+    in_force_after 205 "$restarted_at" "$calm_ms" "${balancers[@]}"
+
+# What can't be used at all is told of, and a balancer that starts then takes the
+# last good configuration from the others.
+put_config 207 2
+check "a short configuration follows the longest one" \
+    in_force_after 207 "$(acknowledged_at 207)" "$apply_ms" "${balancers[@]}"
+store_command /operator '{"version": 209, "services": [], "routes": 0}'
+sleep 2
+stop_process balancer-3 KILL
+wait_process balancer-3
+rm -f "$WORK/balancer-3.log"
+restarted_at=$(now_ms)
+start_platform_balancer 3
+check "a balancer that starts beside a refused version has the last good one" \
+    in_force_after 207 "$restarted_at" "$calm_ms" balancer-3
+for name in "${balancers[@]}"; do
+    check "$name tells that a version is refused" \
+        test "$(metric "$name" daisytrail_templates_refused)" = 1
+    check "$name tells of it once" \
+        test "$(grep -c '"event":"refused_invalid"' "$WORK/$name.log")" = 1
+done
+put_config 211 2
+check "a good version ends the refusal" \
+    in_force_after 211 "$(acknowledged_at 211)" "$apply_ms" "${balancers[@]}"
+check "no version is refused any more" \
+    test "$(metric balancer-1 daisytrail_templates_refused)" = 0
+
 for name in "${balancers[@]}"; do
     check "$name never took an older version" \
         test "$(metric "$name" \
