--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -138,8 +138,11 @@
         }
     }
     std::ranges::stable_sort(routes_, {}, vip_of);
-    auto const repeated = std::ranges::unique(routes_, {}, vip_of);
-    routes_.erase(repeated.begin(), repeated.end());
+    // Not std::ranges::unique: Clang 14 rejects its result.
+    auto const repeated = std::unique(routes_.begin(), routes_.end(),
+                                      [](auto const* left, auto const* right)
+                                      { return left->vip_ == right->vip_; });
+    routes_.erase(repeated, routes_.end());
 }
 
 // Remembers a VIP without a route. A VIP that gets a route again stays
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -167,7 +167,9 @@
     {
         whole = std::move(page);
     }
-    std::ranges::move(entries, std::back_inserter(whole.entries_));
+    whole.entries_.insert(whole.entries_.end(),
+                          std::make_move_iterator(entries.begin()),
+                          std::make_move_iterator(entries.end()));
     if (count < read->page_entries_ || whole.entries_.size() >= read->wanted_)
     {
         read->handler_(std::move(whole));
