A refusal ends when the store holds the version in force again

Seen when the change was read once more: after a refused version the store may go back to the one in force (a restored copy). That was answered as already held before the refusals were forgotten, so that the gauge daisytrail_templates_refused, /adopted and 'status' told of a refusal for ever.

Change: what is read from the store ends the refusals also if it is held; a peer's offer of it doesn't.

Test: 'a refused version isn't shown ..', case 'the one in force, which the store holds again', failed before and passes. 618 of 618 unit tests pass.

--- a/src/core/template_versions.cpp
+++ b/src/core/template_versions.cpp
@@ -77,6 +77,7 @@
     auto const outcome = evaluate(id, version, value, detail);
     if (outcome == adoption::already_held)
     {
+        forget_refusals(id, version, source);
         return outcome;
     }
     if (outcome == adoption::refused_invalid)
--- a/test/unit/template_versions_test.cpp
+++ b/test/unit/template_versions_test.cpp
@@ -293,6 +293,16 @@
         versions.try_adopt("site", 17, "b", "10.0.0.1:7000", now, out);
         CHECK(versions.refused_templates().size() == 1);
     }
+    SUBCASE("the one in force, which the store holds again")
+    {
+        versions.try_adopt("site", 15, "a", "store", now, out);
+        CHECK(versions.refused_templates().empty());
+    }
+    SUBCASE("the one in force, which a peer holds")
+    {
+        versions.try_adopt("site", 15, "a", "10.0.0.1:7000", now, out);
+        CHECK(versions.refused_templates().size() == 1);
+    }
     SUBCASE("the one in the store")
     {
         versions.refuse("site", 0, "not a document", "store", now, out);
