A stored value is parsed in pieces

What callers would see: packets wait at a balancer that gets a long template from its peers.

Cause: parse_adopted_template() parsed the JSON, serialized the template, parsed that text once more for its positions, and read all routes, in one call.

Change: template_parser reads the JSON in pieces, then the services, then 64 routes at a time through the same table of fields (src/config/routes.cpp, moved out of organisation.cpp); template_reader runs it on the event loop. The call of the whole value is the same parser in a loop. Sets of VIPs are flat: freeing a tree of them took longer than any piece.

--- a/include/daisytrail/types.hpp
+++ b/include/daisytrail/types.hpp
@@ -30,6 +30,15 @@
     auto operator<=>(endpoint const&) const = default;
 };
 
+struct endpoint_hash
+{
+    std::size_t operator()(endpoint const& value) const noexcept
+    {
+        return (std::uint64_t{value.address_} << 16U | value.port_) *
+               0x9E3779B97F4A7C15ULL;
+    }
+};
+
 // Parses an endpoint such as "127.0.0.1:80"; throws error(invalid_argument).
 endpoint parse_endpoint(std::string_view text);
 
--- a/include/daisytrail/view.hpp
+++ b/include/daisytrail/view.hpp
@@ -18,15 +18,6 @@
 namespace daisytrail
 {
 
-struct endpoint_hash
-{
-    std::size_t operator()(endpoint const& value) const noexcept
-    {
-        return (std::uint64_t{value.address_} << 16U | value.port_) *
-               0x9E3779B97F4A7C15ULL;
-    }
-};
-
 // The part of a target's record that the view stores. The other fields are
 // omitted to save memory, since a balancer holds the targets of all services.
 struct target_entry
--- a/src/config/json_document.cpp
+++ b/src/config/json_document.cpp
@@ -295,6 +295,14 @@
             "JSON with comments (" + code.message() + ")"};
 }
 
+// A negative number isn't an integer of a document.
+void set_integer(json_node& node, std::int64_t value)
+{
+    node.real_ = static_cast<double>(value);
+    node.type_ = value < 0 ? json_type::real : json_type::integer;
+    node.integer_ = value < 0 ? 0 : static_cast<std::uint64_t>(value);
+}
+
 } // namespace
 
 json_document read_json(std::string_view text)
@@ -343,4 +351,51 @@
     return document;
 }
 
+json_node to_json_node(json::value const& value)
+{
+    json_node node;
+    node.position_ = {0, 0};
+    switch (value.kind())
+    {
+    case json::kind::null:
+        break;
+    case json::kind::bool_:
+        node.type_ = json_type::boolean;
+        node.boolean_ = value.get_bool();
+        break;
+    case json::kind::int64:
+        set_integer(node, value.get_int64());
+        break;
+    case json::kind::uint64:
+        node.type_ = json_type::integer;
+        node.integer_ = value.get_uint64();
+        node.real_ = static_cast<double>(value.get_uint64());
+        break;
+    case json::kind::double_:
+        node.type_ = json_type::real;
+        node.real_ = value.get_double();
+        break;
+    case json::kind::string:
+        node.type_ = json_type::string;
+        node.text_ = std::string_view(value.get_string());
+        break;
+    case json::kind::array:
+        node.type_ = json_type::array;
+        for (auto const& element : value.get_array())
+        {
+            node.children_.push_back(to_json_node(element));
+        }
+        break;
+    case json::kind::object:
+        node.type_ = json_type::object;
+        for (auto const& member : value.get_object())
+        {
+            node.children_.push_back(to_json_node(member.value()));
+            node.children_.back().key_ = member.key();
+        }
+        break;
+    }
+    return node;
+}
+
 } // namespace daisytrail::detail
--- a/src/config/json_document.hpp
+++ b/src/config/json_document.hpp
@@ -3,6 +3,8 @@
 
 #include <daisytrail/organisation.hpp>
 
+#include <boost/json/value.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -32,7 +34,7 @@
 struct json_node
 {
     json_type type_ = json_type::null;
-    text_position position_;
+    text_position position_;          // line 0: unknown
     std::string key_;                 // name in the parent object
     text_position key_position_;      // valid if the parent is an object
     bool boolean_ = false;            // valid for json_type::boolean
@@ -51,4 +53,7 @@
 // Parses a document, for example read_json(R"({"a": 1} // comment)").
 json_document read_json(std::string_view text);
 
+// Converts a value that was parsed elsewhere. Its nodes have no position.
+json_node to_json_node(boost::json::value const& value);
+
 } // namespace daisytrail::detail
--- a/src/config/organisation.cpp
+++ b/src/config/organisation.cpp
@@ -1,9 +1,9 @@
 // Parses and validates an organisation's template by tables of its fields.
 #include "config/field_reader.hpp"
+#include "config/routes.hpp"
 
 #include <algorithm>
 #include <array>
-#include <limits>
 #include <map>
 #include <set>
 
@@ -24,9 +24,6 @@
 constexpr std::size_t max_template_bytes = 300'000;
 constexpr std::size_t max_services = 5'000;
 constexpr std::size_t max_vips = 1'000;
-constexpr std::size_t max_routes = 50'000;
-constexpr std::size_t max_shares = 16;
-constexpr std::uint32_t max_share_weight = 1'000'000;
 constexpr std::size_t max_classes = 64;
 constexpr std::size_t max_methods = 16;
 constexpr std::size_t max_failure_domains = 256;
@@ -296,134 +293,6 @@
     std::map<endpoint, std::string> vips_; // VIP to first service
 };
 
-// A share as written in the template. Its service is identified by name until
-// all services are read.
-struct unresolved_share
-{
-    std::string service_;
-    std::uint32_t weight_ = 1;
-};
-
-struct unresolved_route
-{
-    std::string name_;
-    endpoint vip_;
-    std::vector<unresolved_share> shares_;
-};
-
-constexpr std::array<field<unresolved_share>, 2> share_fields{{
-    {"service", presence::required,
-     [](value_reader const& in, unresolved_share& out)
-     {
-         in.name(out.service_);
-     }},
-    {"weight", presence::optional,
-     [](value_reader const& in, unresolved_share& out)
-     {
-         in.number(out.weight_, 0,
-                   in.has_bounds() ? max_share_weight
-                                   : std::numeric_limits<std::uint32_t>::max());
-     }},
-}};
-
-void read_shares(value_reader const& in, unresolved_route& out)
-{
-    if (!in.require_array(1, max_shares))
-    {
-        return;
-    }
-    for (std::size_t i = 0; i < in.node().children_.size(); ++i)
-    {
-        detail::read_object(in.element(i), share_fields,
-                            out.shares_.emplace_back());
-    }
-}
-
-constexpr std::array<field<unresolved_route>, 3> route_fields{{
-    {"name", presence::required,
-     [](value_reader const& in, unresolved_route& out)
-     {
-         in.name(out.name_);
-     }},
-    {"vip", presence::required,
-     [](value_reader const& in, unresolved_route& out)
-     {
-         in.address(out.vip_);
-     }},
-    {"shares", presence::required, read_shares},
-}};
-
-// Resolves service names to identifiers. Adds errors for unknown services,
-// services of another mode and duplicate VIPs.
-class route_validator
-{
-public:
-    explicit route_validator(organisation_template const& organisation)
-        : organisation_(organisation)
-    {
-        for (auto const& service : organisation.services_)
-        {
-            modes_.emplace(service.name_, service.mode_);
-            vips_.insert(service.vips_.begin(), service.vips_.end());
-        }
-    }
-
-    route_template check(value_reader const& in, unresolved_route const& named)
-    {
-        route_template route{named.name_, named.vip_, {}};
-        if (named.vip_.port_ != 0 && !vips_.insert(named.vip_).second)
-        {
-            in.add_error("VIP " + to_string(named.vip_) + " again",
-                         "each VIP in one route or service only");
-        }
-        for (auto const& share : named.shares_)
-        {
-            check_service(in, share.service_);
-            route.shares_.push_back(
-                {hash_name(organisation_.name_ + "/" + share.service_),
-                 share.weight_});
-        }
-        return route;
-    }
-
-private:
-    void check_service(value_reader const& in, std::string const& name) const
-    {
-        auto const found = modes_.find(name);
-        if (found == modes_.end())
-        {
-            in.add_error("service '" + name + "'",
-                         "a service of this template");
-        }
-        else if (found->second != service_mode::forward)
-        {
-            in.add_error("service '" + name + "' of another mode",
-                         "a service of mode 'forward'");
-        }
-    }
-
-    organisation_template const& organisation_;
-    std::map<std::string, service_mode> modes_;
-    std::set<endpoint> vips_;
-};
-
-// Requires that `name` and `services` were read before, as organisation_fields
-// orders them.
-void read_routes(value_reader const& in, organisation_template& out)
-{
-    if (!in.require_array(0, max_routes))
-    {
-        return;
-    }
-    route_validator validator(out);
-    for (std::size_t i = 0; i < in.node().children_.size(); ++i)
-    {
-        unresolved_route named;
-        detail::read_object(in.element(i), route_fields, named);
-        out.routes_.push_back(validator.check(in.element(i), named));
-    }
-}
-
 void read_services(value_reader const& in, organisation_template& out)
 {
     if (!in.require_array(0, max_services))
@@ -447,7 +316,7 @@
          in.name(out.name_);
      }},
     {"services", presence::required, read_services},
-    {"routes", presence::optional, read_routes},
+    {"routes", presence::optional, detail::read_routes},
 }};
 
 void assign_service_ids(organisation_template& organisation)
