Templates go from balancer to balancer compressed, or as a difference

What callers would see: a balancer that the store turns away, or that doesn't watch it, serves by an older version of a long document for as long as the store does so.

Cause: each version was sent as its whole text, one chunk of 1,000 bytes a request, within 9 KB a second of each sender; the longest document's text has 640 kB.

Change: a request names the value that the receiver has in force (by hash) and takes up to eight chunks; the answer is the text compressed by Zstandard, against that value if the sender had it too (the last four are kept). Peers take turns, so that no budget is used up; those that only know of the version are dropped from the transfer. Chunks may arrive in any order. A checksum finds chunks that don't belong together: the transfer is reported (template_transfer_failed) and starts again, the version isn't refused. Releases that don't compress go on as before, in both directions.

Names of routes in the tests' documents are drawn now, so that the compression is no better than with an operator's.

--- a/include/daisytrail/control_messages.hpp
+++ b/include/daisytrail/control_messages.hpp
@@ -153,17 +153,23 @@
     bool operator==(heartbeat_ack const&) const = default;
 };
 
-// Requests one chunk of a template of at least this version.
+// Requests chunks of a template of at least this version. Releases that don't
+// compress leave the last three members out.
 struct template_request
 {
     std::uint64_t organisation_ = 0;
     template_version version_ = 0;
     std::uint32_t index_ = 0;
+    std::uint32_t count_ = 0; // number of chunks; 0 counts as 1
+    bool accepts_compressed_ = false;
+    // Hash of the value that the sender has in force and that the chunks may be
+    // compressed against; 0: none.
+    std::uint64_t base_hash_ = 0;
 
     bool operator==(template_request const&) const = default;
 };
 
-// One chunk of a template's value as in the store.
+// One chunk of a template's value, which is as in the store or compressed.
 struct template_chunk
 {
     std::string organisation_;
@@ -171,6 +177,8 @@
     std::uint32_t index_ = 0;
     std::uint32_t count_ = 1;
     std::string bytes_;
+    bool is_compressed_ = false;
+    std::uint64_t base_hash_ = 0; // that it was compressed against; 0: none
 
     bool operator==(template_chunk const&) const = default;
 };
@@ -228,6 +236,16 @@
     endpoint from_;
 };
 
+// Check a value that was fetched from a peer, and then adopt or refuse it. The
+// check of a long value takes several turns of the event loop.
+struct template_received_action
+{
+    std::string organisation_;
+    template_version version_ = 0;
+    std::string value_;
+    std::string source_; // control endpoint of the peer
+};
+
 // Report that a template came into force in this process.
 struct template_action
 {
@@ -255,15 +273,25 @@
     balancers_reachable,    // a balancer's message ended the silence
     view_unconfirmed,       // a view confirmation is overdue
     view_unconfirmed_ended, // confirmed, or no longer requested
+    transfer_failed,        // a peer's template couldn't be put together
     count
 };
 
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(report_kind::count)>
-    report_kind_names{"refused_older",   "refused_invalid",  "refused_conflict",
-                      "self_suspected",  "declared_dead",    "paused",
-                      "member_dead",     "self_trusted",     "balancers_silent",
-                      "balancers_heard", "view_unconfirmed", "view_settled"};
+    report_kind_names{"refused_older",
+                      "refused_invalid",
+                      "refused_conflict",
+                      "self_suspected",
+                      "declared_dead",
+                      "paused",
+                      "member_dead",
+                      "self_trusted",
+                      "balancers_silent",
+                      "balancers_heard",
+                      "view_unconfirmed",
+                      "view_settled",
+                      "template_transfer_failed"};
 
 struct report_action
 {
@@ -285,7 +313,7 @@
 
 using control_action =
     std::variant<send_action, member_action, template_offer_action,
-                 template_action, report_action, round_trip_action,
-                 view_confirmed_action>;
+                 template_received_action, template_action, report_action,
+                 round_trip_action, view_confirmed_action>;
 
 } // namespace daisytrail
--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -68,6 +68,10 @@
                                       template_version version,
                                       std::string value, time_point now);
 
+    // Adopts and gossips a template that was fetched from a peer and checked.
+    std::vector<control_action> adopt(template_received_action received,
+                                      time_point now);
+
     // Records that the store holds a template of this version that can't be
     // used.
     std::vector<control_action> refuse(std::string const& organisation,
@@ -275,6 +279,10 @@
                                         std::uint64_t sender,
                                         control_message const& message);
 
+    // Adopts a template that was fetched from a peer and checked.
+    std::vector<control_action> adopt(template_received_action received,
+                                      time_point now);
+
     // Publishes a new state and capacity of this agent's target.
     std::vector<control_action> publish(target_status const& status,
                                         time_point now);
--- a/include/daisytrail/template_versions.hpp
+++ b/include/daisytrail/template_versions.hpp
@@ -1,9 +1,9 @@
 // Templates in force at one process. A template is replaced only by a newer
-// version, is fetched from peers in chunks, and each adoption or refusal is
-// recorded in a bounded log.
+// version, and each adoption or refusal is recorded in a bounded log.
 #pragma once
 
 #include <daisytrail/item_tree.hpp>
+#include <daisytrail/template_transfer.hpp>
 #include <daisytrail/types.hpp>
 
 #include <deque>
@@ -50,13 +50,6 @@
 // Maximum number of entries in the adoption log; the oldest are dropped.
 inline constexpr std::size_t max_adoption_records = 256;
 
-// Maximum size of a value that is fetched from peers. It limits the memory of a
-// transfer; the longest value of a store is much shorter.
-inline constexpr std::size_t max_transfer_bytes = 16ULL << 20U;
-
-// Maximum number of bytes of a template in one datagram.
-inline constexpr std::size_t template_chunk_bytes = 1'000;
-
 // Validates a stored value: returns a description of the error, or nothing if
 // the value is valid.
 using template_check =
@@ -116,16 +109,22 @@
     bool on_offer(item const& offered, endpoint const& from, time_point now,
                   std::vector<control_action>& out);
 
-    // Sends the requested chunk to a peer; ignores a request for a version
+    // Sends the requested chunks to a peer; ignores a request for a version
     // that isn't in force here yet.
     void answer_request(template_request const& request, endpoint const& from,
-                        std::vector<control_action>& out) const;
+                        std::vector<control_action>& out);
 
-    // Appends a chunk to its transfer, and requests the next chunk or adopts
-    // the completed value.
+    // Appends a chunk to its transfer, and requests the next ones or passes on
+    // the completed value, which is to be checked and returned by
+    // adopt_received().
     void on_chunk(template_chunk const& chunk, endpoint const& from,
                   time_point now, std::vector<control_action>& out);
 
+    // Adopts a value that on_chunk() passed on, like try_adopt(). A value that
+    // became older meanwhile is dropped.
+    void adopt_received(template_received_action received, time_point now,
+                        std::vector<control_action>& out);
+
     // Retries unanswered requests at the next peer; ends transfers that have
     // used up their attempts.
     void tick(time_point now, std::vector<control_action>& out);
@@ -157,18 +156,6 @@
     }
 
 private:
-    // A transfer in progress. The chunks of a version are identical at all
-    // peers, so that any peer can continue the transfer.
-    struct transfer
-    {
-        template_version version_ = 0;
-        std::vector<endpoint> peers_;  // offered it; requests go to the first
-        std::uint32_t next_index_ = 0; // of the first missing chunk
-        std::string value_;            // chunks received so far
-        time_point requested_at_;      // last request
-        int attempts_ = 0;
-    };
-
     // A version that was offered and whose value hasn't arrived.
     struct pending_version
     {
@@ -183,12 +170,8 @@
     void mark_changed(std::uint64_t id);
     static item to_item(std::uint64_t id, template_version version);
     void add_record(adoption_record line);
-    void send_request(std::uint64_t id, transfer& active, time_point now,
-                      std::vector<control_action>& out);
     adoption evaluate(std::uint64_t id, template_version version,
                       std::string const& value, std::string& detail) const;
-    void refuse_too_long(template_chunk const& chunk, endpoint const& from,
-                         time_point now, std::vector<control_action>& out);
     bool record_refusal(std::uint64_t id, refused_template refused);
     void forget_refusals(std::uint64_t id, template_version adopted,
                          std::string const& source);
@@ -197,8 +180,8 @@
     template_check validate_;
     change_callback on_change_;
     std::optional<std::uint64_t> only_organisation_;
-    std::map<std::uint64_t, held_template> held_;
-    std::map<std::uint64_t, transfer> transfers_;
+    std::map<std::uint64_t, served_template> held_;
+    template_fetcher fetcher_;
     std::map<std::uint64_t, pending_version> pending_versions_;
     // Organisations in the order of their last change, newest first.
     std::deque<std::uint64_t> last_changed_;
--- a/src/core/agent_announcer.cpp
+++ b/src/core/agent_announcer.cpp
@@ -377,6 +377,14 @@
     templates_.on_chunk(message, from, now_, actions_);
 }
 
+std::vector<control_action>
+agent_announcer::adopt(template_received_action received, time_point now)
+{
+    now_ = now;
+    templates_.adopt_received(std::move(received), now, actions_);
+    return std::exchange(actions_, {});
+}
+
 void agent_announcer::remove_ended_peers()
 {
     if (now_ < last_cleanup_at_ + cleanup_interval)
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -170,6 +170,14 @@
     return std::exchange(actions_, {});
 }
 
+std::vector<control_action>
+balancer_membership::adopt(template_received_action received, time_point now)
+{
+    now_ = now;
+    templates_.adopt_received(std::move(received), now, actions_);
+    return std::exchange(actions_, {});
+}
+
 std::vector<control_action>
 balancer_membership::refuse(std::string const& organisation,
                             template_version version, std::string const& reason,
--- a/src/core/template_versions.cpp
+++ b/src/core/template_versions.cpp
@@ -1,4 +1,5 @@
-// Adoption of templates by version and template transfers between peers.
+// Adoption and refusal of templates by version.
+#include <daisytrail/error.hpp>
 #include <daisytrail/item_tree.hpp>
 #include <daisytrail/template_versions.hpp>
 
@@ -12,9 +13,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds retry_interval{400};
-constexpr int max_attempts = 5; // requests for one chunk
-constexpr std::size_t max_transfer_peers = 4;
 constexpr std::size_t max_latest_versions = 8;
 constexpr std::size_t max_refused_versions = 16;
 // Peers repeat the offer of a newer version more often than this, so an older
@@ -47,16 +45,16 @@
                                      std::string& detail) const
 {
     auto const held = held_.find(id);
-    if (held != held_.end() && version <= held->second.version_)
+    if (held != held_.end() && version <= held->second.version())
     {
-        detail =
-            "version " + std::to_string(held->second.version_) + " is in force";
-        if (version < held->second.version_)
+        detail = "version " + std::to_string(held->second.version()) +
+                 " is in force";
+        if (version < held->second.version())
         {
             return adoption::refused_older;
         }
-        return value == held->second.value_ ? adoption::already_held
-                                            : adoption::refused_conflict;
+        return value == held->second.value() ? adoption::already_held
+                                             : adoption::refused_conflict;
     }
     if (auto const problem = validate_(value))
     {
@@ -73,6 +71,7 @@
                                       std::vector<control_action>& out)
 {
     auto const id = hash_name(organisation);
+    fetcher_.finish(id, version);
     std::string detail;
     auto const outcome = evaluate(id, version, value, detail);
     if (outcome == adoption::already_held)
@@ -108,7 +107,14 @@
         return outcome;
     }
     auto const before = find(id);
-    held_[id] = {organisation, version, value};
+    if (auto const held = held_.find(id); held != held_.end())
+    {
+        held->second.replace(version, value);
+    }
+    else
+    {
+        held_.try_emplace(id, organisation, version, value);
+    }
     forget_refusals(id, version, source);
     mark_changed(id);
     if (on_change_)
@@ -128,12 +134,13 @@
 {
     auto const id = hash_name(organisation);
     auto const held = held_.find(id);
-    bool const is_older =
-        version != 0 && held != held_.end() && version <= held->second.version_;
+    bool const is_older = version != 0 && held != held_.end() &&
+                          version <= held->second.version();
     if (is_older)
     {
         return;
     }
+    fetcher_.finish(id, version);
     if (auto const pending = pending_versions_.find(id);
         pending != pending_versions_.end() &&
         version >= pending->second.version_)
@@ -208,7 +215,7 @@
     auto const version = offered.version_.incarnation_;
     auto const held = held_.find(offered.id_);
     if ((only_organisation_ && *only_organisation_ != offered.id_) ||
-        (held != held_.end() && version <= held->second.version_) ||
+        (held != held_.end() && version <= held->second.version()) ||
         is_refused(offered.id_, version))
     {
         return false;
@@ -216,29 +223,14 @@
     bool const is_new = note_pending(offered.id_, version, now);
     if (is_new)
     {
-        auto const in_force = held == held_.end() ? 0 : held->second.version_;
+        auto const in_force = held == held_.end() ? 0 : held->second.version();
         out.emplace_back(
             template_offer_action{offered.id_, version, in_force, from});
     }
-    auto& active = transfers_[offered.id_];
-    if (active.version_ > version)
-    {
-        return is_new;
-    }
-    if (active.version_ == version)
-    {
-        bool const is_known =
-            std::ranges::find(active.peers_, from) != active.peers_.end();
-        if (!is_known && active.peers_.size() < max_transfer_peers)
-        {
-            active.peers_.push_back(from);
-        }
-        return is_new;
-    }
-    active = {};
-    active.version_ = version;
-    active.peers_ = {from};
-    send_request(offered.id_, active, now, out);
+    fetcher_.offer(offered.id_, version, from,
+                   held == held_.end() ? shared_text{}
+                                       : held->second.shared_value(),
+                   now, out);
     return is_new;
 }
 
@@ -276,7 +268,7 @@
         auto const held = held_.find(id);
         auto const pending = pending_versions_.find(id);
         template_version const in_force =
-            held == held_.end() ? 0 : held->second.version_;
+            held == held_.end() ? 0 : held->second.version();
         template_version const known =
             pending == pending_versions_.end() ? 0 : pending->second.version_;
         if (auto const version = std::max(in_force, known); version != 0)
@@ -301,102 +293,51 @@
 
 void template_versions::answer_request(template_request const& request,
                                        endpoint const& from,
-                                       std::vector<control_action>& out) const
+                                       std::vector<control_action>& out)
 {
     auto const held = held_.find(request.organisation_);
-    if (held == held_.end() || held->second.version_ < request.version_)
+    if (held != held_.end())
     {
-        return;
+        held->second.answer(request, from, out);
     }
-    auto const& value = held->second.value_;
-    auto const count =
-        (value.size() + template_chunk_bytes - 1) / template_chunk_bytes;
-    // If a newer version than the requested one is in force, its transfer
-    // starts at the first chunk.
-    auto const index =
-        held->second.version_ == request.version_ ? request.index_ : 0;
-    if (index >= count)
-    {
-        return;
-    }
-    template_chunk chunk;
-    chunk.organisation_ = held->second.organisation_;
-    chunk.version_ = held->second.version_;
-    chunk.index_ = index;
-    chunk.count_ = static_cast<std::uint32_t>(count);
-    chunk.bytes_ =
-        value.substr(index * template_chunk_bytes, template_chunk_bytes);
-    out.emplace_back(send_action{from, std::move(chunk)});
 }
 
 void template_versions::on_chunk(template_chunk const& chunk,
                                  endpoint const& from, time_point now,
                                  std::vector<control_action>& out)
 {
-    auto const id = hash_name(chunk.organisation_);
-    auto const active = transfers_.find(id);
-    if (active == transfers_.end() || chunk.version_ < active->second.version_)
-    {
-        return;
-    }
-    auto& ongoing = active->second;
-    if (chunk.version_ > ongoing.version_)
-    {
-        ongoing = {};
-        ongoing.version_ = chunk.version_;
-        ongoing.peers_ = {from};
-    }
-    if (chunk.index_ != ongoing.next_index_)
+    try
     {
-        return;
-    }
-    if (ongoing.value_.size() + chunk.bytes_.size() > max_transfer_bytes)
-    {
-        transfers_.erase(active);
-        refuse_too_long(chunk, from, now, out);
-        return;
+        if (auto fetched = fetcher_.on_chunk(chunk, from, now, out))
+        {
+            out.emplace_back(template_received_action{
+                std::move(fetched->organisation_), fetched->version_,
+                std::move(fetched->value_), to_string(from)});
+        }
     }
-    ongoing.value_ += chunk.bytes_;
-    ++ongoing.next_index_;
-    ongoing.attempts_ = 0;
-    if (ongoing.next_index_ < chunk.count_)
+    catch (error const& failure)
     {
-        send_request(id, ongoing, now, out);
-        return;
+        refuse(chunk.organisation_, chunk.version_, failure.what(),
+               to_string(from), now, out);
     }
-    auto value = std::move(ongoing.value_);
-    transfers_.erase(active);
-    try_adopt(chunk.organisation_, chunk.version_, std::move(value),
-              to_string(from), now, out);
 }
 
-void template_versions::refuse_too_long(template_chunk const& chunk,
-                                        endpoint const& from, time_point now,
-                                        std::vector<control_action>& out)
+void template_versions::adopt_received(template_received_action received,
+                                       time_point now,
+                                       std::vector<control_action>& out)
 {
-    refuse(chunk.organisation_, chunk.version_,
-           "more than " + std::to_string(max_transfer_bytes) + " bytes",
-           to_string(from), now, out);
+    auto const held = held_.find(hash_name(received.organisation_));
+    if (held != held_.end() && held->second.version() > received.version_)
+    {
+        return;
+    }
+    try_adopt(received.organisation_, received.version_,
+              std::move(received.value_), received.source_, now, out);
 }
 
 void template_versions::tick(time_point now, std::vector<control_action>& out)
 {
-    // An abandoned transfer restarts when the next digest offers the version.
-    std::erase_if(transfers_,
-                  [now](auto const& entry)
-                  {
-                      return entry.second.attempts_ >= max_attempts &&
-                             now >= entry.second.requested_at_ + retry_interval;
-                  });
-    for (auto& [id, active] : transfers_)
-    {
-        if (now >= active.requested_at_ + retry_interval)
-        {
-            std::rotate(active.peers_.begin(), active.peers_.begin() + 1,
-                        active.peers_.end());
-            send_request(id, active, now, out);
-        }
-    }
+    fetcher_.tick(now, out);
 }
 
 std::optional<item> template_versions::find(std::uint64_t organisation) const
@@ -406,7 +347,7 @@
     {
         return std::nullopt;
     }
-    return to_item(organisation, held->second.version_);
+    return to_item(organisation, held->second.version());
 }
 
 std::vector<item> template_versions::items(tree_node const& node) const
@@ -416,7 +357,7 @@
     {
         if (node.contains(id))
         {
-            result.push_back(to_item(id, held.version_));
+            result.push_back(to_item(id, held.version()));
         }
     }
     return result;
@@ -425,9 +366,9 @@
 std::vector<held_template> template_versions::held_templates() const
 {
     std::vector<held_template> result;
-    for (auto const& [id, value] : held_)
+    for (auto const& [id, held] : held_)
     {
-        result.push_back(value);
+        result.push_back({held.organisation(), held.version(), held.value()});
     }
     return result;
 }
@@ -455,15 +396,4 @@
     }
 }
 
-void template_versions::send_request(std::uint64_t id, transfer& active,
-                                     time_point now,
-                                     std::vector<control_action>& out)
-{
-    active.requested_at_ = now;
-    ++active.attempts_;
-    out.emplace_back(
-        send_action{active.peers_.front(),
-                    template_request{id, active.version_, active.next_index_}});
-}
-
 } // namespace daisytrail
--- a/src/net/agent_control.cpp
+++ b/src/net/agent_control.cpp
@@ -39,7 +39,9 @@
                              agent_settings const& settings, metrics& counters,
                              control_events& events)
     : link_(io, settings.common_, make_session(), counters),
-      runner_(link_, events, counters),
+      runner_(io, link_, events, counters,
+              [this](template_received_action received)
+              { adopt(std::move(received)); }),
       announcer_(make_record(settings, detail::make_incarnation()),
                  settings.follows_service_ ? settings.organisation_ : "",
                  settings.common_.seeds_, check_adopted_template,
@@ -69,6 +71,11 @@
     runner_.run(announcer_.publish(status, steady_clock::now()));
 }
 
+void agent_control::adopt(template_received_action received)
+{
+    runner_.run(announcer_.adopt(std::move(received), steady_clock::now()));
+}
+
 void agent_control::stop(std::function<void()> done)
 {
     auto const& self = announcer_.self();
--- a/src/net/agent_control.hpp
+++ b/src/net/agent_control.hpp
@@ -39,6 +39,7 @@
     boost::json::value adopted() const;
 
 private:
+    void adopt(template_received_action received);
     void tick();
     void finish();
 
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -53,7 +53,9 @@
                                    metrics& counters, control_events& events,
                                    std::unique_ptr<config_store> store)
     : link_(io, settings.common_, make_session(), counters), events_(events),
-      runner_(link_, events, counters),
+      runner_(io, link_, events, counters,
+              [this](template_received_action received)
+              { adopt(std::move(received)); }),
       membership_(make_record(settings, detail::make_incarnation()),
                   settings.common_.seeds_, check_adopted_template,
                   std::random_device{}()),
@@ -242,6 +244,11 @@
     }
 }
 
+void balancer_control::adopt(template_received_action received)
+{
+    runner_.run(membership_.adopt(std::move(received), steady_clock::now()));
+}
+
 void balancer_control::offer_template(store_entry const& entry)
 {
     auto const organisation = entry.key_.substr(template_prefix.size());
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -48,6 +48,7 @@
 private:
     void tick();
     void record_lateness(time_point now);
+    void adopt(template_received_action received);
     void offer_template(store_entry const& entry);
     void apply_target_list(std::string const& value);
     void update_duties();
--- a/src/net/control_outputs.cpp
+++ b/src/net/control_outputs.cpp
@@ -7,6 +7,8 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include <utility>
+
 namespace daisytrail::detail
 {
 
@@ -28,9 +30,11 @@
 
 } // namespace
 
-action_runner::action_runner(control_link& link, control_events& events,
-                             metrics& counters)
-    : link_(link), events_(events),
+action_runner::action_runner(boost::asio::io_context& io, control_link& link,
+                             control_events& events, metrics& counters,
+                             received_handler on_received)
+    : link_(link), events_(events), on_received_(std::move(on_received)),
+      reader_(io),
       round_trips_(counters.latency("daisytrail_control_round_trip_seconds"))
 {
     for (std::size_t i = 0; i < report_counters_.size(); ++i)
@@ -77,6 +81,17 @@
                {"from", to_string(action.from_)}});
 }
 
+// A long value is parsed in pieces, between which packets are forwarded.
+void action_runner::execute(template_received_action const& action)
+{
+    reader_.read(action.value_,
+                 [this, received = action](std::string value) mutable
+                 {
+                     received.value_ = std::move(value);
+                     on_received_(std::move(received));
+                 });
+}
+
 void action_runner::execute(template_action const& action)
 {
     auto const stored = parse_adopted_template(action.value_);
--- a/src/net/control_outputs.hpp
+++ b/src/net/control_outputs.hpp
@@ -3,12 +3,16 @@
 #pragma once
 
 #include "net/control_link.hpp"
+#include "net/template_parser.hpp"
 
 #include <daisytrail/control.hpp>
 #include <daisytrail/template_versions.hpp>
 
+#include <boost/asio/io_context.hpp>
 #include <boost/json/value.hpp>
 
+#include <functional>
+
 namespace daisytrail::detail
 {
 
@@ -16,8 +20,12 @@
 class action_runner
 {
 public:
-    action_runner(control_link& link, control_events& events,
-                  metrics& counters);
+    // Receives the values that peers sent, once they are parsed.
+    using received_handler = std::function<void(template_received_action)>;
+
+    action_runner(boost::asio::io_context& io, control_link& link,
+                  control_events& events, metrics& counters,
+                  received_handler on_received);
 
     void run(std::vector<control_action> const& actions);
 
@@ -25,6 +33,7 @@
     void execute(send_action const& action);
     void execute(member_action const& action);
     void execute(template_offer_action const& action);
+    void execute(template_received_action const& action);
     void execute(template_action const& action);
     void execute(report_action const& action);
     void execute(round_trip_action const& action);
@@ -32,6 +41,8 @@
 
     control_link& link_;
     control_events& events_;
+    received_handler on_received_;
+    template_reader reader_;
     histogram& round_trips_;
     std::array<std::uint64_t*, static_cast<std::size_t>(report_kind::count)>
         report_counters_{};
--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -76,6 +76,9 @@
   organisation @0 :UInt64;
   version @1 :UInt64;
   index @2 :UInt32;
+  count @3 :UInt32;
+  acceptsCompressed @4 :Bool;
+  baseHash @5 :UInt64;
 }
 
 struct TemplateChunk {
@@ -84,6 +87,8 @@
   index @2 :UInt32;
   count @3 :UInt32;
   bytes @4 :Data;
+  compressed @5 :Bool;
+  baseHash @6 :UInt64;
 }
 
 struct ViewQuestion {
--- a/src/rpc/control_messages.cpp
+++ b/src/rpc/control_messages.cpp
@@ -244,6 +244,9 @@
         to.setOrganisation(from.organisation_);
         to.setVersion(from.version_);
         to.setIndex(from.index_);
+        to.setCount(from.count_);
+        to.setAcceptsCompressed(from.accepts_compressed_);
+        to.setBaseHash(from.base_hash_);
     }
 
     void operator()(template_chunk const& from)
@@ -255,6 +258,8 @@
         to.setCount(from.count_);
         to.setBytes(
             kj::StringPtr(from.bytes_.c_str(), from.bytes_.size()).asBytes());
+        to.setCompressed(from.is_compressed_);
+        to.setBaseHash(from.base_hash_);
     }
 
     void operator()(view_question const& from)
@@ -282,12 +287,26 @@
                              from.getObserversHash()};
 }
 
+control_message read_request(wire::TemplateRequest::Reader from)
+{
+    return template_request{from.getOrganisation(),
+                            from.getVersion(),
+                            from.getIndex(),
+                            from.getCount(),
+                            from.getAcceptsCompressed(),
+                            from.getBaseHash()};
+}
+
 control_message read_chunk(wire::TemplateChunk::Reader from)
 {
     auto const bytes = from.getBytes().asChars();
-    return template_chunk{from.getOrganisation().cStr(), from.getVersion(),
-                          from.getIndex(), from.getCount(),
-                          std::string(bytes.begin(), bytes.end())};
+    return template_chunk{from.getOrganisation().cStr(),
+                          from.getVersion(),
+                          from.getIndex(),
+                          from.getCount(),
+                          std::string(bytes.begin(), bytes.end()),
+                          from.getCompressed(),
+                          from.getBaseHash()};
 }
 
 control_message read_view_answer(wire::ViewAnswer::Reader from)
@@ -332,9 +351,7 @@
             read(from.getHeartbeatAck().getKnown()),
             read_list<contact>(from.getHeartbeatAck().getObservers())};
     case wire::ControlMessage::TEMPLATE_REQUEST:
-        return template_request{from.getTemplateRequest().getOrganisation(),
-                                from.getTemplateRequest().getVersion(),
-                                from.getTemplateRequest().getIndex()};
+        return read_request(from.getTemplateRequest());
     case wire::ControlMessage::TEMPLATE_CHUNK:
         return read_chunk(from.getTemplateChunk());
     case wire::ControlMessage::VIEW_QUESTION:
--- a/test/integration/platform_config.sh
+++ b/test/integration/platform_config.sh
@@ -18,6 +18,20 @@
 now_ms() { date +%s%3N; }
 
 balancers=(balancer-1 balancer-2 balancer-3)
+
+# Kills all balancers, starts them again without their logs and sets
+# restarted_at.
+restart_all_balancers() {
+    local name i
+    for name in "${balancers[@]}"; do
+        stop_process "$name" KILL
+        wait_process "$name"
+        rm -f "$WORK/$name.log"
+    done
+    restarted_at=$(now_ms)
+    for i in 1 2 3; do start_platform_balancer "$i"; done
+}
+
 start_platform_store 3
 for i in 1 2 3; do start_platform_balancer "$i"; done
 
@@ -113,22 +127,32 @@
 put_config 205 7000 op/config "$longest_value"
 check "a single change of it is in force" \
     in_force_after 205 "$(acknowledged_at 205)" "$apply_ms" "${balancers[@]}"
-for name in "${balancers[@]}"; do
-    stop_process "$name" KILL
-    wait_process "$name"
-    rm -f "$WORK/$name.log"
-done
-restarted_at=$(now_ms)
-for i in 1 2 3; do start_platform_balancer "$i"; done
+restart_all_balancers
 check "the longest configuration is in force after all balancers were killed" \
     in_force_after 205 "$restarted_at" "$calm_ms" "${balancers[@]}"
 
+# The store refuses one machine, which gets the longest configuration, and then
+# a single change of it, from the others within their byte budget.
+put_config 206 2
+check "a short configuration follows the longest one" \
+    in_force_after 206 "$(acknowledged_at 206)" "$apply_ms" "${balancers[@]}"
+sleep 4
+store_fault "{\"ports\": [$(store_way 2)], \"mode\": \"busy\"}"
+sleep 1
+put_config 2061 7000 op/config "$longest_value"
+check "a refused machine gets the longest configuration from others" \
+    in_force_after 2061 "$(acknowledged_at 2061)" "$apply_ms" "${balancers[@]}"
+put_config 2063 7000 op/config "$longest_value"
+check "a refused machine gets a single change of it from others" \
+    in_force_after 2063 "$(acknowledged_at 2063)" "$apply_ms" "${balancers[@]}"
+store_fault '{"mode": "serve"}'
+
 # What can't be used at all is told of, and a balancer that starts then takes the
 # last good configuration from the others.
-put_config 207 2
+put_config 2071 2
 check "a short configuration follows the longest one" \
-    in_force_after 207 "$(acknowledged_at 207)" "$apply_ms" "${balancers[@]}"
-store_command /operator '{"version": 209, "services": [], "routes": 0}'
+    in_force_after 2071 "$(acknowledged_at 2071)" "$apply_ms" "${balancers[@]}"
+store_command /operator '{"version": 2091, "services": [], "routes": 0}'
 sleep 2
 stop_process balancer-3 KILL
 wait_process balancer-3
@@ -136,16 +160,16 @@
 restarted_at=$(now_ms)
 start_platform_balancer 3
 check "a balancer that starts beside a refused version has the last good one" \
-    in_force_after 207 "$restarted_at" "$calm_ms" balancer-3
+    in_force_after 2071 "$restarted_at" "$calm_ms" balancer-3
 for name in "${balancers[@]}"; do
     check "$name tells that a version is refused" \
         test "$(metric "$name" daisytrail_templates_refused)" = 1
     check "$name tells of it once" \
         test "$(grep -c '"event":"refused_invalid"' "$WORK/$name.log")" = 1
 done
-put_config 211 2
+put_config 2111 2
 check "a good version ends the refusal" \
-    in_force_after 211 "$(acknowledged_at 211)" "$apply_ms" "${balancers[@]}"
+    in_force_after 2111 "$(acknowledged_at 2111)" "$apply_ms" "${balancers[@]}"
 check "no version is refused any more" \
     test "$(metric balancer-1 daisytrail_templates_refused)" = 0
 
--- a/test/measure/config.cpp
+++ b/test/measure/config.cpp
@@ -1,11 +1,12 @@
 // Measures the processor time that a version of the operator's document costs a
 // balancer, step by step, against the number of routes.
-#include "net/adopted_template.hpp"
+#include "net/template_parser.hpp"
 #include "platform/operator_config.hpp"
 #include "support/measure_report.hpp"
 #include "support/operator_documents.hpp"
 
 #include <daisytrail/forward_directory.hpp>
+#include <daisytrail/text_compression.hpp>
 
 #include <algorithm>
 #include <ctime>
@@ -40,32 +41,47 @@
     return least;
 }
 
-// Longest of the pieces in which a document is converted.
-double longest_piece_milliseconds(std::string const& document)
+// Longest of the pieces of a work; `advance` does the next one and returns true
+// when all is done.
+double longest_piece_milliseconds(std::function<bool()> const& advance)
 {
-    constexpr std::size_t bytes_per_piece = 12'288;
-    platform::config_translation translation;
     double longest = 0;
-    std::size_t read = 0;
     bool is_done = false;
     while (!is_done)
     {
         auto const from = thread_milliseconds();
-        if (read < document.size())
-        {
-            translation.read(
-                std::string_view(document).substr(read, bytes_per_piece));
-            read += bytes_per_piece;
-        }
-        else
-        {
-            is_done = translation.convert_some();
-        }
+        is_done = advance();
         longest = std::max(longest, thread_milliseconds() - from);
     }
     return longest;
 }
 
+double longest_translation_piece(std::string const& document)
+{
+    constexpr std::size_t bytes_per_piece = 12'288;
+    platform::config_translation translation;
+    std::size_t read = 0;
+    return longest_piece_milliseconds(
+        [&]
+        {
+            if (read == document.size())
+            {
+                return translation.convert_some();
+            }
+            auto const piece =
+                std::string_view(document).substr(read, bytes_per_piece);
+            translation.read(piece);
+            read += piece.size();
+            return false;
+        });
+}
+
+double longest_parsing_piece(std::string const& value)
+{
+    template_parser parser(value);
+    return longest_piece_milliseconds([&parser] { return parser.advance(); });
+}
+
 platform::translated_config translate(std::string const& document)
 {
     platform::config_translation translation;
@@ -100,12 +116,28 @@
              { directory.apply(configs[run].template_->value_, run + 1); });
     add_time("parse what a peer sent", [&](std::size_t run)
              { parse_adopted_template(configs[run].value_); });
+    add_time("compress",
+             [&](std::size_t run) { compress_text(configs[run].value_); });
+    auto const& base = configs.front().value_;
+    add_time("compress the difference", [&](std::size_t run)
+             { compress_text(configs[run].value_, base); });
+    auto const compressed = compress_text(base);
+    add_time("decompress",
+             [&](std::size_t) { decompress_text(compressed, base.size()); });
     report.add(name + "longest piece",
-               longest_piece_milliseconds(documents.front()), "ms");
+               longest_translation_piece(documents.front()), "ms");
+    report.add(name + "longest piece of parsing", longest_parsing_piece(base),
+               "ms");
     report.add(name + "document",
                static_cast<double>(documents.front().size()) / 1e3, "kB");
-    report.add(name + "stored",
-               static_cast<double>(configs.front().value_.size()) / 1e3, "kB");
+    report.add(name + "stored", static_cast<double>(base.size()) / 1e3, "kB");
+    report.add(name + "compressed",
+               static_cast<double>(compressed.size()) / 1e3, "kB");
+    report.add(
+        name + "difference of one version",
+        static_cast<double>(compress_text(configs.back().value_, base).size()) /
+            1e3,
+        "kB");
 }
 
 } // namespace
--- a/test/support/control_fleet.hpp
+++ b/test/support/control_fleet.hpp
@@ -377,6 +377,13 @@
             {
                 from.member_view_[member->record_.target_] = member->record_;
             }
+            else if (auto const* received =
+                         std::get_if<template_received_action>(&action))
+            {
+                apply_actions(from, from.balancer_
+                                        ? from.balancer_->adopt(*received, now_)
+                                        : from.agent_->adopt(*received, now_));
+            }
             else if (auto const* value = std::get_if<template_action>(&action))
             {
                 from.templates_[value->organisation_] = value->version_;
--- a/test/support/operator_documents.cpp
+++ b/test/support/operator_documents.cpp
@@ -16,14 +16,29 @@
                               R"({"service":"till-1","weight":10}])";
 constexpr char const* single = R"("service":"till-0")";
 
+// Returns a name that looks drawn, as operators' names do: a compression finds
+// nothing in it that repeats.
+std::string route_name(std::size_t number)
+{
+    constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyz0123456789";
+    constexpr std::size_t length = 7;
+    auto rest = hash_name(std::to_string(number));
+    std::string name = "r-";
+    for (std::size_t i = 0; i < length; ++i)
+    {
+        name += letters[rest % letters.size()];
+        rest /= letters.size();
+    }
+    return name;
+}
+
 std::string route_text(std::size_t number)
 {
     auto const address =
         first_address + static_cast<ipv4>(number / ports_per_address);
     auto const host = to_string(endpoint{address, 0});
-    return R"({"name":"r-)" + std::to_string(1'000'000 + number) +
-           R"(","host":")" + host.substr(0, host.find(':')) +
-           R"(","prefix":")" +
+    return R"({"name":")" + route_name(number) + R"(","host":")" +
+           host.substr(0, host.find(':')) + R"(","prefix":")" +
            (number % ports_per_address == 0 ? "/443/" : "/8443/") +
            R"(","type":"safe","timeoutMs":4000,"sloMs":300,"prio":2,)" +
            (number % routes_per_split == 0 ? split : single) +
--- a/test/unit/control_messages_test.cpp
+++ b/test/unit/control_messages_test.cpp
@@ -20,21 +20,22 @@
     record.failure_domain_ = "lafrenz";
     record.control_ = {0x7F000001, 9};
     record.state_ = member_state::draining;
-    return {ping_message{1},
-            pong_message{sample},
-            probe_request{{1, {2, 3}}},
-            probe_answer{1, true},
-            digest_message{1, {sample, sample}, true},
-            pull_message{{1, 2}},
-            records_message{{record}},
-            tree_message{2, 3, {4, 5}},
-            branch_message{1, 6, {sample}},
-            heartbeat_message{record, 1, 2, 3, 4},
-            heartbeat_ack{sample, {{1, {2, 3}}}},
-            template_request{1, 2, 3},
-            template_chunk{"hamutenya", 1, 2, 3, std::string("\0a", 2)},
-            view_question{1, 2},
-            view_answer{1, 2, true, {3, 4}}};
+    return {
+        ping_message{1},
+        pong_message{sample},
+        probe_request{{1, {2, 3}}},
+        probe_answer{1, true},
+        digest_message{1, {sample, sample}, true},
+        pull_message{{1, 2}},
+        records_message{{record}},
+        tree_message{2, 3, {4, 5}},
+        branch_message{1, 6, {sample}},
+        heartbeat_message{record, 1, 2, 3, 4},
+        heartbeat_ack{sample, {{1, {2, 3}}}},
+        template_request{1, 2, 3, 4, true, 5},
+        template_chunk{"hamutenya", 1, 2, 3, std::string("\0a", 2), true, 4},
+        view_question{1, 2},
+        view_answer{1, 2, true, {3, 4}}};
 }
 
 } // namespace
--- a/test/unit/template_versions_test.cpp
+++ b/test/unit/template_versions_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace daisytrail
 {
@@ -61,6 +62,26 @@
     return result;
 }
 
+// Adopts the values that were fetched completely, as the caller of the core
+// does after their check.
+void adopt_received(template_versions& versions, time_point now,
+                    std::vector<control_action>& out)
+{
+    auto const actions = std::exchange(out, {});
+    for (auto const& action : actions)
+    {
+        if (auto const* received =
+                std::get_if<template_received_action>(&action))
+        {
+            versions.adopt_received(*received, now, out);
+        }
+        else
+        {
+            out.push_back(action);
+        }
+    }
+}
+
 class transfer_fixture
 {
 public:
@@ -77,6 +98,7 @@
     {
         std::vector<control_action> out;
         book_.on_chunk(chunk, from, now_, out);
+        adopt_received(book_, now_, out);
         return find_request(out);
     }
 
@@ -130,6 +152,7 @@
     fixture.advance(milliseconds(300));
     out.clear();
     fixture.book_.on_chunk(make_chunk(5, 0, 1), first_peer, fixture.now_, out);
+    adopt_received(fixture.book_, fixture.now_, out);
     REQUIRE(out.size() == 1);
     CHECK(std::get<template_action>(out.front()).offered_ago_ ==
           milliseconds(300));
@@ -228,6 +251,7 @@
     versions.on_offer(make_offer(15), first_peer, now, out);
     REQUIRE(find_request(out));
     versions.on_chunk(make_chunk(15, 0, 1), first_peer, now, out);
+    adopt_received(versions, now, out);
     REQUIRE(versions.find(hash_name("site")));
     CHECK(versions.find(hash_name("site"))->version_.incarnation_ == 15);
     // The refused version itself isn't fetched.
@@ -333,6 +357,7 @@
     {
         chunk.bytes_.resize(max_transfer_bytes - chunks * template_chunk_bytes);
         versions.on_chunk(chunk, first_peer, now, out);
+        adopt_received(versions, now, out);
         CHECK(versions.find(hash_name("site")));
     }
     SUBCASE("a longer one is refused and reported")
