The last good version of a template survives a loss of power

What callers would see: nothing is served after a loss of power while the store holds a version that can't be used. Every balancer refuses it, and none has the one before: the store holds the newest document only.

Cause: the last good version lived in the balancers' memory alone.

Change: one balancer (a duty of the ring, as for the list of targets) keeps a copy of each template in force in the store, compressed, at most one write in 2 s, and replaces only a copy that it knows and that is older. A balancer that has no version of an organisation in force and refuses the store's reads the copy; the refusal stays told of. After a restoration of the store the copy is written again.

Evidence, real processes (platform_config.sh): three balancers killed beside a document without services.

Cost: one call a version, two after the duty has moved.

--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -36,6 +36,10 @@
 // they were.
 inline constexpr std::string_view target_list_key = "daisytrail/targets";
 
+// Key prefix of the copies of the templates in force: template_copy_prefix +
+// organisation. src/net/template_copy.hpp defines the value.
+inline constexpr std::string_view template_copy_prefix = "daisytrail/copies/";
+
 // Identifies the history that the store's revisions and leases belong to. A
 // store that is restored from a copy starts another one, in which revisions and
 // lease numbers are given out again. 0: unknown.
--- a/include/daisytrail/template_versions.hpp
+++ b/include/daisytrail/template_versions.hpp
@@ -147,6 +147,14 @@
 
     std::vector<held_template> held_templates() const;
 
+    // Returns a template in force for which `is_wanted` returns true.
+    std::optional<held_template> find_held(
+        std::function<bool(std::string const& organisation,
+                           template_version version)> const& is_wanted) const;
+
+    // Returns true if a version is refused that is newer than the one in force.
+    bool has_refused(std::uint64_t organisation) const;
+
     // Returns the refused versions that are newer than the versions in force.
     std::vector<refused_template> refused_templates() const;
 
--- a/src/core/template_versions.cpp
+++ b/src/core/template_versions.cpp
@@ -195,6 +195,12 @@
     return found != refused_.end() && found->second.contains(version);
 }
 
+bool template_versions::has_refused(std::uint64_t organisation) const
+{
+    auto const found = refused_.find(organisation);
+    return found != refused_.end() && !found->second.empty();
+}
+
 std::vector<refused_template> template_versions::refused_templates() const
 {
     std::vector<refused_template> result;
@@ -373,6 +379,21 @@
     return result;
 }
 
+std::optional<held_template> template_versions::find_held(
+    std::function<bool(std::string const& organisation,
+                       template_version version)> const& is_wanted) const
+{
+    for (auto const& [id, held] : held_)
+    {
+        if (is_wanted(held.organisation(), held.version()))
+        {
+            return held_template{held.organisation(), held.version(),
+                                 held.value()};
+        }
+    }
+    return std::nullopt;
+}
+
 item template_versions::to_item(std::uint64_t id, template_version version)
 {
     return {item_kind::organisation, id, {version, 0}, member_state::ready};
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -4,6 +4,9 @@
 #include "net/adopted_template.hpp"
 #include "net/log.hpp"
 #include "net/stored_targets.hpp"
+#include "net/template_copy.hpp"
+
+#include <daisytrail/error.hpp>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -26,6 +29,8 @@
 constexpr milliseconds stop_delay{300};
 constexpr milliseconds duties_interval{500};
 constexpr std::size_t contacts_per_domain = 2;
+// Source of templates that were read from the copies in the store.
+constexpr std::string_view copy_source = "copy in the store";
 
 target_record make_record(balancer_settings const& settings, incarnation start)
 {
@@ -106,10 +111,12 @@
         });
     if (watcher_)
     {
-        watcher_->start([this](std::vector<endpoint> const& found)
-                        { membership_.add_seeds(found); },
-                        [this](std::string const& value)
-                        { apply_target_list(value); });
+        watcher_->start(
+            [this](std::vector<endpoint> const& found)
+            { membership_.add_seeds(found); },
+            [this](std::string const& value) { apply_target_list(value); },
+            [this](std::string const& organisation, std::string const& copy)
+            { offer_copy(organisation, copy); });
     }
     started_at_ = steady_clock::now();
     timer_.start();
@@ -219,6 +226,12 @@
         duties.target_list_ =
             format_stored_targets(membership_.targets_to_list());
     }
+    if (membership_.has_duty(hash_name(template_copy_prefix), 1))
+    {
+        duties.template_copy_ = membership_.templates().find_held(
+            [this](std::string const& organisation, template_version version)
+            { return !watcher_->is_copied(organisation, version); });
+    }
     watcher_->set_duties(std::move(duties));
 }
 
@@ -257,16 +270,39 @@
     {
         runner_.run(membership_.refuse(organisation, entry.fault_version_,
                                        entry.fault_, now));
-        return;
     }
     // An empty value means that the key was deleted; the template stays in
     // force.
-    if (entry.value_.empty())
+    else if (!entry.value_.empty())
     {
-        return;
+        runner_.run(membership_.offer(organisation, version_of(entry),
+                                      entry.value_, now));
+    }
+    auto const& templates = membership_.templates();
+    if (templates.has_refused(hash_name(organisation)) &&
+        !templates.find(hash_name(organisation)))
+    {
+        watcher_->request_copy(organisation);
+    }
+}
+
+// Adopts the copy of the last good version. The refusal of the newer version
+// that the store holds stays.
+void balancer_control::offer_copy(std::string const& organisation,
+                                  std::string const& copy)
+{
+    try
+    {
+        auto restored = parse_template_copy(copy);
+        runner_.run({template_received_action{organisation, restored.version_,
+                                              std::move(restored.value_),
+                                              std::string(copy_source)}});
+    }
+    catch (error const& failure)
+    {
+        log_event(log_level::warning, "bad_template_copy",
+                  {{"organisation", organisation}, {"detail", failure.what()}});
     }
-    runner_.run(
-        membership_.offer(organisation, version_of(entry), entry.value_, now));
 }
 
 } // namespace daisytrail
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -50,6 +50,7 @@
     void record_lateness(time_point now);
     void adopt(template_received_action received);
     void offer_template(store_entry const& entry);
+    void offer_copy(std::string const& organisation, std::string const& copy);
     void apply_target_list(std::string const& value);
     void update_duties();
 
--- a/src/net/store_call_log.hpp
+++ b/src/net/store_call_log.hpp
@@ -26,6 +26,8 @@
     write_contact,
     read_list,
     write_list,
+    read_copy,
+    write_copy,
     count
 };
 
@@ -33,7 +35,8 @@
                             static_cast<std::size_t>(store_call::count)>
     store_call_names{"read_templates", "watch_templates", "read_contacts",
                      "grant_lease",    "renew_lease",     "write_contact",
-                     "read_list",      "write_list"};
+                     "read_list",      "write_list",      "read_copy",
+                     "write_copy"};
 
 class store_call_log
 {
--- a/src/net/store_watcher.cpp
+++ b/src/net/store_watcher.cpp
@@ -50,10 +50,12 @@
 
 store_watcher::~store_watcher() = default;
 
-void store_watcher::start(contacts_handler on_contacts, list_handler on_list)
+void store_watcher::start(contacts_handler on_contacts, list_handler on_list,
+                          copy_handler on_copy)
 {
     on_contacts_ = std::move(on_contacts);
     on_list_ = std::move(on_list);
+    on_copy_ = std::move(on_copy);
     tick();
     schedule();
 }
@@ -111,6 +113,7 @@
     {
         maintain_contact();
     }
+    maintain_copies();
 }
 
 // Writes again what a restored store has lost, without waiting for the next
--- a/src/net/store_watcher.hpp
+++ b/src/net/store_watcher.hpp
@@ -1,6 +1,7 @@
 // A balancer's use of the configuration store. The balancer follows the
 // templates and, within a call budget, maintains its contact key, reads the
-// contacts of other balancers and writes the list of targets.
+// contacts of other balancers, and writes the list of targets and the copies of
+// templates.
 #pragma once
 
 #include "net/metrics.hpp"
@@ -10,6 +11,7 @@
 #include <daisytrail/byte_budget.hpp>
 #include <daisytrail/settings.hpp>
 #include <daisytrail/store.hpp>
+#include <daisytrail/template_versions.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +36,8 @@
     bool needs_contacts_ = false;            // no other balancer is known
     // Current list of targets, set on the balancer that writes it to the store.
     std::optional<std::string> target_list_;
+    // Template whose copy this balancer is to write next.
+    std::optional<held_template> template_copy_;
 };
 
 class store_watcher
@@ -50,7 +55,12 @@
     // empty if the key doesn't exist.
     using list_handler = std::function<void(std::string const&)>;
 
-    void start(contacts_handler on_contacts, list_handler on_list);
+    // Receives the copy of a template that was requested, if there is one.
+    using copy_handler = std::function<void(std::string const& organisation,
+                                            std::string const& copy)>;
+
+    void start(contacts_handler on_contacts, list_handler on_list,
+               copy_handler on_copy);
     void stop();
     void set_duties(store_duties duties);
 
@@ -61,6 +71,14 @@
         templates_.schedule_read();
     }
 
+    // Schedules a read of the copy of an organisation's template.
+    void request_copy(std::string const& organisation);
+
+    // Returns true if the store is known to hold a copy of this version or of a
+    // newer one.
+    bool is_copied(std::string const& organisation,
+                   template_version version) const;
+
 private:
     // Delay between calls of one kind. It grows with each failure.
     struct backoff
@@ -69,6 +87,14 @@
         time_point next_call_at_;
     };
 
+    // The copy of a template in the store, as it was last written or read.
+    struct stored_copy
+    {
+        template_version version_ = 0; // 0: unknown
+        revision revision_ = 0;        // 0: the key doesn't exist
+        store_generation generation_ = 0;
+    };
+
     void schedule();
     void tick();
     bool try_start_call(backoff const& state);
@@ -85,6 +111,14 @@
     parse_contacts(std::vector<store_entry> const& entries);
     void read_list();
     void write_list();
+    void maintain_copies();
+    void read_copy(std::string const& organisation);
+    void on_copy_read(std::string const& organisation,
+                      store_answer const& answer);
+    void write_copy();
+    void on_copy_written(std::string const& organisation,
+                         template_version version, std::size_t bytes,
+                         store_answer const& answer);
     store_handler track_call(store_call call,
                              std::function<void(store_answer const&)> handler);
 
@@ -95,6 +129,7 @@
     std::mt19937 random_;
     contacts_handler on_contacts_;
     list_handler on_list_; // empty after its only call
+    copy_handler on_copy_;
     store_duties duties_;
     backoff contacts_backoff_;
     backoff lease_backoff_;
@@ -102,6 +137,10 @@
     bool is_contacts_call_pending_ = false;
     bool is_lease_call_pending_ = false;
     bool is_list_call_pending_ = false;
+    backoff copy_backoff_;
+    bool is_copy_call_pending_ = false;
+    std::set<std::string> wanted_copies_;       // organisations
+    std::map<std::string, stored_copy> copies_; // by organisation
     // The list of targets that was last written, and the lease of the contact
     // key, each with the generation of the store that holds it.
     std::string written_list_;
--- a/test/integration/platform_config.sh
+++ b/test/integration/platform_config.sh
@@ -167,6 +167,12 @@
     check "$name tells of it once" \
         test "$(grep -c '"event":"refused_invalid"' "$WORK/$name.log")" = 1
 done
+
+# After a loss of power beside such a version no process holds the last good one:
+# balancers that start then had no configuration at all.
+restart_all_balancers
+check "the last good configuration is in force after all balancers were killed" \
+    in_force_after 2071 "$restarted_at" "$calm_ms" "${balancers[@]}"
 put_config 2111 2
 check "a good version ends the refusal" \
     in_force_after 2111 "$(acknowledged_at 2111)" "$apply_ms" "${balancers[@]}"
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -95,6 +95,10 @@
                                 : error_kind::outcome_unknown;
         }
         answer.revision_ = revision_;
+        if (!answer.error_ && !answer.succeeded_)
+        {
+            answer.entries_ = current_entries(comparisons);
+        }
         post(std::move(handler), std::move(answer));
     }
 
@@ -166,6 +170,21 @@
                            answer = std::move(answer)] { handler(answer); });
     }
 
+    std::vector<store_entry>
+    current_entries(std::vector<store_comparison> const& comparisons) const
+    {
+        std::vector<store_entry> result;
+        for (auto const& comparison : comparisons)
+        {
+            auto const found = entries_.find(comparison.key_);
+            if (found != entries_.end())
+            {
+                result.push_back(found->second);
+            }
+        }
+        return result;
+    }
+
     revision modified(std::string const& key) const
     {
         auto const found = entries_.find(key);
