--- a/test/unit/template_gossip_test.cpp
+++ b/test/unit/template_gossip_test.cpp
@@ -50,9 +50,9 @@
         return fleet_.run_until(
             [this, version]
             {
-                return fleet_.all_of([version](process& each)
-                                     { return each.templates_["org"] ==
-                                              version; });
+                return fleet_.all_of(
+                    [version](process& each)
+                    { return each.templates_["org"] == version; });
             },
             3 * apply_within);
     }
@@ -94,9 +94,8 @@
 {
     refused_machines fleet(4);
     fleet.starved_balancer().turn_interval_ = milliseconds(100);
-    CHECK(fleet.time_to_apply(
-              3, make_longest_document(3, platform_value_bytes)) <=
-          apply_within);
+    CHECK(fleet.time_to_apply(3, make_longest_document(
+                                     3, platform_value_bytes)) <= apply_within);
 }
 
 // CONFIG: each change of one route is transferred as the whole document, and
