--- a/src/net/template_parser.cpp
+++ b/src/net/template_parser.cpp
@@ -236,7 +236,7 @@
 {
 }
 
-void template_reader::read(std::string text, handler done)
+void template_reader::read(std::string text, handler const& done)
 {
     advance(std::make_shared<template_parser>(std::move(text)), done);
 }
--- a/src/net/template_parser.hpp
+++ b/src/net/template_parser.hpp
@@ -62,7 +62,7 @@
 
     explicit template_reader(boost::asio::io_context& io);
 
-    void read(std::string text, handler done);
+    void read(std::string text, handler const& done);
 
 private:
     void advance(std::shared_ptr<template_parser> const& parser,
