Review case 10: a late write of the stored list of targets stays for good

Cause: the list is written without a condition, and its writer believes in what it wrote last until the list changes. Change: a script in which the answer of one write of the list is lost and the write is executed 5.5 s later; 12 s after that all edge machines are replaced.

--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -209,6 +210,185 @@
     udp::endpoint sender_;
 };
 
+// A way to the store that can lose the answer of one write, which is executed
+// later. Each connection carries one call.
+class store_way
+{
+public:
+    using tcp = asio::ip::tcp;
+    using note_function = std::function<void(std::string const&)>;
+
+    store_way(asio::io_context& io, endpoint const& local,
+              endpoint const& store, note_function note)
+        : io_(io), acceptor_(io, to_tcp(local)), store_(store),
+          note_(std::move(note))
+    {
+        ::fcntl(acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
+        accept();
+    }
+
+    // Loses the answer of the next call whose body has `text`, and executes the
+    // call after `delay`.
+    void lose_next(std::string text, milliseconds delay)
+    {
+        lost_text_ = std::move(text);
+        delay_ = delay;
+    }
+
+private:
+    struct call
+    {
+        explicit call(asio::io_context& io)
+            : client_(io), store_(io), timer_(io)
+        {
+        }
+
+        tcp::socket client_;
+        tcp::socket store_;
+        asio::steady_timer timer_;
+        std::string request_;
+        std::array<char, 16'384> up_{};
+        std::array<char, 65'536> down_{};
+        bool is_lost_ = false;
+    };
+
+    using call_ptr = std::shared_ptr<call>;
+
+    static tcp::endpoint to_tcp(endpoint const& value)
+    {
+        return {asio::ip::address_v4(value.address_), value.port_};
+    }
+
+    void accept()
+    {
+        auto next = std::make_shared<call>(io_);
+        acceptor_.async_accept(next->client_,
+                               [this, next](boost::system::error_code code)
+                               {
+                                   if (code == asio::error::operation_aborted)
+                                   {
+                                       return;
+                                   }
+                                   if (!code)
+                                   {
+                                       ::fcntl(next->client_.native_handle(),
+                                               F_SETFD, FD_CLOEXEC);
+                                       read(next);
+                                   }
+                                   accept();
+                               });
+    }
+
+    static bool is_whole(std::string const& request)
+    {
+        auto const end = request.find("\r\n\r\n");
+        if (end == std::string::npos)
+        {
+            return false;
+        }
+        auto const at = request.find("Content-Length: ");
+        auto const length =
+            at < end ? std::stoul(request.substr(at + 16, 12)) : 0;
+        return request.size() >= end + 4 + length;
+    }
+
+    void read(call_ptr const& each)
+    {
+        each->client_.async_read_some(
+            asio::buffer(each->up_),
+            [this, each](boost::system::error_code code, std::size_t size)
+            {
+                if (code)
+                {
+                    return;
+                }
+                each->request_.append(each->up_.data(), size);
+                if (!is_whole(each->request_))
+                {
+                    read(each);
+                    return;
+                }
+                bool const is_lost =
+                    !lost_text_.empty() &&
+                    each->request_.find("POST /api/kv-txn") == 0 &&
+                    each->request_.find(lost_text_) != std::string::npos;
+                if (!is_lost)
+                {
+                    forward(each);
+                    return;
+                }
+                lost_text_.clear();
+                each->is_lost_ = true;
+                note_("the answer of a write is lost; it is executed " +
+                      std::to_string(delay_.count()) + " ms later");
+                each->timer_.expires_after(delay_);
+                each->timer_.async_wait(
+                    [this, each](boost::system::error_code)
+                    {
+                        note_("the late write is executed");
+                        forward(each);
+                    });
+            });
+    }
+
+    void forward(call_ptr const& each)
+    {
+        each->store_.async_connect(
+            to_tcp(store_),
+            [this, each](boost::system::error_code code)
+            {
+                if (code)
+                {
+                    return;
+                }
+                ::fcntl(each->store_.native_handle(), F_SETFD, FD_CLOEXEC);
+                asio::async_write(
+                    each->store_, asio::buffer(each->request_),
+                    [this, each](boost::system::error_code failure, std::size_t)
+                    {
+                        if (!failure)
+                        {
+                            pass_back(each);
+                        }
+                    });
+            });
+    }
+
+    void pass_back(call_ptr const& each)
+    {
+        each->store_.async_read_some(
+            asio::buffer(each->down_),
+            [this, each](boost::system::error_code code, std::size_t size)
+            {
+                if (code)
+                {
+                    return;
+                }
+                if (each->is_lost_)
+                {
+                    pass_back(each);
+                    return;
+                }
+                asio::async_write(
+                    each->client_, asio::buffer(each->down_.data(), size),
+                    [this, each](boost::system::error_code failure, std::size_t)
+                    {
+                        if (!failure)
+                        {
+                            pass_back(each);
+                        }
+                    });
+            });
+    }
+
+    asio::io_context& io_;
+    tcp::acceptor acceptor_;
+    endpoint store_;
+    note_function note_;
+    std::string lost_text_;
+    milliseconds delay_{};
+};
+
 // The state of a flow at its target.
 struct target_flow
 {
@@ -446,6 +626,7 @@
     void replace_most_edges();
     void replace_lost_edges();
     void replace_all_machines();
+    void write_list_late();
     void replace_target(target const& former);
     void end_after(milliseconds time);
     void scale_out(int count, milliseconds gap);
@@ -460,6 +641,7 @@
     unsigned network_ = 0;
     int first_port_ = 0;
     std::unique_ptr<child_process> store_;
+    std::unique_ptr<store_way> way_; // of all machines, if set
     std::deque<machine> machines_;
     std::deque<edge_state> edges_;
     std::deque<target> targets_;
@@ -643,7 +825,9 @@
         << "\", \"relay\": \"" << text(value.ip_, range_last())
         << "\", \"control\": \"" << text(value.ip_, range_first())
         << "\", \"http\": \"" << text(value.ip_, ready_port())
-        << "\", \"stores\": [\"" << text(ip(200, 1), value.store_port_)
+        << "\", \"stores\": [\""
+        << (way_ ? text(ip(201, 1), commands_port())
+                 : text(ip(200, 1), value.store_port_))
         << "\"], \"store_watchers\": 128, \"store_value_bytes\": 1048576, "
         << "\"apply_within_ms\": 3000, \"seeds\": [" << seeds()
         << "], \"seed_port\": " << range_first() << ", \"keys\": [" << keys
@@ -1493,6 +1677,49 @@
           { start_target(side, former.service_, former.id_ + "-new"); });
 }
 
+// The answer of a write of the stored list is lost, and the write is executed
+// later, after the next ones. Much later all edge machines are replaced.
+void deployment::write_list_late()
+{
+    constexpr milliseconds growth_at{18'000};
+    constexpr milliseconds late{5'500};
+    constexpr milliseconds loss_at{36'000};
+    constexpr milliseconds down{1'600};
+    way_ = std::make_unique<store_way>(
+        io_, at(ip(201, 1), commands_port()), at(ip(200, 1), first_port_ + 31),
+        [this](std::string const& text) { say(text); });
+    after(lead_time + milliseconds(1'000),
+          [this] {
+              traffic(40, {milliseconds(9'500), milliseconds(500)});
+          });
+    after(growth_at,
+          [this]
+          {
+              say("2 targets are added over 2 s");
+              if (!options_.is_calm_)
+              {
+                  way_->lose_next("daisytrail/targets", late);
+              }
+              scale_out(2, milliseconds(1'000));
+          });
+    after(loss_at,
+          [this]
+          {
+              say("all edge machines are lost for good");
+              for (auto& each : edges_)
+              {
+                  lose(*each.machine_);
+              }
+          });
+    after(loss_at + down,
+          [this]
+          {
+              say("6 edge machines are added at new addresses");
+              replace_lost_edges();
+          });
+    end_after(milliseconds(56'000));
+}
+
 void deployment::end_after(milliseconds time)
 {
     after(time,
@@ -1558,6 +1785,10 @@
     {
         replace_all_machines();
     }
+    else if (options_.mode_ == "write-list-late")
+    {
+        write_list_late();
+    }
     else if (options_.mode_ == "replace-all-edges")
     {
         replace_all_edges();
