--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -48,7 +48,7 @@
 class balancer_membership
 {
 public:
-    balancer_membership(target_record self, std::vector<endpoint> const& seeds,
+    balancer_membership(target_record self, std::vector<endpoint> seeds,
                         template_check check, std::uint64_t random_seed,
                         membership_timing timing = {});
 
@@ -91,8 +91,11 @@
         return confirmation_.confirmed_as_of();
     }
 
+    // Replaces the control endpoints to join the fleet through.
+    void set_seeds(std::vector<endpoint> seeds);
+
     // Adds control endpoints of balancers, found in the store.
-    void add_seeds(std::vector<endpoint> const& seeds);
+    void add_contacts(std::vector<endpoint> const& found);
 
     // Adds the targets of the stored list. Those that are unknown are pinged,
     // so that they announce themselves.
@@ -238,7 +241,8 @@
     probe_relay relay_;
     listed_targets listed_;
     std::mt19937_64 random_;
-    std::vector<endpoint> seeds_;
+    std::vector<endpoint> seeds_;    // of the settings
+    std::vector<endpoint> contacts_; // of the store
     std::unordered_map<target_id, observation> observations_;
     pending_gossip_map pending_gossip_;
     std::unordered_map<std::uint64_t, pull> pulls_;
@@ -287,6 +291,10 @@
     std::vector<control_action> publish(target_status const& status,
                                         time_point now);
 
+    // Replaces the control endpoints to announce this agent to while it has no
+    // observers.
+    void set_seeds(std::vector<endpoint> seeds);
+
     target_record const& self() const
     {
         return self_;
@@ -334,6 +342,7 @@
 
     void send(endpoint const& to, control_message message);
     void announce();
+    std::vector<endpoint> choose_contacts();
     void retransmit_announcement();
     heartbeat_message make_heartbeat() const;
     void merge(target_record const& record);
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -4,6 +4,7 @@
 #include "net/agent_control.hpp"
 #include "net/daemon.hpp"
 #include "net/log.hpp"
+#include "net/settings_follower.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/serialize.hpp>
@@ -15,7 +16,7 @@
 
 using namespace daisytrail;
 
-void run_agent(agent_settings const& settings)
+void run_agent(std::string const& path, agent_settings const& settings)
 {
     start_log("daisytrail-agent", settings.common_.name_);
     boost::asio::io_context io;
@@ -56,6 +57,12 @@
                {"tunnel", to_string(settings.tunnel_)},
                {"control", to_string(settings.common_.control_)},
                {"http", to_string(settings.common_.http_)}});
+    settings_follower const follower(
+        io, path,
+        [&path](std::string const& text)
+        { return check_settings(path, text, parse_agent_settings).common_; },
+        [&control](std::vector<endpoint> const& seeds)
+        { control.set_seeds(seeds); });
     io.run();
 }
 
@@ -69,8 +76,8 @@
         {"daisytrail-agent", "Owns the flows of one backend server.",
          [&](std::string const& path)
          { settings = load_settings(path, parse_agent_settings); },
-         [&]
+         [&](std::string const& path)
          {
-             run_agent(settings);
+             run_agent(path, settings);
          }});
 }
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -33,7 +33,7 @@
 
 balancer::balancer(boost::asio::io_context& io,
                    balancer_settings const& settings)
-    : settings_(settings), view_updater_(view_, metrics_),
+    : io_(io), settings_(settings), view_updater_(view_, metrics_),
       http_server_(io, settings.common_.http_),
       forwarder_(io, settings.data_, view_, metrics_),
       control_(io, settings, metrics_, view_updater_, make_store(io, settings)),
@@ -53,6 +53,11 @@
                {"http", to_string(settings_.common_.http_)}});
 }
 
+void balancer::set_seeds(std::vector<endpoint> const& seeds)
+{
+    control_.set_seeds(seeds);
+}
+
 void balancer::add_gauges()
 {
     metrics_.gauge("daisytrail_services", [this]
@@ -113,7 +118,8 @@
 {
     forwarder_.stop();
     http_server_.stop();
-    signals_.cancel();
+    // Timers and idle connections would keep the event loop running.
+    io_.stop();
 }
 
 } // namespace daisytrail
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -25,6 +25,9 @@
     // Starts immediately and serves while `io` runs. `settings` must outlive
     // the balancer.
     balancer(boost::asio::io_context& io, balancer_settings const& settings);
+    // Replaces the balancers to contact first.
+    void set_seeds(std::vector<endpoint> const& seeds);
+
     balancer(balancer const&) = delete;
     balancer& operator=(balancer const&) = delete;
 
@@ -36,6 +39,7 @@
     void linger();
     void finish_stop();
 
+    boost::asio::io_context& io_;
     balancer_settings const& settings_;
     metrics metrics_;
     fleet_view view_;
--- a/src/balancer/main.cpp
+++ b/src/balancer/main.cpp
@@ -4,6 +4,7 @@
 #include "config/settings_file.hpp"
 #include "net/daemon.hpp"
 #include "net/log.hpp"
+#include "net/settings_follower.hpp"
 
 int main(int argc, char** argv)
 {
@@ -14,11 +15,19 @@
         {"daisytrail-balancer", "Forwards packets from the fabric to agents.",
          [&](std::string const& path)
          { settings = load_settings(path, parse_balancer_settings); },
-         [&]
+         [&](std::string const& path)
          {
              start_log("daisytrail-balancer", settings.common_.name_);
              boost::asio::io_context io;
-             balancer const process(io, settings);
+             balancer process(io, settings);
+             settings_follower const follower(
+                 io, path,
+                 [&path](std::string const& text) {
+                     return check_settings(path, text, parse_balancer_settings)
+                         .common_;
+                 },
+                 [&process](std::vector<endpoint> const& seeds)
+                 { process.set_seeds(seeds); });
              io.run();
          }});
 }
--- a/src/config/settings_file.hpp
+++ b/src/config/settings_file.hpp
@@ -16,13 +16,13 @@
 std::string describe_errors(std::string const& path,
                             std::vector<template_error> const& errors);
 
-// Loads a settings file; throws error(invalid_argument) that lists all errors:
-//   auto settings = load_settings(path, parse_agent_settings);
+// Parses the content of the settings file at `path`; throws
+// error(invalid_argument) that lists all errors.
 template <typename Settings>
-Settings load_settings(std::string const& path,
-                       parsed_settings<Settings> (*parse)(std::string_view))
+Settings check_settings(std::string const& path, std::string_view text,
+                        parsed_settings<Settings> (*parse)(std::string_view))
 {
-    auto parsed = parse(read_file(path));
+    auto parsed = parse(text);
     if (!parsed.errors_.empty())
     {
         throw error(error_kind::invalid_argument,
@@ -32,4 +32,13 @@
     return std::move(parsed.value_);
 }
 
+// Loads a settings file:
+//   auto settings = load_settings(path, parse_agent_settings);
+template <typename Settings>
+Settings load_settings(std::string const& path,
+                       parsed_settings<Settings> (*parse)(std::string_view))
+{
+    return check_settings(path, read_file(path), parse);
+}
+
 } // namespace daisytrail
--- a/src/core/agent_announcer.cpp
+++ b/src/core/agent_announcer.cpp
@@ -111,21 +111,37 @@
     }
     if (observers_.empty())
     {
-        auto contacts = seeds_;
-        std::ranges::copy_if(
-            known_balancers_, std::back_inserter(contacts),
-            [this](endpoint const& known)
-            { return std::ranges::find(seeds_, known) == seeds_.end(); });
-        std::vector<endpoint> chosen;
-        std::ranges::sample(contacts, std::back_inserter(chosen),
-                            contact_fanout, random_);
-        for (auto const& contact : chosen)
+        for (auto const& contact : choose_contacts())
         {
             send(contact, message);
         }
     }
 }
 
+// Chooses most contacts among the seeds, which the settings keep current. The
+// former observers may all be gone, and outnumber the seeds.
+std::vector<endpoint> agent_announcer::choose_contacts()
+{
+    std::vector<endpoint> known;
+    std::ranges::copy_if(
+        known_balancers_, std::back_inserter(known),
+        [this](endpoint const& each)
+        { return std::ranges::find(seeds_, each) == seeds_.end(); });
+    auto const seed_count = known.empty() ? contact_fanout : contact_fanout - 1;
+    std::vector<endpoint> chosen;
+    std::ranges::sample(seeds_, std::back_inserter(chosen),
+                        static_cast<std::ptrdiff_t>(seed_count), random_);
+    std::ranges::sample(
+        known, std::back_inserter(chosen),
+        static_cast<std::ptrdiff_t>(contact_fanout - chosen.size()), random_);
+    return chosen;
+}
+
+void agent_announcer::set_seeds(std::vector<endpoint> seeds)
+{
+    seeds_ = std::move(seeds);
+}
+
 void agent_announcer::remember_balancer(endpoint const& control)
 {
     std::erase(known_balancers_, control);
--- a/src/core/balancer_gossip.cpp
+++ b/src/core/balancer_gossip.cpp
@@ -148,6 +148,7 @@
 std::vector<endpoint> balancer_membership::lost_endpoints() const
 {
     std::vector<endpoint> result = seeds_;
+    result.insert(result.end(), contacts_.begin(), contacts_.end());
     for (auto const id : table_.service_members(balancer_service))
     {
         auto const& record = *table_.find(id);
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 balancer_membership::balancer_membership(target_record self,
-                                         std::vector<endpoint> const& seeds,
+                                         std::vector<endpoint> seeds,
                                          template_check check,
                                          std::uint64_t random_seed,
                                          membership_timing timing)
@@ -56,17 +56,23 @@
 {
     self_.service_ = balancer_service;
     table_.merge(self_, now_);
-    add_seeds(seeds);
+    set_seeds(std::move(seeds));
 }
 
-void balancer_membership::add_seeds(std::vector<endpoint> const& seeds)
+void balancer_membership::set_seeds(std::vector<endpoint> seeds)
 {
-    for (auto const& seed : seeds)
+    seeds_ = std::move(seeds);
+    std::erase(seeds_, self_.control_);
+}
+
+void balancer_membership::add_contacts(std::vector<endpoint> const& found)
+{
+    for (auto const& contact : found)
     {
-        if (seed != self_.control_ &&
-            std::ranges::find(seeds_, seed) == seeds_.end())
+        if (contact != self_.control_ &&
+            std::ranges::find(contacts_, contact) == contacts_.end())
         {
-            seeds_.push_back(seed);
+            contacts_.push_back(contact);
         }
     }
 }
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -48,7 +48,7 @@
       control_(io, without_service(settings.agent_), metrics_, *this),
       timer_(io, tick_interval, [this] { on_tick(); }),
       tick_late_(metrics_.latency("daisytrail_tick_late_seconds")),
-      signals_(io, SIGTERM, SIGINT, SIGHUP)
+      signals_(io, SIGTERM, SIGINT)
 {
     add_http_routes();
     wait_for_signal();
@@ -85,6 +85,11 @@
                        });
 }
 
+void forward_agent::set_seeds(std::vector<endpoint> const& seeds)
+{
+    control_.set_seeds(seeds);
+}
+
 bool forward_agent::on_announcement(backend_announcement const& value)
 {
     auto const previous_phase = lifecycle_.phase();
@@ -176,25 +181,18 @@
 void forward_agent::wait_for_signal()
 {
     signals_.async_wait(
-        [this](boost::system::error_code code, int signal)
+        [this](boost::system::error_code code, int)
         {
             if (!code)
             {
-                on_signal(signal);
+                begin_stop();
                 wait_for_signal();
             }
         });
 }
 
-void forward_agent::on_signal(int signal)
+void forward_agent::begin_stop()
 {
-    if (signal == SIGHUP)
-    {
-        // The addresses in the settings can't change while the process runs.
-        log_event(log_level::info, "reload_ignored",
-                  {{"reason", "settings are read at the start only"}});
-        return;
-    }
     if (stopping_since_)
     {
         return;
--- a/src/forward/forward_agent.hpp
+++ b/src/forward/forward_agent.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <optional>
+#include <vector>
 
 namespace daisytrail
 {
@@ -39,6 +40,9 @@
     // Processes the end of the backend server's run with this id.
     void on_backend_end(std::string const& id);
 
+    // Replaces the balancers to contact first.
+    void set_seeds(std::vector<endpoint> const& seeds);
+
     http_server& http()
     {
         return http_server_;
@@ -52,7 +56,7 @@
     void add_http_routes();
     void begin_run(backend_phase previous_phase, std::uint64_t sequence);
     void wait_for_signal();
-    void on_signal(int signal);
+    void begin_stop();
     void on_tick();
     void publish();
     void finish_stop_if_idle(time_point now);
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -55,7 +55,7 @@
       control_(io, settings.balancer_, metrics_, *this, std::move(store)),
       timer_(io, tick_interval, [this] { on_tick(); }),
       tick_late_(metrics_.latency("daisytrail_tick_late_seconds")),
-      signals_(io, SIGTERM, SIGINT, SIGHUP)
+      signals_(io, SIGTERM, SIGINT)
 {
     add_http_routes();
     wait_for_signal();
@@ -74,6 +74,11 @@
     return !stops_at_ && is_settled_;
 }
 
+void forward_balancer::set_seeds(std::vector<endpoint> const& seeds)
+{
+    control_.set_seeds(seeds);
+}
+
 void forward_balancer::add_http_routes()
 {
     http_server_.route("GET", "/health",
@@ -118,33 +123,22 @@
 void forward_balancer::wait_for_signal()
 {
     signals_.async_wait(
-        [this](boost::system::error_code code, int signal)
+        [this](boost::system::error_code code, int)
         {
             if (!code)
             {
-                on_signal(signal);
+                begin_stop();
                 wait_for_signal();
             }
         });
 }
 
-void forward_balancer::on_signal(int signal)
+void forward_balancer::begin_stop()
 {
-    if (signal == SIGHUP)
+    if (stops_at_)
     {
-        // The addresses in the settings can't change while the process runs.
-        log_event(log_level::info, "reload_ignored",
-                  {{"reason", "settings are read at the start only"}});
         return;
     }
-    if (!stops_at_)
-    {
-        begin_stop();
-    }
-}
-
-void forward_balancer::begin_stop()
-{
     stops_at_ = current_time() + linger_time;
     log_event(log_level::info, "stopping",
               {{"linger_ms", linger_time.count()}});
--- a/src/forward/forward_balancer.hpp
+++ b/src/forward/forward_balancer.hpp
@@ -17,6 +17,7 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace daisytrail
 {
@@ -34,6 +35,9 @@
     // True if the fabric may send callers' packets to this balancer.
     bool is_ready() const;
 
+    // Replaces the balancers to contact first.
+    void set_seeds(std::vector<endpoint> const& seeds);
+
     http_server& http()
     {
         return http_server_;
@@ -48,7 +52,6 @@
 private:
     void add_http_routes();
     void wait_for_signal();
-    void on_signal(int signal);
     void on_tick();
     bool has_settled(time_point now) const;
     void begin_stop();
--- a/src/net/agent_control.cpp
+++ b/src/net/agent_control.cpp
@@ -66,6 +66,11 @@
     tick();
 }
 
+void agent_control::set_seeds(std::vector<endpoint> const& seeds)
+{
+    announcer_.set_seeds(seeds);
+}
+
 void agent_control::publish(target_status const& status)
 {
     runner_.run(announcer_.publish(status, steady_clock::now()));
--- a/src/net/agent_control.hpp
+++ b/src/net/agent_control.hpp
@@ -20,6 +20,9 @@
 
     void start();
 
+    // Replaces the seeds, after a change of the settings.
+    void set_seeds(std::vector<endpoint> const& seeds);
+
     // Publishes that the target has left. Calls `done` once a balancer has
     // acknowledged it, or after a timeout.
     void stop(std::function<void()> done);
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -113,7 +113,7 @@
     {
         watcher_->start(
             [this](std::vector<endpoint> const& found)
-            { membership_.add_seeds(found); },
+            { membership_.add_contacts(found); },
             [this](std::string const& value) { apply_target_list(value); },
             [this](std::string const& organisation, std::string const& copy)
             { offer_copy(organisation, copy); });
@@ -123,6 +123,11 @@
     tick();
 }
 
+void balancer_control::set_seeds(std::vector<endpoint> const& seeds)
+{
+    membership_.set_seeds(seeds);
+}
+
 void balancer_control::confirm_view()
 {
     runner_.run(membership_.confirm_view(steady_clock::now()));
--- a/src/net/balancer_control.hpp
+++ b/src/net/balancer_control.hpp
@@ -26,6 +26,9 @@
 
     void start();
 
+    // Replaces the seeds, after a change of the settings.
+    void set_seeds(std::vector<endpoint> const& seeds);
+
     // Asks other balancers for targets that this balancer doesn't know. Once
     // they report no further target, control_events::on_view_confirmed() is
     // called.
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -2,6 +2,7 @@
 #include "net/daemon.hpp"
 
 #include "net/log.hpp"
+#include "net/settings_follower.hpp"
 
 #include <daisytrail/error.hpp>
 
@@ -24,6 +25,7 @@
                  "check the settings file and exit");
     app.set_version_flag("--version", DAISYTRAIL_VERSION);
     CLI11_PARSE(app, argc, argv);
+    ignore_early_reload_signal();
     try
     {
         definition.load_(settings_path);
@@ -32,7 +34,7 @@
             std::cout << settings_path << ": settings are valid\n";
             return 0;
         }
-        definition.run_();
+        definition.run_(settings_path);
         log_event(log_level::info, "stopped");
         return 0;
     }
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -14,8 +14,9 @@
     std::string description_; // first line of --help
     // Reads and checks the settings file. Throws daisytrail::error.
     std::function<void(std::string const& path)> load_;
-    // Runs the daemon until its graceful stop is complete.
-    std::function<void()> run_;
+    // Runs the daemon until its graceful stop is complete. The settings file at
+    // `path` may change meanwhile.
+    std::function<void(std::string const& path)> run_;
 };
 
 // Handles --settings, --check-settings, --version and --help, and runs the
--- a/test/support/platform_fleet.sh
+++ b/test/support/platform_fleet.sh
@@ -18,8 +18,11 @@
     wait_for_port "$command_port"
 }
 
-# start_platform_balancer NUMBER, from 1
-start_platform_balancer() {
+# Control address of balancer $1, as a string of JSON.
+balancer_seed() { echo "\"127.0.0.1:$((PORT_BASE + 401 + 5 * $1))\""; }
+
+# write_platform_balancer NUMBER: its settings, with the seeds in SEEDS.
+write_platform_balancer() {
     local i=$1 port=$((PORT_BASE + 400 + 5 * $1))
     cat >"$WORK/balancer-$i.json" <<JSON
 {
@@ -28,16 +31,75 @@
     "http": "127.0.0.1:$((port + 2))", "relay": "127.0.0.1:$((port + 3))",
     "stores": ["127.0.0.1:$(store_way "$i")"],
     "store_watchers": ${STORE_WATCHERS:-32}, "apply_within_ms": 3000,
-    "seeds": ["127.0.0.1:$((PORT_BASE + 406))"],
+    "seeds": [${SEEDS-$(balancer_seed 1)}],
     "keys": ["$KEY"]
 }
 JSON
+}
+
+# start_platform_balancer NUMBER, from 1
+start_platform_balancer() {
+    local i=$1 port=$((PORT_BASE + 400 + 5 * $1))
+    write_platform_balancer "$i"
     launch "balancer-$i" daisytrail-platform-balancer \
         --settings "$WORK/balancer-$i.json"
     PROCESS_HTTP[balancer-$i]=$((port + 2))
     wait_for_port $((port + 2))
 }
 
+# write_platform_agent NUMBER: its settings, with the seeds in SEEDS.
+write_platform_agent() {
+    local i=$1 port=$((PORT_BASE + 500 + 5 * $1))
+    cat >"$WORK/agent-$i.json" <<JSON
+{
+    "name": "agent-$i", "failure_domain": "lafrenz",
+    "organisation": "site", "service": "till-$((i % 2))",
+    "tunnel": "127.0.0.1:$port", "control": "127.0.0.1:$((port + 1))",
+    "http": "127.0.0.1:$((port + 2))", "outbound": "127.0.0.1:$((port + 3))",
+    "backend": "127.0.0.1:$((port + 4))",
+    "seeds": [${SEEDS-$(balancer_seed 1)}],
+    "keys": ["$KEY"]
+}
+JSON
+}
+
+# start_platform_agent NUMBER, from 1
+start_platform_agent() {
+    local i=$1 port=$((PORT_BASE + 500 + 5 * $1))
+    write_platform_agent "$i"
+    launch "agent-$i" daisytrail-platform-agent \
+        --settings "$WORK/agent-$i.json"
+    PROCESS_HTTP[agent-$i]=$((port + 2))
+    wait_for_port $((port + 2))
+}
+
+# lists_members BALANCER NAME...: it lists each of these members as living.
+lists_members() {
+    local page name
+    page=$(curl -s -m 2 "http://127.0.0.1:${PROCESS_HTTP[$1]}/members" |
+        sed 's/},{/}\n{/g' | grep -E '"state":"(ready|draining)"')
+    shift
+    for name in "$@"; do
+        grep -q "\"name\":\"$name\"" <<<"$page" || return 1
+    done
+}
+
+# all_list_members MILLISECONDS "BALANCER..." NAME...: each of the balancers
+# lists each of the members within this time.
+all_list_members() {
+    local deadline=$(($(date +%s%3N) + $1)) balancer balancers=$2
+    shift 2
+    for balancer in $balancers; do
+        until lists_members "$balancer" "$@"; do
+            if (($(date +%s%3N) > deadline)); then
+                echo "  $balancer doesn't list all of $*"
+                return 1
+            fi
+            sleep 0.1
+        done
+    done
+}
+
 # store_command PATH BODY
 store_command() {
     curl -s -m 10 -f -o /dev/null --data-binary @- \
