--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -94,11 +94,18 @@
     // Replaces the control endpoints to join the fleet through.
     void set_seeds(std::vector<endpoint> seeds);
 
+    // Tells that this balancer reads the stored list of targets. It then isn't
+    // taken to know all targets before it has read the list.
+    void expect_target_list()
+    {
+        expects_target_list_ = true;
+    }
+
     // Adds control endpoints of balancers, found in the store.
     void add_contacts(std::vector<endpoint> const& found);
 
-    // Adds the targets of the stored list. Those that are unknown are pinged,
-    // so that they announce themselves.
+    // Adds the targets of the stored list, which may be empty. Those that are
+    // unknown are pinged, so that they announce themselves.
     void add_listed_targets(std::vector<target_record> const& targets,
                             time_point now);
 
@@ -187,6 +194,8 @@
     void send_view_questions();
     void check_view_confirmation();
     bool is_settled() const;
+    bool has_evidence_of_targets() const;
+    void seek_first_confirmation();
     std::size_t other_balancer_count() const;
 
     void send(endpoint const& to, control_message message);
@@ -262,6 +271,7 @@
     time_point last_reconnect_at_;
     time_point started_at_;
     bool is_started_ = false;
+    bool expects_target_list_ = false;
     std::vector<control_action> actions_;
 };
 
--- a/include/daisytrail/view_confirmation.hpp
+++ b/include/daisytrail/view_confirmation.hpp
@@ -27,6 +27,14 @@
 // doesn't confirm the view of another balancer.
 inline constexpr std::chrono::milliseconds settling_period{5'000};
 
+// The same for a balancer whose own view no settled balancer has confirmed, as
+// after the loss of all balancers: its peers know no more than it does. Within
+// this time every target that lives has had a way to announce itself: its
+// agent notices that its observers are gone, the settings name the seeds that
+// run, the agent reads them and repeats its heartbeat to them, and the record
+// reaches all balancers.
+inline constexpr std::chrono::milliseconds announcement_period{8'000};
+
 // Asks other balancers in rounds. One round serves all requests made while it
 // runs. Load pattern: thousands of flow searches end within one second.
 class view_confirmation
@@ -42,6 +50,9 @@
     // the minimum interval ago.
     void request_confirmation(time_point now);
 
+    // The same for a confirmation that nobody waits for yet.
+    void start_round(time_point now);
+
     bool is_running() const
     {
         return round_started_at_.has_value();
--- a/src/core/balancer_confirmation.cpp
+++ b/src/core/balancer_confirmation.cpp
@@ -66,14 +66,42 @@
 
 // A balancer that has just started, that has just read of targets which it
 // doesn't know, or that most other members don't answer, may not know all
-// targets and can't confirm a view.
+// targets and can't confirm a view. Agreement with peers that are as young as
+// it is proves nothing: they may all lack the same target.
 bool balancer_membership::is_settled() const
 {
     bool const waits_for_targets =
         !listed_.unknown().empty() &&
         now_ < listed_.read_at().value_or(now_) + settling_period;
     return is_started_ && now_ >= started_at_ + settling_period &&
-           !waits_for_targets && !health_.suspects_self();
+           !waits_for_targets && !health_.suspects_self() &&
+           has_evidence_of_targets();
+}
+
+// True if a target that this balancer doesn't know would be known to a balancer
+// that has confirmed its view, or has had the time to announce itself.
+bool balancer_membership::has_evidence_of_targets() const
+{
+    if (confirmation_.confirmed_as_of())
+    {
+        return true;
+    }
+    bool const awaits_list = expects_target_list_ && !listed_.read_at();
+    return now_ >= started_at_ + (awaits_list ? duration(listed_target_lifetime)
+                                              : duration(announcement_period));
+}
+
+// Asks for a confirmation that no search needs yet, so that a balancer that was
+// restarted beside others soon confirms views itself.
+void balancer_membership::seek_first_confirmation()
+{
+    bool const is_due = now_ >= started_at_ + settling_period &&
+                        now_ < started_at_ + announcement_period;
+    if (is_due && !confirmation_.confirmed_as_of() &&
+        other_balancer_count() > 0)
+    {
+        confirmation_.start_round(now_);
+    }
 }
 
 std::size_t balancer_membership::other_balancer_count() const
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -132,6 +132,7 @@
     sample_reachability();
     run_detector();
     health_.tick(now_, other_balancer_count() > 0, actions_);
+    seek_first_confirmation();
     send_view_questions();
     check_view_confirmation();
     confirmation_.tick(now_, actions_);
--- a/src/core/view_confirmation.cpp
+++ b/src/core/view_confirmation.cpp
@@ -79,20 +79,28 @@
 void view_confirmation::request_confirmation(time_point now)
 {
     last_requested_at_ = now;
+    start_round(now);
+    if (is_running() && !waiting_since_)
+    {
+        waiting_since_ = now;
+    }
+}
+
+void view_confirmation::start_round(time_point now)
+{
     if (is_running() || now < last_round_started_at_ + min_round_interval)
     {
         return;
     }
+    if (!waiting_since_)
+    {
+        answer_timeout_ = initial_answer_timeout;
+    }
     ++round_;
     round_started_at_ = now;
     last_round_started_at_ = now;
     next_questions_at_ = now;
     questions_.clear();
-    if (!waiting_since_)
-    {
-        waiting_since_ = now;
-        answer_timeout_ = initial_answer_timeout;
-    }
 }
 
 bool view_confirmation::have_all_answered() const
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -94,6 +94,7 @@
                    });
     if (store)
     {
+        membership_.expect_target_list();
         watcher_ = std::make_unique<store_watcher>(
             io, std::move(store), settings, counters,
             [this](store_entry const& entry) { offer_template(entry); });
@@ -253,11 +254,11 @@
     }
     log_event(log_level::info, "target_list",
               {{"targets", targets.size()}, {"source", "store"}});
+    membership_.add_listed_targets(targets, steady_clock::now());
     // An empty list means that no balancer has written the key yet, so that the
     // existing targets are unknown.
     if (!targets.empty())
     {
-        membership_.add_listed_targets(targets, steady_clock::now());
         events_.on_target_list(targets);
     }
 }
--- a/test/support/control_fleet.hpp
+++ b/test/support/control_fleet.hpp
@@ -227,6 +227,16 @@
         apply_actions(balancer, balancer.balancer_->confirm_view(now_));
     }
 
+    // Forgets the confirmations seen so far, but not those that the balancers
+    // themselves remember.
+    void forget_confirmations()
+    {
+        for (auto& [port, each] : processes_)
+        {
+            each->view_confirmed_as_of_.reset();
+        }
+    }
+
     void publish(process& agent, member_state state)
     {
         apply_actions(agent, agent.agent_->publish({4, 100, 1, state}, now_));
@@ -537,6 +547,7 @@
 
 // Adds balancers b0, b1, ... and agents t0, t1, ... of one service, and runs
 // the fleet for 6 s, in which they discover each other.
+// All processes start at once. Runs until the balancers confirm views.
 inline void build_fleet(control_fleet& fleet, int balancers, int agents,
                         std::string const& organisation = "org")
 {
@@ -548,7 +559,8 @@
     {
         fleet.add_agent("t" + std::to_string(i), 7, organisation);
     }
-    fleet.run_for(seconds(6));
+    fleet.run_for(announcement_period + seconds(1));
+    fleet.forget_confirmations();
 }
 
 } // namespace daisytrail::test
--- a/test/unit/listed_targets_test.cpp
+++ b/test/unit/listed_targets_test.cpp
@@ -242,6 +242,110 @@
     CHECK(asking.view_confirmed_as_of_);
 }
 
+namespace
+{
+
+// What the platform's pages promise of a target that lives: seeds name running
+// balancers this long after their start. Its agent then needs a moment to read
+// them and to be heard.
+constexpr milliseconds found_within{7'000};
+
+// All balancers are replaced, and one agent learns of the new ones late.
+// Returns the first of the new balancers.
+process& replace_all_balancers(control_fleet& fleet)
+{
+    build_fleet(fleet, 3, 2, "");
+    for (std::string const gone : {"b0", "b1", "b2"})
+    {
+        fleet.at(gone).is_alive_ = false;
+    }
+    fleet.at("t1").partition_ = 1;
+    fleet.set_seeds({});
+    fleet.add_balancer("n0");
+    fleet.set_seeds({"n0"});
+    fleet.add_balancer("n1");
+    fleet.add_balancer("n2");
+    return fleet.at("n0");
+}
+
+// Asks for a confirmation again and again, as a search does.
+void confirm_for(control_fleet& fleet, process& asking, duration time)
+{
+    auto const end = fleet.now() + time;
+    while (fleet.now() < end)
+    {
+        fleet.confirm_view(asking);
+        fleet.run_for(milliseconds(100));
+    }
+}
+
+} // namespace
+
+// FLOW: after all balancers had been replaced, the new ones agreed that they
+// knew no further target before the target that was added last had reached one
+// of them, and reset its flows.
+TEST_CASE("balancers that are all new agree that they know all targets before "
+          "a target had the time to announce itself")
+{
+    control_fleet fleet(1);
+    auto& asking = replace_all_balancers(fleet);
+    confirm_for(fleet, asking, found_within);
+    CHECK_FALSE(asking.view_confirmed_as_of_);
+    // A flow that no target holds is refused some time.
+    confirm_for(fleet, asking, seconds(2));
+    CHECK(asking.view_confirmed_as_of_);
+}
+
+// The same for a balancer that has no peer to ask.
+TEST_CASE("a balancer that is alone and new waits for targets to announce "
+          "themselves")
+{
+    control_fleet fleet(1);
+    auto& asking = fleet.add_balancer("n0");
+    confirm_for(fleet, asking, found_within);
+    CHECK_FALSE(asking.view_confirmed_as_of_);
+    confirm_for(fleet, asking, seconds(2));
+    CHECK(asking.view_confirmed_as_of_);
+}
+
+// Without the stored list nobody knows who was there before.
+TEST_CASE(
+    "balancers that are all new and can't read the stored list confirm no "
+    "view")
+{
+    control_fleet fleet(1);
+    auto& asking = replace_all_balancers(fleet);
+    for (std::string const name : {"n0", "n1", "n2"})
+    {
+        fleet.at(name).balancer_->expect_target_list();
+    }
+    confirm_for(fleet, asking, seconds(15));
+    CHECK_FALSE(asking.view_confirmed_as_of_);
+    for (std::string const name : {"n0", "n1", "n2"})
+    {
+        fleet.at(name).balancer_->add_listed_targets({}, fleet.now());
+    }
+    confirm_for(fleet, asking, seconds(1));
+    CHECK(asking.view_confirmed_as_of_);
+}
+
+// A planned restart beside balancers that know the targets costs no more time.
+TEST_CASE("a balancer that restarts beside others soon confirms views")
+{
+    control_fleet fleet(1);
+    build_fleet(fleet, 3, 2, "");
+    fleet.run_for(announcement_period);
+    for (std::string const name : {"b0", "b1", "b2"})
+    {
+        fleet.restart_balancer(name);
+        fleet.run_for(settling_period + milliseconds(500));
+    }
+    auto& asking = fleet.at("b0");
+    asking.view_confirmed_as_of_.reset();
+    confirm_for(fleet, asking, milliseconds(300));
+    CHECK(asking.view_confirmed_as_of_);
+}
+
 // Restarts of all balancers in any order, at once or one after the other, while
 // balancers write the list at any time.
 TEST_CASE("no running target is lost from the list over restarts of all "
