--- a/include/daisytrail/control_messages.hpp
+++ b/include/daisytrail/control_messages.hpp
@@ -274,6 +274,7 @@
     view_unconfirmed,       // a view confirmation is overdue
     view_unconfirmed_ended, // confirmed, or no longer requested
     transfer_failed,        // a peer's template couldn't be put together
+    contact_found,          // a balancer runs that isn't a member here
     count
 };
 
@@ -291,7 +292,8 @@
                       "balancers_heard",
                       "view_unconfirmed",
                       "view_settled",
-                      "template_transfer_failed"};
+                      "template_transfer_failed",
+                      "contact_found"};
 
 struct report_action
 {
--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -94,15 +95,21 @@
     // Replaces the control endpoints to join the fleet through.
     void set_seeds(std::vector<endpoint> seeds);
 
-    // Tells that this balancer reads the stored list of targets. It then isn't
-    // taken to know all targets before it has read the list.
-    void expect_target_list()
+    // Tells that this balancer reads the store. It then confirms no view before
+    // it has read the list of targets and the contacts.
+    void use_store()
     {
-        expects_target_list_ = true;
+        uses_store_ = true;
     }
 
-    // Adds control endpoints of balancers, found in the store.
-    void add_contacts(std::vector<endpoint> const& found);
+    // True if this balancer has to read the contacts in the store: it knows no
+    // other balancer, it has just started, or so many have ended that others
+    // may have taken their places without knowing this one.
+    bool needs_contacts() const;
+
+    // Takes the contacts that were read from the store: control endpoints of
+    // balancers of any part of the fleet.
+    void add_contacts(std::vector<endpoint> const& found, time_point now);
 
     // Adds the targets of the stored list, which may be empty. Those that are
     // unknown are pinged, so that they announce themselves.
@@ -171,6 +178,13 @@
         int attempts_ = 0;
     };
 
+    // Control endpoint of a balancer of which the store or an agent told.
+    struct found_contact
+    {
+        endpoint control_;
+        time_point found_at_; // latest
+    };
+
     // By member or organisation: its version and the number of digests that
     // still carry it.
     using pending_gossip_map = std::map<std::uint64_t, std::pair<item, int>>;
@@ -195,6 +209,12 @@
     void check_view_confirmation();
     bool is_settled() const;
     bool has_evidence_of_targets() const;
+    bool has_evidence_of_balancers() const;
+    bool has_lost_balancers() const;
+    bool is_live_balancer_at(endpoint const& control) const;
+    bool remember_contact(endpoint const& control);
+    void remove_old_contacts();
+    void note_balancer_change(target_record const& record);
     void seek_first_confirmation();
     std::size_t other_balancer_count() const;
 
@@ -250,8 +270,16 @@
     probe_relay relay_;
     listed_targets listed_;
     std::mt19937_64 random_;
-    std::vector<endpoint> seeds_;    // of the settings
-    std::vector<endpoint> contacts_; // of the store
+    std::vector<endpoint> seeds_;         // of the settings
+    std::vector<found_contact> contacts_; // at most max_found_contacts
+    // Balancers that ended since the contacts were last read or a settled
+    // balancer last confirmed the view.
+    std::set<std::uint64_t> lost_balancers_;
+    time_point last_balancer_lost_at_;
+    bool has_read_contacts_ = false;
+    time_point early_reconnect_until_;
+    time_point
+        contacts_settle_at_; // after contacts were read that were unknown
     std::unordered_map<target_id, observation> observations_;
     pending_gossip_map pending_gossip_;
     std::unordered_map<std::uint64_t, pull> pulls_;
@@ -271,7 +299,7 @@
     time_point last_reconnect_at_;
     time_point started_at_;
     bool is_started_ = false;
-    bool expects_target_list_ = false;
+    bool uses_store_ = false;
     std::vector<control_action> actions_;
 };
 
@@ -353,6 +381,7 @@
     void send(endpoint const& to, control_message message);
     void announce();
     std::vector<endpoint> choose_contacts();
+    void send_observers(endpoint const& to);
     void retransmit_announcement();
     heartbeat_message make_heartbeat() const;
     void merge(target_record const& record);
--- a/include/daisytrail/store.hpp
+++ b/include/daisytrail/store.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace daisytrail
@@ -118,6 +119,14 @@
     virtual void range(std::string const& prefix, std::size_t limit,
                        store_handler handler) = 0;
 
+    // The same, but the answer may be some seconds old. A store may answer such
+    // calls at a lower price.
+    virtual void range_stale(std::string const& prefix, std::size_t limit,
+                             store_handler handler)
+    {
+        range(prefix, limit, std::move(handler));
+    }
+
     // Compare-and-swap: applies all writes in one transaction if all
     // comparisons are true.
     virtual void swap(std::vector<store_comparison> comparisons,
--- a/src/core/agent_announcer.cpp
+++ b/src/core/agent_announcer.cpp
@@ -201,9 +201,29 @@
     if (observers_.empty())
     {
         send(from, make_heartbeat());
+        return;
+    }
+    bool const is_observer = std::ranges::find(observers_, sender_,
+                                               [](observer const& value) {
+                                                   return value.contact_.id_;
+                                               }) != observers_.end();
+    if (!is_observer)
+    {
+        send_observers(from);
     }
 }
 
+// Names the observers to a balancer that isn't one of them. It may belong to a
+// part of the fleet that doesn't know them.
+void agent_announcer::send_observers(endpoint const& to)
+{
+    heartbeat_ack message;
+    message.known_ = to_item(self_);
+    std::ranges::transform(observers_, std::back_inserter(message.observers_),
+                           &observer::contact_);
+    send(to, std::move(message));
+}
+
 void agent_announcer::on(pong_message const&, endpoint const&)
 {
     for (auto& send : relay_.mark_alive(sender_))
--- a/src/core/balancer_confirmation.cpp
+++ b/src/core/balancer_confirmation.cpp
@@ -60,6 +60,10 @@
         confirmation_.check(table_, other_balancer_count(), now_);
     if (as_of)
     {
+        if (*as_of >= last_balancer_lost_at_)
+        {
+            lost_balancers_.clear();
+        }
         actions_.emplace_back(view_confirmed_action{*as_of});
     }
 }
@@ -75,7 +79,7 @@
         now_ < listed_.read_at().value_or(now_) + settling_period;
     return is_started_ && now_ >= started_at_ + settling_period &&
            !waits_for_targets && !health_.suspects_self() &&
-           has_evidence_of_targets();
+           has_evidence_of_targets() && has_evidence_of_balancers();
 }
 
 // True if a target that this balancer doesn't know would be known to a balancer
@@ -86,9 +90,19 @@
     {
         return true;
     }
-    bool const awaits_list = expects_target_list_ && !listed_.read_at();
-    return now_ >= started_at_ + (awaits_list ? duration(listed_target_lifetime)
-                                              : duration(announcement_period));
+    bool const awaits_list = uses_store_ && !listed_.read_at();
+    return !awaits_list && now_ >= started_at_ + announcement_period;
+}
+
+// True unless balancers may run that neither this one nor its peers know. After
+// balancers were replaced, the fleet may have split into parts that don't know
+// each other; a target may be known in the other part only.
+bool balancer_membership::has_evidence_of_balancers() const
+{
+    bool const has_read =
+        has_read_contacts_ || confirmation_.confirmed_as_of().has_value();
+    return !uses_store_ ||
+           (has_read && !has_lost_balancers() && now_ >= contacts_settle_at_);
 }
 
 // Asks for a confirmation that no search needs yet, so that a balancer that was
--- a/src/core/balancer_gossip.cpp
+++ b/src/core/balancer_gossip.cpp
@@ -122,12 +122,14 @@
     }
 }
 
-// Contacts a seed that isn't a known live balancer, or a balancer that was
-// declared dead, so that the sides of a healed partition merge again.
+// Contacts a seed or a found contact that isn't a known live balancer, or a
+// balancer that was declared dead, so that the parts of a fleet that was split
+// merge again.
 void balancer_membership::reconnect_lost_members()
 {
     bool const is_early = table_.balancers().size() < 2 ||
-                          now_ < started_at_ + early_reconnect_period;
+                          now_ < started_at_ + early_reconnect_period ||
+                          now_ < early_reconnect_until_;
     if (!restart_if_elapsed(last_reconnect_at_, is_early
                                                     ? early_reconnect_interval
                                                     : reconnect_interval))
@@ -148,7 +150,8 @@
 std::vector<endpoint> balancer_membership::lost_endpoints() const
 {
     std::vector<endpoint> result = seeds_;
-    result.insert(result.end(), contacts_.begin(), contacts_.end());
+    std::ranges::transform(contacts_, std::back_inserter(result),
+                           &found_contact::control_);
     for (auto const id : table_.service_members(balancer_service))
     {
         auto const& record = *table_.find(id);
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -59,24 +59,6 @@
     set_seeds(std::move(seeds));
 }
 
-void balancer_membership::set_seeds(std::vector<endpoint> seeds)
-{
-    seeds_ = std::move(seeds);
-    std::erase(seeds_, self_.control_);
-}
-
-void balancer_membership::add_contacts(std::vector<endpoint> const& found)
-{
-    for (auto const& contact : found)
-    {
-        if (contact != self_.control_ &&
-            std::ranges::find(contacts_, contact) == contacts_.end())
-        {
-            contacts_.push_back(contact);
-        }
-    }
-}
-
 void balancer_membership::add_listed_targets(
     std::vector<target_record> const& targets, time_point now)
 {
@@ -520,6 +502,7 @@
         return;
     }
     table_.remove_ended(now_ - timing_.tombstone_lifetime_);
+    remove_old_contacts();
     std::erase_if(last_received_at_, [this](auto const& entry)
                   { return table_.find(entry.first) == nullptr; });
 }
--- a/src/core/balancer_messages.cpp
+++ b/src/core/balancer_messages.cpp
@@ -386,9 +386,6 @@
     }
 }
 
-// Balancers send no heartbeats, so they ignore acknowledgements.
-void balancer_membership::on(heartbeat_ack const&, endpoint const&) {}
-
 void balancer_membership::on(template_request const& message,
                              endpoint const& from)
 {
@@ -439,6 +436,10 @@
 void balancer_membership::propagate_change(target_record const& record)
 {
     actions_.emplace_back(member_action{record});
+    if (record.service_ == balancer_service)
+    {
+        note_balancer_change(record);
+    }
     enqueue_gossip(to_item(record));
     push_record_to_agents(record);
     if (!may_own_flows(record.state_))
--- a/src/net/balancer_control.cpp
+++ b/src/net/balancer_control.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds stop_delay{300};
 constexpr milliseconds duties_interval{500};
 constexpr std::size_t contacts_per_domain = 2;
+// Balancers that read the contacts regularly, for the whole fleet.
+constexpr std::size_t contact_readers = 2;
 // Source of templates that were read from the copies in the store.
 constexpr std::string_view copy_source = "copy in the store";
 
@@ -94,7 +96,7 @@
                    });
     if (store)
     {
-        membership_.expect_target_list();
+        membership_.use_store();
         watcher_ = std::make_unique<store_watcher>(
             io, std::move(store), settings, counters,
             [this](store_entry const& entry) { offer_template(entry); });
@@ -114,7 +116,7 @@
     {
         watcher_->start(
             [this](std::vector<endpoint> const& found)
-            { membership_.add_contacts(found); },
+            { membership_.add_contacts(found, steady_clock::now()); },
             [this](std::string const& value) { apply_target_list(value); },
             [this](std::string const& organisation, std::string const& copy)
             { offer_copy(organisation, copy); });
@@ -220,7 +222,9 @@
     store_duties duties;
     duties.watches_templates_ =
         membership_.has_duty(hash_name(template_prefix), store_watcher_count_);
-    duties.needs_contacts_ = membership_.members().balancers().size() < 2;
+    duties.needs_contacts_ = membership_.needs_contacts();
+    duties.checks_contacts_ =
+        membership_.has_duty(hash_name(contact_prefix), contact_readers);
     if (auto const slot = membership_.contact_slot(contacts_per_domain))
     {
         duties.contact_key_ = std::string(contact_prefix) +
--- a/src/net/store_watcher.cpp
+++ b/src/net/store_watcher.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds first_backoff{200};
 constexpr milliseconds max_backoff{2'000};
 constexpr milliseconds contacts_interval{2'000};
+// The same for a balancer that reads them by duty. Bounds the time in which the
+// parts of a fleet that was split find each other.
+constexpr milliseconds contacts_check_interval{5'000};
 constexpr milliseconds renew_interval{20'000};
 // A store that loses answers seems to return again and again.
 constexpr milliseconds min_renew_interval{1'000};
@@ -94,7 +97,7 @@
     templates_.tick();
     notice_restoration();
     notice_recovery();
-    if (duties_.needs_contacts_ && !is_contacts_call_pending_ &&
+    if (must_read_contacts() && !is_contacts_call_pending_ &&
         try_start_call(contacts_backoff_))
     {
         read_contacts();
@@ -130,15 +133,32 @@
 }
 
 // Renews the contact as soon as the store answers again: its lease may have
-// lapsed meanwhile.
+// lapsed meanwhile. Reads the contacts, too: balancers may have been replaced.
 void store_watcher::notice_recovery()
 {
     auto const current = call_log_.recoveries();
-    if (std::exchange(noticed_recoveries_, current) != current &&
-        steady_clock::now() >= contact_renewed_at_ + min_renew_interval)
+    if (std::exchange(noticed_recoveries_, current) == current)
+    {
+        return;
+    }
+    auto const now = steady_clock::now();
+    if (now >= contact_renewed_at_ + min_renew_interval)
     {
         lease_backoff_ = {};
     }
+    if (now >= contacts_read_at_ + min_renew_interval)
+    {
+        contacts_read_at_ = {};
+        contacts_backoff_ = {};
+    }
+}
+
+bool store_watcher::must_read_contacts() const
+{
+    auto const interval =
+        duties_.needs_contacts_ ? contacts_interval : contacts_check_interval;
+    return (duties_.needs_contacts_ || duties_.checks_contacts_) &&
+           steady_clock::now() >= contacts_read_at_ + interval;
 }
 
 bool store_watcher::must_write_list() const
@@ -318,20 +338,21 @@
 void store_watcher::read_contacts()
 {
     is_contacts_call_pending_ = true;
-    store_->range(std::string(contact_prefix), max_contacts,
-                  track_call(store_call::read_contacts,
-                             [this](store_answer const& answer)
-                             {
-                                 is_contacts_call_pending_ = false;
-                                 if (answer.error_)
-                                 {
-                                     record_failure(contacts_backoff_);
-                                     return;
-                                 }
-                                 record_success(contacts_backoff_,
-                                                contacts_interval);
-                                 on_contacts_(parse_contacts(answer.entries_));
-                             }));
+    store_->range_stale(
+        std::string(contact_prefix), max_contacts,
+        track_call(store_call::read_contacts,
+                   [this](store_answer const& answer)
+                   {
+                       is_contacts_call_pending_ = false;
+                       if (answer.error_)
+                       {
+                           record_failure(contacts_backoff_);
+                           return;
+                       }
+                       record_success(contacts_backoff_, milliseconds(0));
+                       contacts_read_at_ = steady_clock::now();
+                       on_contacts_(parse_contacts(answer.entries_));
+                   }));
 }
 
 // A refused entry is counted and logged when it is first read, not again with
--- a/src/net/store_watcher.hpp
+++ b/src/net/store_watcher.hpp
@@ -33,7 +33,8 @@
 {
     bool watches_templates_ = false;
     std::optional<std::string> contact_key_; // key to hold under a lease
-    bool needs_contacts_ = false;            // no other balancer is known
+    bool needs_contacts_ = false;  // balancers may run that aren't known
+    bool checks_contacts_ = false; // reads the contacts for its peers, too
     // Current list of targets, set on the balancer that writes it to the store.
     std::optional<std::string> target_list_;
     // Template whose copy this balancer is to write next.
@@ -106,6 +107,7 @@
     void maintain_contact();
     void on_contact_renewed(store_answer const& answer);
     void register_contact();
+    bool must_read_contacts() const;
     void read_contacts();
     std::vector<endpoint>
     parse_contacts(std::vector<store_entry> const& entries);
@@ -151,6 +153,7 @@
     store_generation noticed_generation_ = 0;
     std::uint64_t noticed_recoveries_ = 0;
     time_point contact_renewed_at_{};
+    time_point contacts_read_at_{};
     bool is_stopped_ = false;
     std::shared_ptr<bool> alive_;
     store_call_log call_log_;
--- a/test/unit/listed_targets_test.cpp
+++ b/test/unit/listed_targets_test.cpp
@@ -317,13 +317,14 @@
     auto& asking = replace_all_balancers(fleet);
     for (std::string const name : {"n0", "n1", "n2"})
     {
-        fleet.at(name).balancer_->expect_target_list();
+        fleet.at(name).balancer_->use_store();
     }
     confirm_for(fleet, asking, seconds(15));
     CHECK_FALSE(asking.view_confirmed_as_of_);
     for (std::string const name : {"n0", "n1", "n2"})
     {
         fleet.at(name).balancer_->add_listed_targets({}, fleet.now());
+        fleet.at(name).balancer_->add_contacts({}, fleet.now());
     }
     confirm_for(fleet, asking, seconds(1));
     CHECK(asking.view_confirmed_as_of_);
