--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -56,10 +56,10 @@
     // newer.
     bool apply(organisation_template const& value, template_version version);
 
-    // Sets the list of targets that existed before this process started. A
+    // Adds a list of targets that existed before this process started. A
     // listed target becomes known when its agent reports or its record is
     // published, whichever is first.
-    void set_expected_targets(std::vector<target_record> const& targets);
+    void expect_targets(std::vector<target_record> const& targets);
 
     // Listed targets whose addresses are stored and that aren't known yet. Only
     // their agents can tell whether they still exist.
@@ -68,7 +68,7 @@
         return undiscovered_targets_;
     }
 
-    // True once set_expected_targets() was called and each target of the list
+    // True once expect_targets() was called and each target of the list
     // is known.
     bool knows_all_expected() const;
 
@@ -169,7 +169,7 @@
     std::set<endpoint> removed_vips_;          // removed, maybe added again
     std::deque<endpoint> removed_vips_by_age_; // oldest first
     template_version newest_version_ = 0;
-    bool has_expected_list_ = false; // set_expected_targets() called
+    bool has_expected_list_ = false; // expect_targets() called
     // Expected targets that aren't known yet.
     std::vector<target_id> missing_targets_;
     // Those of missing_targets_ whose addresses are stored.
--- a/include/daisytrail/listed_targets.hpp
+++ b/include/daisytrail/listed_targets.hpp
@@ -13,7 +13,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace daisytrail
@@ -23,11 +22,19 @@
 // calls to the store by the balancers, and a cut of the usual length.
 inline constexpr std::chrono::seconds listed_target_lifetime{30};
 
+struct listed_target
+{
+    target_record record_;
+    time_point listed_at_; // at first
+};
+
 class listed_targets
 {
 public:
-    // Replaces the list. Members of the table are left out.
-    void set(std::vector<target_record> const& targets,
+    // Adds the targets of a list that was read. Members of the table are left
+    // out. A target of an earlier list stays even if it isn't listed any more:
+    // whoever wrote the list may not have known it.
+    void add(std::vector<target_record> const& targets,
              member_table const& members, time_point now);
 
     // Returns the pings that are due and forgets the targets that are members
@@ -35,20 +42,27 @@
     std::vector<send_action> tick(member_table const& members, time_point now);
 
     // By identifier. No member is among them after tick().
-    std::map<target_id, target_record> const& unknown() const
+    std::map<target_id, listed_target> const& unknown() const
     {
         return unknown_;
     }
 
-    // Time of the last call of set(); empty if there was none.
-    std::optional<time_point> read_at() const
+    // True once add() has been called.
+    bool has_list() const
+    {
+        return has_list_;
+    }
+
+    // Time at which a target was last listed that was unknown before.
+    time_point last_listed_at() const
     {
-        return read_at_;
+        return last_listed_at_;
     }
 
 private:
-    std::map<target_id, target_record> unknown_;
-    std::optional<time_point> read_at_;
+    std::map<target_id, listed_target> unknown_;
+    bool has_list_ = false;
+    time_point last_listed_at_{};
     time_point pinged_at_{};
     target_id next_id_ = 0; // target at which the next pings start
 };
--- a/src/core/balancer_confirmation.cpp
+++ b/src/core/balancer_confirmation.cpp
@@ -76,7 +76,7 @@
 {
     bool const waits_for_targets =
         !listed_.unknown().empty() &&
-        now_ < listed_.read_at().value_or(now_) + settling_period;
+        now_ < listed_.last_listed_at() + settling_period;
     return is_started_ && now_ >= started_at_ + settling_period &&
            !waits_for_targets && !health_.suspects_self() &&
            has_evidence_of_targets() && has_evidence_of_balancers();
@@ -90,7 +90,7 @@
     {
         return true;
     }
-    bool const awaits_list = uses_store_ && !listed_.read_at();
+    bool const awaits_list = uses_store_ && !listed_.has_list();
     return !awaits_list && now_ >= started_at_ + announcement_period;
 }
 
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -62,7 +62,7 @@
 void balancer_membership::add_listed_targets(
     std::vector<target_record> const& targets, time_point now)
 {
-    listed_.set(targets, table_, now);
+    listed_.add(targets, table_, now);
 }
 
 std::vector<target_record const*> balancer_membership::targets_to_list() const
@@ -76,11 +76,11 @@
             result.push_back(&record);
         }
     }
-    for (auto const& [id, record] : listed_.unknown())
+    for (auto const& [id, listed] : listed_.unknown())
     {
         if (table_.find(id) == nullptr)
         {
-            result.push_back(&record);
+            result.push_back(&listed.record_);
         }
     }
     std::ranges::sort(result, {},
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -43,15 +43,16 @@
     return true;
 }
 
-void forward_directory::set_expected_targets(
+void forward_directory::expect_targets(
     std::vector<target_record> const& targets)
 {
     has_expected_list_ = true;
-    missing_targets_.clear();
-    undiscovered_targets_.clear();
     for (auto const& listed : targets)
     {
-        if (targets_.contains(listed.target_))
+        bool const is_missing =
+            std::ranges::find(missing_targets_, listed.target_) !=
+            missing_targets_.end();
+        if (is_missing || targets_.contains(listed.target_))
         {
             continue;
         }
--- a/src/core/listed_targets.cpp
+++ b/src/core/listed_targets.cpp
@@ -20,16 +20,19 @@
 
 } // namespace
 
-void listed_targets::set(std::vector<target_record> const& targets,
+void listed_targets::add(std::vector<target_record> const& targets,
                          member_table const& members, time_point now)
 {
-    read_at_ = now;
-    unknown_.clear();
+    has_list_ = true;
     for (auto const& target : targets)
     {
-        if (members.find(target.target_) == nullptr)
+        bool const is_new =
+            members.find(target.target_) == nullptr &&
+            unknown_.try_emplace(target.target_, listed_target{target, now})
+                .second;
+        if (is_new)
         {
-            unknown_.emplace(target.target_, target);
+            last_listed_at_ = now;
         }
     }
 }
@@ -38,16 +41,20 @@
                                               time_point now)
 {
     std::vector<send_action> pings;
-    bool const is_due = read_at_ && now >= *read_at_ + first_ping_delay &&
+    bool const is_due = now >= last_listed_at_ + first_ping_delay &&
                         now >= pinged_at_ + ping_interval;
     if (unknown_.empty() || !is_due)
     {
         return pings;
     }
     pinged_at_ = now;
-    bool const is_over = now >= *read_at_ + listed_target_lifetime;
-    std::erase_if(unknown_, [&](auto const& entry)
-                  { return is_over || members.find(entry.first) != nullptr; });
+    std::erase_if(unknown_,
+                  [&](auto const& entry)
+                  {
+                      bool const is_over = now >= entry.second.listed_at_ +
+                                                      listed_target_lifetime;
+                      return is_over || members.find(entry.first) != nullptr;
+                  });
     auto const count = std::min(unknown_.size(), pings_per_interval);
     auto at = unknown_.lower_bound(next_id_);
     for (std::size_t i = 0; i < count; ++i, ++at)
@@ -57,9 +64,10 @@
             at = unknown_.begin();
         }
         // A target that is listed without its address has none.
-        if (at->second.control_ != endpoint{})
+        auto const& control = at->second.record_.control_;
+        if (control != endpoint{})
         {
-            pings.push_back({at->second.control_, ping_message{at->first}});
+            pings.push_back({control, ping_message{at->first}});
         }
     }
     next_id_ = at == unknown_.end() ? 0 : at->first;
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -211,7 +211,7 @@
 
 void forward_balancer::on_target_list(std::vector<target_record> const& targets)
 {
-    directory_.set_expected_targets(targets);
+    directory_.expect_targets(targets);
     relay_.discover_targets(current_time());
 }
 
--- a/src/net/store_watcher.hpp
+++ b/src/net/store_watcher.hpp
@@ -52,8 +52,9 @@
                   template_follower::handler on_template);
     ~store_watcher();
 
-    // Receives the value of target_list_key, once after the start. The value is
-    // empty if the key doesn't exist.
+    // Receives the value of target_list_key after the start, and whenever
+    // another balancer has written it while this one has the duty to write it.
+    // The value is empty if the key doesn't exist.
     using list_handler = std::function<void(std::string const&)>;
 
     // Receives the copy of a template that was requested, if there is one.
@@ -88,6 +89,15 @@
         time_point next_call_at_;
     };
 
+    // The list of targets in the store, as it was last written or read.
+    struct seen_list
+    {
+        std::string value_;
+        std::optional<revision> revision_; // 0: the key doesn't exist
+        store_generation generation_ = 0;
+        time_point seen_at_{};
+    };
+
     // The copy of a template in the store, as it was last written or read.
     struct stored_copy
     {
@@ -103,16 +113,26 @@
     void record_failure(backoff& state);
     void notice_restoration();
     void notice_recovery();
-    bool must_write_list() const;
     void maintain_contact();
     void on_contact_renewed(store_answer const& answer);
-    void register_contact();
+    void grant_lease();
+    void write_contact();
+    void on_contact_written(std::string const& key, store_answer const& answer);
+    void on_contact_conflict(std::string const& key,
+                             store_answer const& answer);
     bool must_read_contacts() const;
     void read_contacts();
+    void on_contacts_read(store_answer const& answer);
     std::vector<endpoint>
     parse_contacts(std::vector<store_entry> const& entries);
+    void maintain_list();
+    bool must_read_list() const;
+    bool must_write_list() const;
     void read_list();
+    void on_list_read(store_answer const& answer);
+    void see_list(store_answer const& answer);
     void write_list();
+    void on_list_written(std::string const& value, store_answer const& answer);
     void maintain_copies();
     void read_copy(std::string const& organisation);
     void on_copy_read(std::string const& organisation,
@@ -130,7 +150,7 @@
     byte_budget call_budget_; // one unit per call, except calls for templates
     std::mt19937 random_;
     contacts_handler on_contacts_;
-    list_handler on_list_; // empty after its only call
+    list_handler on_list_;
     copy_handler on_copy_;
     store_duties duties_;
     backoff contacts_backoff_;
@@ -143,17 +163,20 @@
     bool is_copy_call_pending_ = false;
     std::set<std::string> wanted_copies_;       // organisations
     std::map<std::string, stored_copy> copies_; // by organisation
-    // The list of targets that was last written, and the lease of the contact
-    // key, each with the generation of the store that holds it.
-    std::string written_list_;
-    store_generation written_generation_ = 0;
-    std::int64_t lease_id_ = 0;
+    bool has_read_list_ = false;
+    // Without a revision if another balancer may have written it meanwhile.
+    seen_list list_;
+    bool is_own_list_outdated_ = false; // until the next set_duties()
+    std::int64_t lease_id_ = 0;         // 0: none
     store_generation lease_generation_ = 0;
-    std::string leased_key_;
+    std::string leased_key_; // bound to the lease; empty if not written yet
+    // Of the contact keys, by key, as they were last read or written.
+    std::map<std::string, revision> contact_revisions_;
     store_generation noticed_generation_ = 0;
     std::uint64_t noticed_recoveries_ = 0;
     time_point contact_renewed_at_{};
     time_point contacts_read_at_{};
+    bool must_read_once_ = false; // a contact was found that may be unknown
     bool is_stopped_ = false;
     std::shared_ptr<bool> alive_;
     store_call_log call_log_;
--- a/test/unit/flow_forwarder_test.cpp
+++ b/test/unit/flow_forwarder_test.cpp
@@ -319,7 +319,7 @@
     forwarder_ = std::make_unique<flow_forwarder>(
         directory_, flow_forwarder_settings{}, now_);
     add_target("one");
-    directory_.set_expected_targets(listed({"one", "two"}));
+    directory_.expect_targets(listed({"one", "two"}));
     now_ += 2s;
     send(packet(1));
     CHECK(answer(packet(1), "one", flow_ownership::not_held).step_ ==
@@ -336,7 +336,7 @@
     forwarder_ = std::make_unique<flow_forwarder>(
         directory_, flow_forwarder_settings{}, now_);
     add_target("one");
-    directory_.set_expected_targets(listed({"one", "two"}));
+    directory_.expect_targets(listed({"one", "two"}));
     send(packet(1));
     CHECK(answer(packet(1), "one", flow_ownership::not_held).step_ ==
           forward_step::hold);
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -397,7 +397,7 @@
     {
         stored.emplace_back().target_ = hash_name(name);
     }
-    directory_.set_expected_targets(stored);
+    directory_.expect_targets(stored);
     carry_out(send(packet(1)));
     run_for(900ms);
     CHECK(misdirected_packets_ == 0); // a new target may be missing
--- a/test/unit/metadata_store_test.cpp
+++ b/test/unit/metadata_store_test.cpp
@@ -51,6 +51,41 @@
 
 } // namespace
 
+// A condition failed since the key had been removed with its lease. The answer
+// must not be taken for an unreadable one, or the key is never written again.
+TEST_CASE("a write fails for good whose condition names a key that was removed")
+{
+    boost::asio::io_context io;
+    auto const store_address = free_address(io);
+    http_server server(io, store_address);
+    json::array items;
+    server.route("POST", "/api/kv-txn",
+                 [&items](http_request const&)
+                 {
+                     return make_response(
+                         412, json::serialize(json::object{{"items", items}}));
+                 });
+    platform::metadata_store store(io, store_address, call_timeout);
+    json::object const removed{
+        {"key", "k"}, {"revision", 7}, {"tombstone", true}};
+    for (auto const& reported :
+         {json::array{}, json::array{nullptr}, json::array{removed},
+          json::array{json::object{{"key", "k"}, {"revision", 0}}}})
+    {
+        items = reported;
+        std::optional<store_answer> answer;
+        store.swap({{"k", 5}}, {{"k", "v"}},
+                   [&answer](store_answer const& given) { answer = given; });
+        io.restart();
+        io.run_for(milliseconds(100));
+        REQUIRE(answer);
+        CHECK_FALSE(answer->error_);
+        CHECK_FALSE(answer->succeeded_);
+        CHECK(answer->entries_.empty());
+    }
+    server.stop();
+}
+
 // CONFIG: in a storm of changes a starved balancer asked for the next version
 // as soon as it had applied one, and its packets waited meanwhile.
 TEST_CASE("a storm of changes keeps a starved balancer busy: each version is "
--- a/test/unit/relay_test.cpp
+++ b/test/unit/relay_test.cpp
@@ -198,7 +198,7 @@
         balancer_->stop();
         directory_ = {};
         directory_.apply(organisation_, 1);
-        directory_.set_expected_targets(listed);
+        directory_.expect_targets(listed);
         auto result = make_balancer();
         result->start();
         result->discover_targets(current_time());
@@ -484,8 +484,7 @@
     one_.relay_->on_new_run(true);
     two_.relay_->on_new_run(true);
     confirms_view_ = false;
-    directory_.set_expected_targets(
-        {}); // all listed targets have been discovered
+    directory_.expect_targets({}); // all listed targets have been discovered
     send_packet(false);
     CHECK(answers() == 0);
     CHECK(balancer_->wants_view(current_time()));
--- a/test/unit/split_fleet_test.cpp
+++ b/test/unit/split_fleet_test.cpp
@@ -116,8 +116,8 @@
         CAPTURE(seed);
         control_fleet fleet(seed, 0.05);
         split(fleet);
-        fleet.at("b0").balancer_->add_contacts(
-            {fleet.at("n1").self().control_}, fleet.now());
+        fleet.at("b0").balancer_->add_contacts({fleet.at("n1").self().control_},
+                                               fleet.now());
         CHECK(fleet.run_until([&] { return have_met(fleet); }, met_within) <
               met_within);
     }
--- a/test/unit/watcher_fixture.hpp
+++ b/test/unit/watcher_fixture.hpp
@@ -27,9 +27,11 @@
             io_, std::move(fake), settings, counters_,
             [this](store_entry const& entry)
             { applied_.push_back(entry.value_); });
-        watcher_->start([](auto const&) {}, [](auto const&) {},
-                        [this](std::string const&, std::string const& copy)
-                        { copies_.push_back(copy); });
+        watcher_->start(
+            [this](std::vector<endpoint> const& found) { contacts_ = found; },
+            [this](std::string const& list) { lists_.push_back(list); },
+            [this](std::string const&, std::string const& copy)
+            { copies_.push_back(copy); });
         duties_.watches_templates_ = true;
         duties_.contact_key_ = contact_key_;
         duties_.target_list_ = "listed";
@@ -53,6 +55,10 @@
             io_.restart();
             io_.run_for(std::chrono::milliseconds(5));
             store_->run();
+            if (repeats_duties_)
+            {
+                watcher_->set_duties(duties_);
+            }
         }
     }
 
@@ -91,7 +97,10 @@
     metrics counters_;
     std::vector<std::string> applied_;
     std::vector<std::string> copies_; // that were read
+    std::vector<std::string> lists_;  // that were read
+    std::vector<endpoint> contacts_;  // that were read last
     store_duties duties_;
+    bool repeats_duties_ = true; // as a balancer does
     fake_store* store_ = nullptr;
     std::unique_ptr<store_watcher> watcher_;
 };
