--- a/include/daisytrail/settings.hpp
+++ b/include/daisytrail/settings.hpp
@@ -18,9 +18,12 @@
 {
     std::string name_; // unique in the fleet
     std::string failure_domain_;
-    endpoint control_;            // for control datagrams
-    endpoint http_;               // for health, metrics and announcements
-    std::vector<endpoint> seeds_; // control endpoints to join the fleet through
+    endpoint control_; // for control datagrams
+    endpoint http_;    // for health, metrics and announcements
+    // Control endpoints to join the fleet through. They may be empty: a process
+    // then waits until the settings name some.
+    std::vector<endpoint> seeds_;
+    bool has_seeds_field_ = false;
     // Message authentication keys, 32 bytes each, in hex. The first key signs.
     std::vector<std::string> keys_;
     std::uint16_t seed_port_ = 0; // replaces the port of all seeds; 0: unused
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -98,6 +98,7 @@
     {"seeds", presence::optional,
      [](value_reader const& in, common_settings& out)
      {
+         out.has_seeds_field_ = true;
          in.addresses(out.seeds_, 0, max_endpoints);
      }},
     {"seed_port", presence::optional,
@@ -321,8 +322,9 @@
 
 template_error missing_seed_error()
 {
-    return {"seeds", 1, 1, "no address",
-            "the control address of at least one balancer"};
+    return {"", 1, 1, "no 'seeds'",
+            "the control addresses of balancers, or an empty list until one "
+            "runs"};
 }
 
 } // namespace
@@ -333,7 +335,7 @@
     auto result = parse_settings<balancer_settings>(text, balancer_fields);
     auto const& value = result.value_;
     if (result.errors_.empty() && value.stores_.empty() &&
-        value.common_.seeds_.empty())
+        !value.common_.has_seeds_field_)
     {
         result.errors_.push_back(missing_source_error());
     }
@@ -343,7 +345,7 @@
 parsed_settings<agent_settings> parse_agent_settings(std::string_view text)
 {
     auto result = parse_settings<agent_settings>(text, agent_fields);
-    if (result.errors_.empty() && result.value_.common_.seeds_.empty())
+    if (result.errors_.empty() && !result.value_.common_.has_seeds_field_)
     {
         result.errors_.push_back(missing_seed_error());
     }
@@ -357,7 +359,7 @@
         text, forward_balancer_fields);
     auto const& value = result.value_.balancer_;
     if (result.errors_.empty() && value.stores_.empty() &&
-        value.common_.seeds_.empty())
+        !value.common_.has_seeds_field_)
     {
         result.errors_.push_back(missing_source_error());
     }
@@ -373,7 +375,8 @@
 {
     auto result =
         parse_settings<forward_agent_settings>(text, forward_agent_fields);
-    if (result.errors_.empty() && result.value_.agent_.common_.seeds_.empty())
+    if (result.errors_.empty() &&
+        !result.value_.agent_.common_.has_seeds_field_)
     {
         result.errors_.push_back(missing_seed_error());
     }
--- a/src/net/settings_follower.cpp
+++ b/src/net/settings_follower.cpp
@@ -115,9 +115,15 @@
     auto const settings = parse_(text);
     auto const former_text = std::exchange(applied_text_, text);
     auto const former_seeds = std::exchange(seeds_, settings.seeds_);
-    if (former_text.empty())
+    bool const is_start = former_text.empty();
+    if (seeds_.empty() && (is_start || !former_seeds.empty()))
     {
-        return; // the reading of the start
+        log_event(log_level::info, "no_seeds",
+                  {{"effect", "waits until the settings name a balancer"}});
+    }
+    if (is_start)
+    {
+        return;
     }
     auto const fixed = changed_fixed_settings(former_text, text);
     if (!fixed.empty())
--- a/test/integration/platform_seeds.sh
+++ b/test/integration/platform_seeds.sh
@@ -60,6 +60,19 @@
     all_list_members "$recovery_ms" "balancer-7 balancer-8 balancer-9" \
     agent-4 agent-5 agent-6
 
+# Regression: Fault (issue 44). An agent that started while no balancer ran was
+# given no seed, refused its settings and ended.
+end_processes balancer-{7,8,9}
+SEEDS=""
+start_platform_agent 7
+sleep 1
+check "an agent that has no seed runs" kill -0 "${PROCESS_ID[agent-7]}"
+SEEDS="$(balancer_seed 7)"
+start_platform_balancer 7
+write_platform_agent 7
+check "an agent that had no seed is found once it has one" \
+    all_list_members 5000 balancer-7 agent-7
+
 # A signal that comes before the settings are read: they are a pipe that nobody
 # writes.
 for program in daisytrail-platform-agent daisytrail-platform-balancer \
--- a/test/unit/config_test.cpp
+++ b/test/unit/config_test.cpp
@@ -311,6 +311,38 @@
               .size() == 1);
 }
 
+// Fault: an agent that started while no balancer ran refused its settings and
+// ended, again and again.
+TEST_CASE("a process starts without seeds, but not without the field")
+{
+    std::string const common =
+        R"({"name": "a1", "failure_domain": "a", "control": "127.0.0.1:1",)"
+        R"( "http": "127.0.0.1:2", "keys": [")" +
+        std::string(64, 'a') + R"("],)";
+    std::string const agent =
+        R"( "organisation": "o", "service": "s", "tunnel": "127.0.0.1:3",)";
+    std::string const forward_agent =
+        agent + R"( "backend": "127.0.0.1:4", "outbound": "127.0.0.1:5")";
+    std::string const stream_agent =
+        agent + R"( "rpc": "127.0.0.1:4", "fabric": ["127.0.0.1:5"])";
+    std::string const balancer = R"( "data": "127.0.0.1:6")";
+    std::string const relay = balancer + R"(, "relay": "127.0.0.1:7")";
+    std::string const empty = R"(, "seeds": []})";
+    CHECK(parse_forward_agent_settings(common + forward_agent + empty)
+              .errors_.empty());
+    CHECK(parse_agent_settings(common + stream_agent + empty).errors_.empty());
+    CHECK(parse_balancer_settings(common + balancer + empty).errors_.empty());
+    CHECK(parse_forward_balancer_settings(common + relay + empty)
+              .errors_.empty());
+    auto const missing =
+        parse_forward_agent_settings(common + forward_agent + "}").errors_;
+    REQUIRE(missing.size() == 1);
+    CHECK(to_string(missing[0]).find("'seeds'") != std::string::npos);
+    CHECK(parse_agent_settings(common + stream_agent + "}").errors_.size() ==
+          1);
+    CHECK(parse_balancer_settings(common + balancer + "}").errors_.size() == 1);
+}
+
 TEST_CASE("settings of the forward mode: defaults, seed port, errors")
 {
     std::string const common =
