New balancers wait until targets have stopped announcing themselves

Evidence: 'balancers that are all new agree that they know all targets while targets go on announcing themselves' fails with the extension left out.

--- a/include/daisytrail/membership.hpp
+++ b/include/daisytrail/membership.hpp
@@ -208,6 +208,7 @@
     void send_view_questions();
     void check_view_confirmation();
     bool is_settled() const;
+    void note_target_changes();
     bool has_evidence_of_targets() const;
     bool has_evidence_of_balancers() const;
     bool has_lost_balancers() const;
@@ -300,6 +301,8 @@
     time_point started_at_;
     bool is_started_ = false;
     bool uses_store_ = false;
+    std::uint64_t noted_targets_hash_ = 0;
+    time_point targets_changed_at_; // the set of live targets
     std::vector<control_action> actions_;
 };
 
--- a/include/daisytrail/view_confirmation.hpp
+++ b/include/daisytrail/view_confirmation.hpp
@@ -35,6 +35,12 @@
 // reaches all balancers.
 inline constexpr std::chrono::milliseconds announcement_period{8'000};
 
+// In a large fleet the byte budget of the control traffic spreads the records
+// over a longer time. The period is extended until no target has joined or
+// ended for this long, up to the maximum.
+inline constexpr std::chrono::milliseconds announcement_quiet_period{4'000};
+inline constexpr std::chrono::milliseconds max_announcement_period{60'000};
+
 // Asks other balancers in rounds. One round serves all requests made while it
 // runs. Load pattern: thousands of flow searches end within one second.
 class view_confirmation
--- a/src/core/balancer_confirmation.cpp
+++ b/src/core/balancer_confirmation.cpp
@@ -91,7 +91,20 @@
         return true;
     }
     bool const awaits_list = uses_store_ && !listed_.has_list();
-    return !awaits_list && now_ >= started_at_ + announcement_period;
+    bool const is_quiet =
+        now_ >= targets_changed_at_ + announcement_quiet_period ||
+        now_ >= started_at_ + max_announcement_period;
+    return !awaits_list && is_quiet &&
+           now_ >= started_at_ + announcement_period;
+}
+
+void balancer_membership::note_target_changes()
+{
+    if (std::exchange(noted_targets_hash_, table_.targets_hash()) !=
+        table_.targets_hash())
+    {
+        targets_changed_at_ = now_;
+    }
 }
 
 // True unless balancers may run that neither this one nor its peers know. After
--- a/src/core/balancer_membership.cpp
+++ b/src/core/balancer_membership.cpp
@@ -114,6 +114,7 @@
     sample_reachability();
     run_detector();
     health_.tick(now_, other_balancer_count() > 0, actions_);
+    note_target_changes();
     seek_first_confirmation();
     send_view_questions();
     check_view_confirmation();
--- a/test/measure/membership.cpp
+++ b/test/measure/membership.cpp
@@ -22,6 +22,8 @@
 // Processes of a fleet, a fifth of them balancers.
 constexpr int sizes[] = {25, 50, 100, 200};
 
+using process_filter = std::function<bool(std::string const& name)>;
+
 // 5% of all datagrams are lost.
 void measure_loss(int size)
 {
@@ -70,6 +72,74 @@
     std::cout << report.text() << std::flush;
 }
 
+// All balancers are replaced at once. The agents reach the new ones through
+// three seeds, which all have, and nobody reads a stored list.
+void measure_replacement(int agents)
+{
+    int const balancers = agents / 5; // as in the large fleet
+    constexpr std::uint32_t bytes_per_second = 9'000;
+    test::control_fleet fleet(1, 0.01);
+    fleet.limit_control_bytes(bytes_per_second);
+    test::build_fleet(fleet, balancers, agents, "");
+    for (int i = 0; i < balancers; ++i)
+    {
+        fleet.at("b" + std::to_string(i)).is_alive_ = false;
+    }
+    // The observers have been forgotten when the new balancers start.
+    fleet.run_for(seconds(4));
+    fleet.set_seeds({});
+    std::vector<endpoint> seeds;
+    for (int i = 0; i < balancers; ++i)
+    {
+        auto& started = fleet.add_balancer("n" + std::to_string(i));
+        if (seeds.size() < 3)
+        {
+            seeds.push_back(started.self().control_);
+        }
+    }
+    fleet.run_for(seconds(3));
+    for (int i = 0; i < agents; ++i)
+    {
+        fleet.at("t" + std::to_string(i)).agent_->set_seeds(seeds);
+    }
+    auto const count_known = [&](process_filter const& knows)
+    {
+        int known = 0;
+        for (int i = 0; i < agents; ++i)
+        {
+            known += knows("t" + std::to_string(i)) ? 1 : 0;
+        }
+        return known;
+    };
+    auto const is_observed = [&](std::string const& name)
+    {
+        return fleet.at(name).agent_->observer_count() > 0;
+    };
+    auto const is_known = [&](std::string const& name)
+    {
+        return fleet.all_balancers_hold(name, member_state::ready);
+    };
+    auto const messages = fleet.messages();
+    fleet.run_for(seconds(1));
+    auto const first_second = fleet.messages() - messages;
+    auto const observed = fleet.run_until(
+        [&] { return count_known(is_observed) == agents; }, seconds(120));
+    auto const known = fleet.run_until(
+        [&] { return count_known(is_known) == agents; }, seconds(120));
+    measure_report report("all balancers replaced, three seeds, " +
+                          std::to_string(agents) + " targets");
+    auto const in_seconds = [](duration time)
+    {
+        return std::chrono::duration<double>(time).count();
+    };
+    report.add("control messages in the first second",
+               static_cast<double>(first_second), "");
+    report.add("last agent observed", 1 + in_seconds(observed), "s");
+    report.add("last target known to all", 1 + in_seconds(observed + known),
+               "s");
+    std::cout << report.text() << std::flush;
+}
+
 std::size_t datagram_bytes(control_message const& message)
 {
     constexpr std::size_t headers = 28;
@@ -189,6 +259,10 @@
         {
             measure_loss(size);
         }
+        for (auto const agents : {100, 200, 400})
+        {
+            measure_replacement(agents);
+        }
     }
     catch (std::exception const& failure)
     {
--- a/test/unit/listed_targets_test.cpp
+++ b/test/unit/listed_targets_test.cpp
@@ -296,6 +296,22 @@
     CHECK(asking.view_confirmed_as_of_);
 }
 
+// In a large fleet the records of the targets take longer than in a small one.
+TEST_CASE("balancers that are all new agree that they know all targets while "
+          "targets go on announcing themselves")
+{
+    control_fleet fleet(1);
+    auto& asking = replace_all_balancers(fleet);
+    for (int i = 0; i < 8; ++i)
+    {
+        fleet.add_agent("n" + std::to_string(10 + i), 7, "");
+        confirm_for(fleet, asking, seconds(2));
+    }
+    CHECK_FALSE(asking.view_confirmed_as_of_);
+    confirm_for(fleet, asking, announcement_quiet_period);
+    CHECK(asking.view_confirmed_as_of_);
+}
+
 // The same for a balancer that has no peer to ask.
 TEST_CASE("a balancer that is alone and new waits for targets to announce "
           "themselves")
