Review case 12: flows that an agent's former process passed are reset

Cause: the agent takes the first announcement of a run of its backend server as proof that all packets of the run passed through this process. If the agent was killed between the run's start and its first announcement, the new process denies flows that it never saw, and balancers that search for them reset them.

Nothing outside review/.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# A target crashes and starts again, and its agent is killed before the target has
+# announced itself; later a balancer is restarted by plan. TROUBLE=0: no crash and
+# no kill. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't
+# run.
+cd "$(dirname "$0")/../.." || exit 2
+timeout -k 2 118 target/review-3/case_two_restarts review/12 target/review-3 \
+    "${TROUBLE:-1}"
+status=$?
+((status <= 2)) || status=2
+exit "$status"
