Review case 13: copies of waiting SYNs go to the former service

Cause: a balancer sends the copy of a SYN to the target where the flow's SYN waits without asking whether the route in force still leads there, and the agent passes the copy in place of the first SYN.

Change: the case, which breaks CONFIG on real processes by one change of a route's split while new flows wait. Nothing outside review/.

--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# A change of the configuration moves a route to another service while new flows
+# wait for room at the former one. TROUBLE=0: the configuration stays. Exits with 1
+# if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+timeout -k 2 118 target/review-3/case_cutover review/13 target/review-3 \
+    "${TROUBLE:-1}"
+status=$?
+((status <= 2)) || status=2
+exit "$status"
