Review cases 11 to 13: a record can't be that of an earlier run

Cause: run.sh gave the stand-ins a folder and left the record's name to them, and a record of an earlier run stayed if a case couldn't run.

The cases, checks and bounds are the same.

--- a/review/stand_ins_3/case_cutover.cc
+++ b/review/stand_ins_3/case_cutover.cc
@@ -1,6 +1,6 @@
 // A change of the configuration moves a route from one service to another while
 // new flows of the route wait for room at the former service.
-//   case_cutover FOLDER PROGRAMS TROUBLE
+//   case_cutover RECORD PROGRAMS TROUBLE
 #include "site.h"
 
 #include <algorithm>
--- a/review/stand_ins_3/case_lost_machines.cc
+++ b/review/stand_ins_3/case_lost_machines.cc
@@ -1,6 +1,6 @@
 // Machines beside targets of one service are lost for good over time. Then the
 // targets of another service crash, one after the other, and start again.
-//   case_lost_machines FOLDER PROGRAMS TROUBLE
+//   case_lost_machines RECORD PROGRAMS TROUBLE
 #include "site.h"
 
 #include <algorithm>
--- a/review/stand_ins_3/case_two_restarts.cc
+++ b/review/stand_ins_3/case_two_restarts.cc
@@ -1,6 +1,6 @@
 // A target and the agent beside it crash within a second and start again. Later
 // a balancer is restarted by plan, and clients go on in their open flows.
-//   case_two_restarts FOLDER PROGRAMS TROUBLE
+//   case_two_restarts RECORD PROGRAMS TROUBLE
 #include "site.h"
 
 #include <algorithm>
--- a/review/stand_ins_3/site.cc
+++ b/review/stand_ins_3/site.cc
@@ -569,9 +569,8 @@
     begin_runs(now);
 }
 
-site::site(std::string folder, std::string programs)
-    : folder_(std::move(folder)), programs_(std::move(programs)),
-      record_(folder_ + "/record.txt")
+site::site(std::string const& record_path, std::string programs)
+    : programs_(std::move(programs)), record_(record_path)
 {
     std::string name = std::filesystem::temp_directory_path() / "review-XXXXXX";
     if (::mkdtemp(name.data()) == nullptr)
--- a/review/stand_ins_3/site.h
+++ b/review/stand_ins_3/site.h
@@ -224,8 +224,9 @@
 class site
 {
 public:
-    // `folder` gets record.txt; logs and settings go to a temporary folder.
-    site(std::string folder, std::string programs);
+    // `record_path` is that of record.txt; logs and settings go to a temporary
+    // folder.
+    site(std::string const& record_path, std::string programs);
     ~site();
 
     record& log()
@@ -288,7 +289,6 @@
     void tick_attempt(attempt& value, clock::time_point now);
     void send_from_client(attempt& value, packet head);
 
-    std::string folder_;
     std::string programs_;
     std::string work_;
     record record_;
