--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -45,6 +45,7 @@
     known,              // the flow is in the flow table
     placed,             // a new flow was assigned to a target
     moved,              // an earlier target of the SYN didn't accept it
+    rerouted,           // the route leads the flow to another service now
     searched,           // the owner of an unknown open flow is searched
     search_continued,   // continued after an answer, a return or a timeout
     found,              // the flow's owner answered
@@ -62,11 +63,11 @@
 
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(forward_cause::count)>
-    forward_cause_names{"known",        "placed",         "moved",
-                        "searched",     "search_goes_on", "found",
-                        "no_template",  "no_route",       "no_target",
-                        "nobody_holds", "owner_missing",  "other_searches",
-                        "not_yet",      "not_from_caller"};
+    forward_cause_names{"known",          "placed",       "moved",
+                        "rerouted",       "searched",     "search_goes_on",
+                        "found",          "no_template",  "no_route",
+                        "no_target",      "nobody_holds", "owner_missing",
+                        "other_searches", "not_yet",      "not_from_caller"};
 
 constexpr std::string_view to_string(forward_cause cause)
 {
@@ -180,6 +181,9 @@
         bool syn_waits_ = false;                // at the agent of target_
         // Targets that returned the flow's SYN or didn't answer it.
         std::vector<target_id> tried_targets_;
+        // Targets that the flow's SYN was sent to before the route led the flow
+        // to another service. The SYN may still wait there and open the flow.
+        std::vector<target_id> former_syn_targets_;
         // True if one of tried_targets_ may accept the flow a moment later.
         bool may_be_accepted_soon_ = false;
         // Targets that may return an offered packet which the owner has
@@ -202,6 +206,8 @@
 
     forward_action refuse_without_route(flow_packet const& packet) const;
     forward_action on_syn_retransmission(flow& value, time_point now);
+    bool is_routed_to(flow const& value, target_id target) const;
+    forward_action send_syn(flow& value, forward_cause cause, time_point now);
     forward_action open(flow& value, forward_cause cause, time_point now);
     forward_action refuse(flow& value, service_id service, time_point now);
     forward_action begin_search(flow& value, forward_cause cause,
--- a/src/core/flow_forwarder.cpp
+++ b/src/core/flow_forwarder.cpp
@@ -188,7 +188,7 @@
          (value.syn_waits_ && !target->is_silent(now)));
     if (is_waiting && !value.search_)
     {
-        return send(value, forward_cause::known, now);
+        return send_syn(value, forward_cause::known, now);
     }
     if (value.search_)
     {
@@ -226,7 +226,7 @@
         value->may_be_accepted_soon_ =
             value->may_be_accepted_soon_ || is_transient(reason);
         return has_other_target && !was_tried
-                   ? send(*value, forward_cause::moved, now)
+                   ? send_syn(*value, forward_cause::moved, now)
                    : open(*value, forward_cause::moved, now);
     }
     if (std::erase(value->redundant_returns_, from) > 0)
@@ -274,6 +274,38 @@
     }
 }
 
+// True if the route in force leads new packets of the flow to the target's
+// service.
+bool flow_forwarder::is_routed_to(flow const& value, target_id target) const
+{
+    auto const* const held = directory_.find(target);
+    auto const& route = *directory_.find_route(value.key_.vip_);
+    return held != nullptr && held->record_.service_ ==
+                                  choose_service(route, hash_flow(value.key_));
+}
+
+// Sends a SYN or a copy of it to the flow's target, which was chosen when an
+// earlier copy came. If the route has led the flow to another service since,
+// the SYN goes to a target of that service. The earlier copies may still open
+// the flow at the former target.
+forward_action flow_forwarder::send_syn(flow& value, forward_cause cause,
+                                        time_point now)
+{
+    if (is_routed_to(value, value.target_))
+    {
+        return send(value, cause, now);
+    }
+    bool const is_noted =
+        std::ranges::find(value.former_syn_targets_, value.target_) !=
+        value.former_syn_targets_.end();
+    if (!is_noted)
+    {
+        value.former_syn_targets_.push_back(value.target_);
+    }
+    value.has_multiple_syn_targets_ = true;
+    return open(value, forward_cause::rerouted, now);
+}
+
 forward_action flow_forwarder::open(flow& value, forward_cause cause,
                                     time_point now)
 {
@@ -296,10 +328,16 @@
 // Drops or resets a flow that no target accepts now. After a reset the caller
 // tries again at once, and would use up its attempts. While a target may accept
 // the flow by the time that the SYN is retransmitted, the SYN is dropped
-// instead.
+// instead. So is the SYN of a flow that may yet open at a former target: the
+// reset could reach the caller after that.
 forward_action flow_forwarder::refuse(flow& value, service_id service,
                                       time_point now)
 {
+    if (!value.former_syn_targets_.empty())
+    {
+        return {forward_step::drop, forward_cause::retransmission_expected,
+                nullptr};
+    }
     bool const waits_for_retransmission =
         value.may_be_accepted_soon_ || may_accept_soon(service, now);
     erase(flow_key{value.key_});
--- a/src/core/flow_forwarder_search.cpp
+++ b/src/core/flow_forwarder_search.cpp
@@ -104,6 +104,7 @@
     value.search_.reset();
     searches_.erase(value.key_);
     value.tried_targets_ = {};
+    value.former_syn_targets_ = {};
     value.may_be_accepted_soon_ = false;
 }
 
@@ -162,6 +163,8 @@
     add(value.target_);
     std::for_each(value.tried_targets_.rbegin(), value.tried_targets_.rend(),
                   add);
+    std::for_each(value.former_syn_targets_.rbegin(),
+                  value.former_syn_targets_.rend(), add);
     return result;
 }
 
--- a/src/forward/agent_syns.cpp
+++ b/src/forward/agent_syns.cpp
@@ -24,16 +24,22 @@
     }
 }
 
-// The latest copy of a SYN replaces the earlier ones, since the balancer that
-// sent it gets the flow's next packets.
+// The SYN that arrived first is kept. A copy replaces only its balancer, which
+// gets the flow's next packets: the copy may have been sent after the
+// configuration moved new flows elsewhere, through a balancer that doesn't know
+// it yet.
 void agent_relay::keep_syn(flow_packet const& packet,
                            std::span<std::byte const> bytes,
                            endpoint const& balancer, time_point now)
 {
     auto const flow = packet.flow_from_caller();
-    auto& kept =
-        waiting_syns_.try_emplace(flow, waiting_syn{{}, {}, now}).first->second;
-    kept.bytes_.assign(bytes.begin(), bytes.end());
+    auto const [entry, is_first] =
+        waiting_syns_.try_emplace(flow, waiting_syn{{}, {}, now});
+    auto& kept = entry->second;
+    if (is_first)
+    {
+        kept.bytes_.assign(bytes.begin(), bytes.end());
+    }
     kept.balancer_ = balancer;
     auto message = make_message(relay_kind::syn_waits, now);
     message.queried_flows_.push_back({flow});
--- a/test/unit/agent_relay_test.cpp
+++ b/test/unit/agent_relay_test.cpp
@@ -420,6 +420,19 @@
         CHECK(passed[0].opens_flow());
         CHECK(passed[0].source_.port_ == 3);
     }
+    // The copy may come through a balancer that doesn't know yet that the
+    // configuration moved new flows elsewhere.
+    SUBCASE("and isn't replaced by a later copy")
+    {
+        send_from_balancer(flow(3, syn(2)));
+        auto done = answer(1);
+        done.destination_.port_ = 1;
+        done.payload_bytes_ = 10;
+        send_from_backend(done);
+        auto const passed = packets(backend_);
+        REQUIRE(passed.size() == 1);
+        CHECK(passed[0].syn_attempt_ == 0);
+    }
     SUBCASE("and is returned when the agent stops")
     {
         relay_->set_stopping();
