--- a/include/daisytrail/backend_lifecycle.hpp
+++ b/include/daisytrail/backend_lifecycle.hpp
@@ -114,6 +114,15 @@
         return phase_;
     }
 
+    // True if it is certain that the backend server doesn't run, so that it
+    // holds no flows. An end names its run by the id alone, which a later run
+    // may have too, and may arrive late. It is certain only of a run that this
+    // agent had heard for takeover_time, and until a run announces itself.
+    bool has_certainly_ended() const
+    {
+        return phase_ == backend_phase::gone && is_end_certain_;
+    }
+
     // Number of runs that announced themselves.
     std::uint64_t run_count() const
     {
@@ -153,10 +162,12 @@
     void adopt(backend_announcement const& value, time_point now);
     bool begins_now(backend_announcement const& value, time_point now) const;
     bool takes_over(backend_announcement const& value, time_point now);
+    bool is_well_known() const;
     bool is_silent(time_point now) const;
 
     std::string service_;
     backend_phase phase_ = backend_phase::unknown;
+    bool is_end_certain_ = false;            // meaningful while phase_ is gone
     backend_announcement last_announcement_; // unset while phase_ is unknown
     std::uint64_t run_count_ = 0;
     // First and last announcement of the current run that were in order.
--- a/src/core/backend_admission.cpp
+++ b/src/core/backend_admission.cpp
@@ -49,7 +49,8 @@
 {
     if (lifecycle_.phase() == backend_phase::gone)
     {
-        return return_reason::not_held;
+        return lifecycle_.has_certainly_ended() ? return_reason::not_held
+                                                : return_reason::not_accepting;
     }
     return packet.opens_flow()
                ? syn_refusal_reason(now)
--- a/src/core/backend_lifecycle.cpp
+++ b/src/core/backend_lifecycle.cpp
@@ -58,6 +58,7 @@
     {
         return announcement_outcome::ended;
     }
+    is_end_certain_ = false;
     if (was_announced && !begins_now(value, now) && !takes_over(value, now))
     {
         return announcement_outcome::not_current;
@@ -74,9 +75,13 @@
     {
         return announcement_outcome::out_of_order;
     }
-    last_heard_at_ = now;
-    if (phase_ != backend_phase::gone)
+    if (phase_ == backend_phase::gone)
+    {
+        is_end_certain_ = false;
+    }
+    else
     {
+        last_heard_at_ = now;
         challenger_ = {};
     }
     bool const is_leaving =
@@ -111,6 +116,11 @@
     challenger_ = {};
 }
 
+bool backend_lifecycle::is_well_known() const
+{
+    return last_heard_at_ >= first_heard_at_ + takeover_time;
+}
+
 bool backend_lifecycle::is_silent(time_point now) const
 {
     return phase_ == backend_phase::gone ||
@@ -126,9 +136,7 @@
     bool const is_later =
         value.started_at_ms_ > last_announcement_.started_at_ms_ &&
         !contains(former_runs_, run_of(value));
-    bool const is_well_known =
-        last_heard_at_ >= first_heard_at_ + takeover_time;
-    bool const is_in_doubt = !is_well_known || is_silent(now);
+    bool const is_in_doubt = !is_well_known() || is_silent(now);
     return is_later && (is_in_doubt || value.sequence_ == first_announcement);
 }
 
@@ -177,7 +185,8 @@
 {
     // The end is reported only by the backend server on this agent's host, so
     // before the first announcement `id` must be the current run.
-    if (phase_ == backend_phase::unknown)
+    bool const was_announced = phase_ != backend_phase::unknown;
+    if (!was_announced)
     {
         last_announcement_.id_ = id;
     }
@@ -185,7 +194,10 @@
     {
         return false;
     }
+    bool const is_repeated = phase_ == backend_phase::gone;
     phase_ = backend_phase::gone;
+    is_end_certain_ =
+        is_repeated ? is_end_certain_ : was_announced && is_well_known();
     // The run lived until now, so all runs before it have ended.
     for (auto const& each : former_runs_)
     {
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -197,9 +197,8 @@
 
 flow_ownership agent_relay::ownership(flow_key const& flow) const
 {
-    return lifecycle_.phase() == backend_phase::gone
-               ? flow_ownership::not_held
-               : observer_.ownership(flow);
+    return lifecycle_.has_certainly_ended() ? flow_ownership::not_held
+                                            : observer_.ownership(flow);
 }
 
 return_reason agent_relay::refusal_reason(relay_message const& message,
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -135,7 +135,8 @@
 
 member_state forward_agent::published_state() const
 {
-    if (lifecycle_.phase() == backend_phase::gone)
+    // Balancers no longer ask the agent of a target that has left for flows.
+    if (lifecycle_.has_certainly_ended())
     {
         return member_state::left;
     }
@@ -224,7 +225,7 @@
         // running.
         io_.stop();
     };
-    if (lifecycle_.phase() == backend_phase::gone)
+    if (lifecycle_.has_certainly_ended())
     {
         control_.stop(end);
     }
--- a/test/unit/backend_admission_test.cpp
+++ b/test/unit/backend_admission_test.cpp
@@ -97,6 +97,9 @@
 TEST_CASE_FIXTURE(admission_fixture,
                   "a backend server that has ended holds no flows")
 {
+    // An end counts only for a run that was heard for a while.
+    announce();
+    now_ += takeover_time;
     announce();
     lifecycle_.on_end("run");
     CHECK(offer_packet(packet(1)) == return_reason::not_held);
@@ -104,6 +107,48 @@
     CHECK(proves_not_held(return_reason::not_held));
 }
 
+// Guards against denying the flows of a living run because the end of a former
+// one with its id came late.
+TEST_CASE_FIXTURE(admission_fixture,
+                  "an end that may be that of another run denies no flow")
+{
+    SUBCASE("before any announcement")
+    {
+        lifecycle_.on_end("run");
+    }
+    SUBCASE("of a run that was heard once")
+    {
+        announce();
+        lifecycle_.on_end("run");
+    }
+    SUBCASE("of a run that goes on to announce itself")
+    {
+        announce();
+        now_ += takeover_time;
+        announce();
+        lifecycle_.on_end("run");
+        announce();
+        lifecycle_.on_end("run");
+    }
+    SUBCASE("while another run announces itself")
+    {
+        announce();
+        now_ += takeover_time;
+        announce();
+        lifecycle_.on_end("run");
+        backend_announcement other;
+        other.id_ = "other";
+        other.service_ = "orders";
+        other.sequence_ = 2;
+        REQUIRE(lifecycle_.on_announcement(other, now_) ==
+                announcement_outcome::not_current);
+    }
+    REQUIRE(lifecycle_.phase() == backend_phase::gone);
+    CHECK(offer_packet(packet(1)) == return_reason::not_accepting);
+    CHECK(offer_packet(syn(2)) == return_reason::not_accepting);
+    CHECK_FALSE(proves_not_held(return_reason::not_accepting));
+}
+
 TEST_CASE_FIXTURE(admission_fixture,
                   "a draining backend server keeps its open flows")
 {
--- a/test/unit/flow_knowledge_test.cpp
+++ b/test/unit/flow_knowledge_test.cpp
@@ -136,6 +136,15 @@
             announce("a", 2'000, 7, backend_phase::draining));
         agent_->on_announcement(announce("b", 5'000, 1));
     }
+    SUBCASE("after a late end of a former run with the same id")
+    {
+        agent_->on_backend_end("a");
+    }
+    SUBCASE("after a late announcement and a late end of such a run")
+    {
+        agent_->on_announcement(announce("a", 2'000, 7));
+        agent_->on_backend_end("a");
+    }
     SUBCASE("after the clock went back")
     {
         agent_->on_announcement(announce("a", 9'000, 1));
