--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -219,6 +219,7 @@
                        std::vector<target_id> const& targets, time_point now);
     forward_action on_all_denied(flow& value, time_point now);
     bool has_been_replaced(target_id target, return_reason reason) const;
+    bool is_lost(target_id target, time_point now) const;
     search_progress progress(flow const& value, time_point now) const;
     bool is_view_confirmed(owner_search const& search) const;
     bool can_use_stored_list(owner_search const& search, time_point now) const;
--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -55,6 +55,9 @@
     // flow.
     void on_returned(target_id target);
 
+    // Asks lost targets again that are lost no longer.
+    void ask_found_targets(target_test const& is_lost);
+
     // True while a candidate hasn't been asked or owes an answer.
     bool has_pending_questions() const;
 
@@ -64,7 +67,7 @@
     // Targets that were offered the packet and may still return it.
     std::vector<target_id> offered_targets() const;
 
-    // True if every candidate has denied the flow.
+    // True if every candidate has denied the flow or is lost.
     bool is_exhausted() const;
 
     // Fills in all counts but known_.
@@ -82,7 +85,7 @@
     // Returns the targets whose questions are to be retransmitted, and doubles
     // the retransmission timeout up to its maximum. A target whose offer timed
     // out is asked again. A lost target that hasn't answered within
-    // lost_target_timeout counts as denied.
+    // lost_target_timeout is awaited no longer while it is lost.
     std::vector<target_id> next_retransmissions(time_point now,
                                                 target_test const& is_lost);
 
@@ -107,7 +110,8 @@
         asked,
         undetermined, // may hold the flow; only an offered packet can show it
         offered,      // received the packet
-        denied        // doesn't hold the flow
+        denied,       // doesn't hold the flow
+        lost          // presumed dead and silent, which proves nothing
     };
 
     struct candidate
@@ -141,7 +145,7 @@
     static constexpr std::chrono::milliseconds initial_retransmission_timeout{
         150};
     static constexpr std::chrono::milliseconds max_retransmission_timeout{600};
-    // A lost target that hasn't answered within this time counts as denied.
+    // A lost target that hasn't answered within this time is awaited no longer.
     static constexpr std::chrono::milliseconds lost_target_timeout{350};
     // Targets that are offered the packet at the same time.
     static constexpr std::size_t max_open_offers = 32;
--- a/src/core/flow_forwarder_search.cpp
+++ b/src/core/flow_forwarder_search.cpp
@@ -63,12 +63,15 @@
         return {};
     }
     extend_search(value, now);
-    auto const is_lost = [&](target_id id)
-    {
-        auto const& target = *directory_.find(id);
-        return !may_own_flows(target.record_.state_) && target.is_silent(now);
-    };
-    return value.search_->next_retransmissions(now, is_lost);
+    return value.search_->next_retransmissions(now, [&](target_id id)
+                                               { return is_lost(id, now); });
+}
+
+// True for a target that was declared dead and doesn't answer.
+bool flow_forwarder::is_lost(target_id target, time_point now) const
+{
+    auto const& held = *directory_.find(target);
+    return !may_own_flows(held.record_.state_) && held.is_silent(now);
 }
 
 forward_action flow_forwarder::on_owner_answer(flow_key const& key,
@@ -183,6 +186,7 @@
                                               time_point now)
 {
     auto& search = *value.search_;
+    search.ask_found_targets([&](target_id id) { return is_lost(id, now); });
     if (!search.has_pending_questions())
     {
         extend_search(value, now);
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -86,7 +86,9 @@
     for (auto const& each : candidates_)
     {
         bool const has_been_offered = each.offered_at_ != time_point{};
-        if (has_been_offered && each.state_ != state::denied)
+        bool const may_return =
+            each.state_ != state::denied && each.state_ != state::lost;
+        if (has_been_offered && may_return)
         {
             result.push_back(each.target_);
         }
@@ -96,8 +98,22 @@
 
 bool owner_search::is_exhausted() const
 {
-    return std::ranges::all_of(candidates_, [](candidate const& each)
-                               { return each.state_ == state::denied; });
+    return std::ranges::all_of(
+        candidates_, [](candidate const& each)
+        { return each.state_ == state::denied || each.state_ == state::lost; });
+}
+
+// A target that was presumed dead may hold the flow: it may have been declared
+// dead wrongly, or only its agent may have restarted.
+void owner_search::ask_found_targets(target_test const& is_lost)
+{
+    for (auto& each : candidates_)
+    {
+        if (each.state_ == state::lost && !is_lost(each.target_))
+        {
+            each.state_ = state::unasked;
+        }
+    }
 }
 
 search_progress owner_search::progress(time_point now) const
@@ -107,7 +123,9 @@
     for (auto const& each : candidates_)
     {
         result.asked_ += each.state_ == state::unasked ? 0 : 1;
-        result.denied_ += each.state_ == state::denied ? 1 : 0;
+        bool const is_ruled_out =
+            each.state_ == state::denied || each.state_ == state::lost;
+        result.denied_ += is_ruled_out ? 1 : 0;
         bool const is_undetermined =
             each.state_ == state::undetermined || each.state_ == state::offered;
         result.undetermined_ += is_undetermined ? 1 : 0;
@@ -143,7 +161,7 @@
             now > each.asked_at_ + lost_target_timeout && is_lost(each.target_);
         if (is_lost_target)
         {
-            each.state_ = state::denied;
+            each.state_ = state::lost;
         }
         if (each.state_ == state::asked)
         {
--- a/test/unit/flow_search_test.cpp
+++ b/test/unit/flow_search_test.cpp
@@ -326,6 +326,34 @@
     CHECK(resume_search(packet(1)).step_ == forward_step::reset);
 }
 
+// Guards against the reset of an open flow whose agent was presumed dead when
+// the search began, and came back while the search still ran.
+TEST_CASE_FIXTURE(search_simulation,
+                  "a target that was presumed dead is asked again once it is "
+                  "back")
+{
+    confirms_view_ = false;
+    add_target("one");
+    add_target("two");
+    send(packet(1));
+    answer(packet(1), "one", flow_ownership::not_held);
+    add_target("two", member_state::dead, false);
+    for (int i = 0; i < 3; ++i)
+    {
+        now_ += 400ms;
+        CHECK(resume_search(packet(1)).step_ == forward_step::hold);
+        send(packet(1));
+    }
+    add_target("two");
+    directory_.confirm_view(now_);
+    auto const again = resume_search(packet(1));
+    CHECK(again.step_ == forward_step::hold);
+    REQUIRE(again.questions_.size() == 1);
+    CHECK(again.questions_[0]->record_.name_ == "two");
+    CHECK(answer(packet(1), "two", flow_ownership::held).step_ ==
+          forward_step::send);
+}
+
 TEST_CASE_FIXTURE(search_simulation,
                   "no confirmation is requested once the caller has left")
 {
