--- a/include/daisytrail/backend_lifecycle.hpp
+++ b/include/daisytrail/backend_lifecycle.hpp
@@ -123,6 +123,14 @@
         return phase_ == backend_phase::gone && is_end_certain_;
     }
 
+    // True if the first announcement that was heard of the current run is the
+    // first one that it sent. The run has then probably started after this
+    // agent or at the same time, which is no proof.
+    bool is_heard_from_start() const
+    {
+        return phase_ != backend_phase::unknown && is_heard_from_start_;
+    }
+
     // Number of runs that announced themselves.
     std::uint64_t run_count() const
     {
@@ -167,6 +175,7 @@
 
     std::string service_;
     backend_phase phase_ = backend_phase::unknown;
+    bool is_heard_from_start_ = false;
     bool is_end_certain_ = false;            // meaningful while phase_ is gone
     backend_announcement last_announcement_; // unset while phase_ is unknown
     std::uint64_t run_count_ = 0;
--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -27,6 +27,10 @@
     // Caller and backend server don't rely on an older flow that has been idle
     // since the agent's start.
     duration flow_lifetime_ = max_flow_idle_time;
+    // A lost packet of a flow is retransmitted within this time.
+    duration retransmission_time_ = std::chrono::seconds(2);
+    // A longer gap between two ticks means that this process was paused.
+    duration pause_threshold_ = std::chrono::seconds(1);
     // How long a flow that both ends closed is remembered: retransmissions of
     // its last packets may still have to reach the backend server.
     duration closed_flow_retention_ = std::chrono::seconds(5);
@@ -88,6 +92,24 @@
     // Whether the backend server holds the flow, as far as the packets prove.
     flow_ownership ownership(flow_key const& key) const;
 
+    // The same if flows that have been idle for longer than `idle_limit` may be
+    // denied; 0: idle flows may not.
+    flow_ownership ownership(flow_key const& key, duration idle_limit,
+                             time_point now) const;
+
+    // True if packets of the flow were observed and aren't forgotten.
+    bool has_observed(flow_key const& key) const
+    {
+        return flows_.contains(key);
+    }
+
+    // Packets of the backend server's flows may have been lost before they
+    // reached this process.
+    void on_interruption(time_point now)
+    {
+        observing_since_ = now;
+    }
+
     // Records a caller's packet that was passed to the backend server.
     void on_caller_packet(flow_packet const& packet, time_point now);
 
@@ -213,6 +235,10 @@
     // Start of the period in which all packets of the backend server were
     // recorded, whichever of its runs they went to; empty until the next tick.
     std::optional<time_point> tracking_since_;
+    // Start of the period without a pause or an interruption; empty until the
+    // next tick.
+    std::optional<time_point> observing_since_;
+    time_point ticked_at_{};
     std::uint32_t open_flows_ = 0; // flows in which the caller sent data
     std::uint32_t slots_ = 1;
     std::uint32_t in_flight_ = 0; // flows that await an answer
--- a/include/daisytrail/flow_forwarder.hpp
+++ b/include/daisytrail/flow_forwarder.hpp
@@ -249,6 +249,7 @@
     flow_list flows_;                            // least recently used first
     std::unordered_map<flow_key, flow_list::iterator, flow_hash> index_;
     std::set<flow_key> searches_; // flows with a running search
+    offer_budget offer_budget_;   // of all searches
     // Latest start of a search that has waited for a confirmed view.
     time_point required_view_at_{};
     // When a search last had to wait for a confirmed view.
--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -117,6 +117,10 @@
     // flows that were opened before the route changed.
     std::vector<service_id> other_services(route_template const& route) const;
 
+    // How long a flow of the service may be idle by any template that was in
+    // force here; 0 for a service that no template has named.
+    std::chrono::milliseconds flow_idle_limit(service_id service) const;
+
     // The services of a route in the order of its shares.
     static std::vector<service_id> services_of(route_template const& route);
 
@@ -153,6 +157,7 @@
     void rebuild_routes();
     bool discover(target_id target);
     void note_removed(endpoint const& vip);
+    void note_idle_limits(organisation_template const& value);
 
     // Removed VIPs that are remembered at most.
     static constexpr std::size_t max_removed_vips = 10'000;
@@ -166,6 +171,9 @@
     // point into templates_. One vector in place of a tree: a version with
     // thousands of routes is built in one pass, while packets wait.
     std::vector<route_template const*> routes_;
+    // By service: the longest idle timeout of any template that was in force.
+    // An open flow may rely on an earlier one.
+    std::unordered_map<service_id, std::chrono::milliseconds> idle_limits_;
     std::set<endpoint> removed_vips_;          // removed, maybe added again
     std::deque<endpoint> removed_vips_by_age_; // oldest first
     template_version newest_version_ = 0;
--- a/include/daisytrail/organisation.hpp
+++ b/include/daisytrail/organisation.hpp
@@ -48,6 +48,10 @@
     bool operator==(request_class const&) const = default;
 };
 
+// Bounds of service_limits::idle_timeout_.
+inline constexpr std::chrono::seconds min_idle_timeout{1};
+inline constexpr std::chrono::hours max_idle_timeout{24};
+
 // Resource limits and timeouts of a service. The counts apply to each target.
 struct service_limits
 {
--- a/include/daisytrail/owner_search.hpp
+++ b/include/daisytrail/owner_search.hpp
@@ -9,6 +9,7 @@
 // and the balancers' links have little capacity beyond their usual traffic.
 #pragma once
 
+#include <daisytrail/offer_budget.hpp>
 #include <daisytrail/relay_message.hpp>
 #include <daisytrail/types.hpp>
 
@@ -99,9 +100,12 @@
 
     // Returns the undetermined targets to offer the packet to now. Offers wait
     // until only silent agents owe an answer; preferred targets wait for
-    // answers of preferred targets only.
+    // answers of preferred targets only. Improbable targets come last, and only
+    // if the budget allows offers to all of them, so that the owner isn't
+    // among those left out.
     std::vector<target_id> next_offers(time_point now,
-                                       target_test const& is_silent);
+                                       target_test const& is_silent,
+                                       offer_budget& budget);
 
 private:
     enum class state : std::uint8_t
@@ -109,6 +113,7 @@
         unasked,
         asked,
         undetermined, // may hold the flow; only an offered packet can show it
+        improbable,   // the same, but hardly holds the flow
         offered,      // received the packet
         denied,       // doesn't hold the flow
         lost          // presumed dead and silent, which proves nothing
@@ -130,11 +135,18 @@
     std::size_t open_offer_count() const;
     bool awaits_preferred(target_test const& is_silent) const;
     std::vector<candidate*> ready_for_offers(target_test const& is_silent);
+    static std::vector<target_id>
+    offer_to(std::vector<candidate*> const& chosen, time_point now);
+    std::vector<target_id> next_improbable_offers(time_point now,
+                                                  target_test const& is_silent,
+                                                  offer_budget& budget);
 
     time_point started_at_;
     std::vector<candidate> candidates_;
     std::size_t batch_size_ = initial_batch_size; // of the next batch
     std::size_t early_offers_left_ = max_early_offers;
+    // The budget has been charged for offers to all improbable targets.
+    bool are_improbable_offers_paid_ = false;
     time_point next_batch_at_{}; // sent then even if answers are outstanding
     duration retransmission_timeout_ = initial_retransmission_timeout;
     time_point retransmit_at_{};
--- a/include/daisytrail/relay_message.hpp
+++ b/include/daisytrail/relay_message.hpp
@@ -5,6 +5,7 @@
 #include <daisytrail/types.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -33,12 +34,15 @@
     undetermined, // passing a packet of the flow is the only way to find out
     held,
     not_held,
+    // Undetermined, but the agent never saw the flow and heard of the backend
+    // server's run from its first announcement on.
+    improbable,
     count
 };
 
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(flow_ownership::count)>
-    flow_ownership_names{"unsure", "held", "not_held"};
+    flow_ownership_names{"unsure", "held", "not_held", "improbable"};
 
 constexpr std::string_view to_string(flow_ownership ownership)
 {
@@ -135,6 +139,10 @@
     // flow and requests an `owner_answer` if it does. In messages of other
     // kinds: false.
     bool is_owner_unknown_ = false;
+    // In an `owner_question`: flows that have been idle for longer than this
+    // needn't be kept; 0: no such limit is known. In messages of other kinds:
+    // 0.
+    std::chrono::milliseconds idle_limit_{0};
     // One to max_queried_flows flows in an `owner_question`, an `owner_answer`
     // and a `syn_waits`, empty in messages of other kinds.
     std::vector<queried_flow> queried_flows_ = {};
--- a/src/config/organisation.cpp
+++ b/src/config/organisation.cpp
@@ -144,7 +144,7 @@
     {"idle_timeout", presence::optional,
      [](value_reader const& in, service_limits& out)
      {
-         in.duration(out.idle_timeout_, 1s, max_deadline);
+         in.duration(out.idle_timeout_, min_idle_timeout, max_idle_timeout);
      }},
     {"drain_timeout", presence::optional,
      [](value_reader const& in, service_limits& out)
--- a/src/core/backend_lifecycle.cpp
+++ b/src/core/backend_lifecycle.cpp
@@ -108,6 +108,7 @@
             run_of(last_announcement_));
     }
     last_announcement_ = value;
+    is_heard_from_start_ = value.sequence_ == first_announcement;
     ++run_count_;
     phase_ = value.phase_;
     warmed_up_at_ = now + value.remaining_warm_up_;
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -122,6 +122,19 @@
                           : flow_ownership::undetermined;
 }
 
+// A flow that is used has shown a packet within the limit and the time until
+// the packet's retransmission.
+flow_ownership backend_observer::ownership(flow_key const& key,
+                                           duration idle_limit,
+                                           time_point now) const
+{
+    bool const is_idle_or_unknown =
+        idle_limit > duration::zero() && observing_since_ &&
+        now > *observing_since_ + idle_limit + settings_.retransmission_time_ &&
+        !flows_.contains(key);
+    return is_idle_or_unknown ? flow_ownership::not_held : ownership(key);
+}
+
 // A retransmitted SYN may follow a SYN that an earlier process of the agent
 // passed. The first SYN of a flow can't, since the caller sends it once.
 void backend_observer::begin_half_open(flow& value, bool may_predate_agent,
@@ -371,6 +384,7 @@
     {
         knows_all_flows_ = false;
         tracking_since_.reset();
+        observing_since_.reset();
         return flows_.end();
     }
     return flows_.emplace(key, flow{}).first;
@@ -529,6 +543,13 @@
 void backend_observer::update_flow_knowledge(time_point now)
 {
     tracking_since_ = tracking_since_.value_or(now);
+    bool const was_paused = ticked_at_ != time_point{} &&
+                            now > ticked_at_ + settings_.pause_threshold_;
+    ticked_at_ = now;
+    if (was_paused || !observing_since_)
+    {
+        observing_since_ = now;
+    }
     knows_all_flows_ =
         knows_all_flows_ || now > *tracking_since_ + settings_.flow_lifetime_;
 }
--- a/src/core/flow_forwarder_search.cpp
+++ b/src/core/flow_forwarder_search.cpp
@@ -200,7 +200,8 @@
     bool const has_view = is_view_confirmed(search);
     if (has_view || can_use_stored_list(search, now))
     {
-        add_offers(action, search.next_offers(now, is_silent), now);
+        add_offers(action, search.next_offers(now, is_silent, offer_budget_),
+                   now);
     }
     value.waits_for_view_ = !has_view && !search.awaits_answers(is_silent) &&
                             !search.has_open_offers();
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -115,6 +115,7 @@
     auto const previous_routes =
         std::exchange(templates_[value.name_], value.routes_);
     rebuild_routes();
+    note_idle_limits(value);
     for (auto const& route : previous_routes)
     {
         note_removed(route.vip_);
@@ -146,6 +147,23 @@
     routes_.erase(repeated, routes_.end());
 }
 
+void forward_directory::note_idle_limits(organisation_template const& value)
+{
+    for (auto const& service : value.services_)
+    {
+        auto& limit = idle_limits_[service.id_];
+        limit = std::max(limit, service.limits_.idle_timeout_);
+    }
+}
+
+std::chrono::milliseconds
+forward_directory::flow_idle_limit(service_id service) const
+{
+    auto const found = idle_limits_.find(service);
+    return found == idle_limits_.end() ? std::chrono::milliseconds(0)
+                                       : found->second;
+}
+
 // Remembers a VIP without a route. A VIP that gets a route again stays
 // remembered, which does no harm: find_route() is consulted first.
 void forward_directory::note_removed(endpoint const& vip)
--- a/src/core/owner_search.cpp
+++ b/src/core/owner_search.cpp
@@ -55,7 +55,9 @@
     }
     else if (entry->state_ == state::asked)
     {
-        entry->state_ = state::undetermined;
+        entry->state_ = answer == flow_ownership::improbable
+                            ? state::improbable
+                            : state::undetermined;
     }
 }
 
@@ -126,8 +128,9 @@
         bool const is_ruled_out =
             each.state_ == state::denied || each.state_ == state::lost;
         result.denied_ += is_ruled_out ? 1 : 0;
-        bool const is_undetermined =
-            each.state_ == state::undetermined || each.state_ == state::offered;
+        bool const is_undetermined = each.state_ == state::undetermined ||
+                                     each.state_ == state::improbable ||
+                                     each.state_ == state::offered;
         result.undetermined_ += is_undetermined ? 1 : 0;
     }
     return result;
@@ -255,8 +258,52 @@
     return ready;
 }
 
+std::vector<target_id>
+owner_search::offer_to(std::vector<candidate*> const& chosen, time_point now)
+{
+    std::vector<target_id> result;
+    for (auto* const each : chosen)
+    {
+        each->state_ = state::offered;
+        each->offered_at_ = now;
+        result.push_back(each->target_);
+    }
+    return result;
+}
+
+std::vector<target_id> owner_search::next_improbable_offers(
+    time_point now, target_test const& is_silent, offer_budget& budget)
+{
+    std::vector<candidate*> ready;
+    for (auto& each : candidates_)
+    {
+        if (each.state_ == state::improbable)
+        {
+            ready.push_back(&each);
+        }
+    }
+    if (ready.empty() || awaits_answers(is_silent))
+    {
+        return {};
+    }
+    if (!are_improbable_offers_paid_)
+    {
+        bool const may_be_elsewhere =
+            has(state::undetermined) || has(state::offered);
+        if (may_be_elsewhere || !budget.consume(ready.size(), now))
+        {
+            return {};
+        }
+        are_improbable_offers_paid_ = true;
+    }
+    auto const open_count = std::min(open_offer_count(), max_open_offers);
+    ready.resize(std::min(ready.size(), max_open_offers - open_count));
+    return offer_to(ready, now);
+}
+
 std::vector<target_id> owner_search::next_offers(time_point now,
-                                                 target_test const& is_silent)
+                                                 target_test const& is_silent,
+                                                 offer_budget& budget)
 {
     auto ready = ready_for_offers(is_silent);
     if (!has_pending_questions())
@@ -274,14 +321,8 @@
         // offers would make later candidates wait for all answers.
         ready.clear();
     }
-    std::vector<target_id> result;
-    for (auto* const each : ready)
-    {
-        each->state_ = state::offered;
-        each->offered_at_ = now;
-        result.push_back(each->target_);
-    }
-    return result;
+    return ready.empty() ? next_improbable_offers(now, is_silent, budget)
+                         : offer_to(ready, now);
 }
 
 } // namespace daisytrail
--- a/src/forward/agent_relay.cpp
+++ b/src/forward/agent_relay.cpp
@@ -13,6 +13,9 @@
 constexpr std::chrono::milliseconds report_interval{100};
 // A balancer that sent no datagram for this long gets no unsolicited reports.
 constexpr std::chrono::seconds recent_balancer_timeout{3};
+// Each balancer requests a report of an idle agent more often than this. An
+// agent that hears of none for longer may be cut off from all callers.
+constexpr std::chrono::milliseconds contact_timeout{2'500};
 
 static_assert(max_relay_head_bytes <= udp_sender::header_capacity);
 
@@ -132,6 +135,7 @@
     auto const& message = decoded->message_;
     auto& sender = recent_balancers_[from];
     sender.last_received_at_ = now;
+    contacted_at_ = now;
     if (message.kind_ == relay_kind::report_request ||
         message.kind_ == relay_kind::owner_question)
     {
@@ -184,8 +188,9 @@
         auto flows = message.queried_flows_;
         for (auto& each : flows)
         {
-            each.ownership_ = is_addressee ? ownership(each.flow_)
-                                           : flow_ownership::undetermined;
+            each.ownership_ =
+                is_addressee ? ownership(each.flow_, message.idle_limit_, now)
+                             : flow_ownership::undetermined;
         }
         send_owner_answers(std::move(flows), message.target_, balancer, now);
     }
@@ -195,10 +200,18 @@
     }
 }
 
-flow_ownership agent_relay::ownership(flow_key const& flow) const
+flow_ownership agent_relay::ownership(flow_key const& flow, duration idle_limit,
+                                      time_point now) const
 {
-    return lifecycle_.has_certainly_ended() ? flow_ownership::not_held
-                                            : observer_.ownership(flow);
+    if (lifecycle_.has_certainly_ended())
+    {
+        return flow_ownership::not_held;
+    }
+    auto const result = observer_.ownership(flow, idle_limit, now);
+    bool const is_improbable = result == flow_ownership::undetermined &&
+                               !observer_.has_observed(flow) &&
+                               lifecycle_.is_heard_from_start();
+    return is_improbable ? flow_ownership::improbable : result;
 }
 
 return_reason agent_relay::refusal_reason(relay_message const& message,
@@ -448,6 +461,10 @@
 void agent_relay::tick(time_point now)
 {
     observer_.tick(now);
+    if (now > contacted_at_ + contact_timeout)
+    {
+        observer_.on_interruption(now);
+    }
     update_flow_knowledge(now);
     update_responsiveness(now);
     drop_expired_syns(now);
--- a/src/forward/agent_relay.hpp
+++ b/src/forward/agent_relay.hpp
@@ -113,7 +113,8 @@
                             endpoint const& balancer, time_point now);
     void answer_question(relay_message const& message, endpoint const& balancer,
                          time_point now);
-    flow_ownership ownership(flow_key const& flow) const;
+    flow_ownership ownership(flow_key const& flow, duration idle_limit,
+                             time_point now) const;
     void return_packet(flow_packet const& packet, std::span<std::byte> bytes,
                        endpoint const& balancer, relay_message const& message,
                        time_point now);
@@ -145,6 +146,7 @@
     // Those that wait in syns_.
     std::unordered_map<flow_key, waiting_syn, flow_hash> waiting_syns_;
     bool knows_all_flows_ = false; // at the last tick
+    time_point contacted_at_{};    // by any balancer
     time_point reported_at_{};
     std::uint64_t& passed_;
     std::uint64_t& answered_;
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -353,6 +353,7 @@
     message.service_ = target.record_.service_;
     message.target_ = target.record_.target_;
     message.version_ = directory_.newest_version();
+    message.idle_limit_ = directory_.flow_idle_limit(target.record_.service_);
     message.queried_flows_ = std::exchange(flows, {});
     auto const head_bytes = encode_relay_head(message, agents_.next_head());
     agents_.add(target.record_.tunnel_, head_bytes, {});
@@ -444,7 +445,9 @@
                                       queried_flow const& answer,
                                       time_point now)
 {
-    if (answer.ownership_ == flow_ownership::not_held || !log_.admit(now))
+    bool const is_routine = answer.ownership_ == flow_ownership::not_held ||
+                            answer.ownership_ == flow_ownership::improbable;
+    if (is_routine || !log_.admit(now))
     {
         return;
     }
--- a/src/rpc/forward.capnp
+++ b/src/rpc/forward.capnp
@@ -15,6 +15,7 @@
   load @6 :LoadReport;
   asksOwner @7 :Bool;
   flows @8 :List(AskedFlow);
+  idleLimitMs @9 :UInt32;
 }
 
 # A flow whose owner is searched; agents answer with its holding.
--- a/src/rpc/relay_message.cpp
+++ b/src/rpc/relay_message.cpp
@@ -113,6 +113,7 @@
     result.kind_ = static_cast<relay_kind>(root.getKind());
     result.reason_ = static_cast<return_reason>(root.getReason());
     result.is_owner_unknown_ = root.getAsksOwner();
+    result.idle_limit_ = std::chrono::milliseconds(root.getIdleLimitMs());
     auto const load = root.getLoad();
     result.load_.in_flight_ = load.getUnderWay();
     result.load_.mean_in_flight_ = load.getMeanUnderWayMilli() / milli;
@@ -144,6 +145,8 @@
     root.setReason(static_cast<std::uint8_t>(message.reason_));
     root.setAccepts(message.load_.accepts_);
     root.setAsksOwner(message.is_owner_unknown_);
+    root.setIdleLimitMs(
+        static_cast<std::uint32_t>(message.idle_limit_.count()));
     if (carries_flows(message.kind_))
     {
         write_flows(root, message.queried_flows_);
--- a/test/unit/flow_knowledge_test.cpp
+++ b/test/unit/flow_knowledge_test.cpp
@@ -116,6 +116,7 @@
                   "a new agent process denies no flow when its backend server "
                   "first announces itself")
 {
+    auto expected = flow_ownership::improbable;
     SUBCASE("as the first run that the process hears of")
     {
         agent_->on_announcement(announce("a", 5'000, 1));
@@ -139,17 +140,29 @@
     SUBCASE("after a late end of a former run with the same id")
     {
         agent_->on_backend_end("a");
+        expected = flow_ownership::undetermined;
     }
     SUBCASE("after a late announcement and a late end of such a run")
     {
         agent_->on_announcement(announce("a", 2'000, 7));
         agent_->on_backend_end("a");
+        expected = flow_ownership::undetermined;
     }
     SUBCASE("after the clock went back")
     {
         agent_->on_announcement(announce("a", 9'000, 1));
         agent_->on_announcement(announce("b", 9'001, 1));
     }
+    CHECK(ownership_of_unseen_flow() == expected);
+}
+
+TEST_CASE_FIXTURE(
+    new_agent_fixture,
+    "an unseen flow isn't improbable if the run may be older than "
+    "the agent")
+{
+    CHECK(ownership_of_unseen_flow() == flow_ownership::undetermined);
+    agent_->on_announcement(announce("a", 5'000, 2));
     CHECK(ownership_of_unseen_flow() == flow_ownership::undetermined);
 }
 
@@ -157,9 +170,11 @@
 {
 
 constexpr duration flow_lifetime = 60s;
+constexpr duration idle_limit = 15s;
 
 // Backend server runs, agent processes and callers in random order. Callers use
-// a flow for flow_lifetime at most. An announcement may arrive late.
+// a flow for flow_lifetime at most and leave it idle for idle_limit at most. An
+// announcement may arrive late.
 class process_history
 {
 public:
@@ -173,13 +188,14 @@
     {
         for (int i = 0; i < steps; ++i)
         {
-            now_ += std::chrono::milliseconds(pick(1, 4'000));
-            agent_->observer_.tick(now_);
-            constexpr std::array<void (process_history::*)(), 8> actions{
+            run_agent(std::chrono::milliseconds(pick(1, 4'000)));
+            constexpr std::array<void (process_history::*)(), 12> actions{
                 &process_history::open_flow,     &process_history::open_flow,
-                &process_history::open_flow,     &process_history::announce_run,
-                &process_history::announce_late, &process_history::announce_run,
-                &process_history::start_run,     &process_history::start_agent};
+                &process_history::open_flow,     &process_history::use_flow,
+                &process_history::use_flow,      &process_history::use_flow,
+                &process_history::announce_run,  &process_history::announce_run,
+                &process_history::announce_late, &process_history::start_run,
+                &process_history::start_agent,   &process_history::pause_agent};
             (this->*actions.at(pick(0, actions.size() - 1)))();
             check();
         }
@@ -199,8 +215,9 @@
 
     struct held_flow
     {
-        flow_key key_;
+        flow_packet request_;
         time_point opened_at_{};
+        time_point used_at_{};
     };
 
     std::uint64_t pick(std::uint64_t least, std::uint64_t most)
@@ -209,6 +226,26 @@
                                                             most)(random_);
     }
 
+    void run_agent(duration time)
+    {
+        for (auto const end = now_ + time; now_ < end;)
+        {
+            now_ += 50ms;
+            agent_->observer_.tick(now_);
+        }
+    }
+
+    // The packets that callers send meanwhile are lost.
+    void pause_agent()
+    {
+        now_ += std::chrono::milliseconds(pick(1'100, 20'000));
+        for (auto& each : held_)
+        {
+            each.used_at_ = now_;
+        }
+        agent_->observer_.tick(now_);
+    }
+
     void start_agent()
     {
         agent_ = std::make_unique<agent_process>();
@@ -278,21 +315,44 @@
         request.acknowledgement_ = 1;
         request.payload_bytes_ = 1;
         agent_->observer_.on_caller_packet(request, now_);
-        held_.push_back({syn.flow_from_caller(), now_});
+        held_.push_back({request, now_, now_});
+    }
+
+    // A caller uses one of its flows.
+    void use_flow()
+    {
+        if (held_.empty())
+        {
+            return;
+        }
+        auto& used = held_.at(pick(0, held_.size() - 1));
+        used.used_at_ = now_;
+        used.request_.sequence_ += 1;
+        agent_->observer_.on_caller_packet(used.request_, now_);
     }
 
-    // A flow that the living run holds is never denied.
+    // A flow that the living run holds and that is in use is never denied.
     void check()
     {
-        std::erase_if(held_, [this](held_flow const& each)
-                      { return now_ >= each.opened_at_ + flow_lifetime; });
+        std::erase_if(held_,
+                      [this](held_flow const& each)
+                      {
+                          return now_ >= each.opened_at_ + flow_lifetime ||
+                                 now_ >= each.used_at_ + idle_limit;
+                      });
+        auto const& observer = agent_->observer_;
         for (auto const& each : held_)
         {
-            CHECK(agent_->observer_.ownership(each.key_) !=
+            auto const key = each.request_.flow_from_caller();
+            CHECK(observer.ownership(key) != flow_ownership::not_held);
+            CHECK(observer.ownership(key, idle_limit, now_) !=
                   flow_ownership::not_held);
         }
-        auto const unknown = agent_->observer_.ownership({{9, 9}, {2, 443}});
-        denials_ += unknown == flow_ownership::not_held ? 1 : 0;
+        flow_key const unknown{{9, 9}, {2, 443}};
+        denials_ += observer.ownership(unknown, idle_limit, now_) ==
+                            flow_ownership::not_held
+                        ? 1
+                        : 0;
     }
 
     std::mt19937_64 random_;
@@ -322,3 +382,43 @@
     // The denials are of use: some agent processes live long enough.
     CHECK(denials > 0);
 }
+
+// Guards against an agent that can deny nothing for the whole lifetime of a
+// flow: each search for a flow that nobody holds then offers a packet to every
+// backend server.
+TEST_CASE("an agent denies a flow that has been idle for longer than allowed")
+{
+    time_point now{1h};
+    backend_observer observer;
+    flow_key const unknown{{9, 9}, {2, 443}};
+    auto const ownership = [&]
+    {
+        return observer.ownership(unknown, idle_limit, now);
+    };
+    auto const run = [&](duration time)
+    {
+        for (auto const end = now + time; now < end;)
+        {
+            now += 50ms;
+            observer.tick(now);
+        }
+    };
+    run(17s);
+    CHECK(ownership() == flow_ownership::undetermined);
+    run(1s);
+    CHECK(ownership() == flow_ownership::not_held);
+    CHECK(observer.ownership(unknown, 0s, now) == flow_ownership::undetermined);
+    SUBCASE("unless it was paused since")
+    {
+        now += 1'100ms;
+        observer.tick(now);
+        CHECK(ownership() == flow_ownership::undetermined);
+    }
+    SUBCASE("unless it was cut off since")
+    {
+        observer.on_interruption(now);
+        CHECK(ownership() == flow_ownership::undetermined);
+    }
+    run(18s);
+    CHECK(ownership() == flow_ownership::not_held);
+}
--- a/test/unit/owner_search_test.cpp
+++ b/test/unit/owner_search_test.cpp
@@ -44,12 +44,15 @@
     std::vector<target_id> offer(std::vector<target_id> const& silent = {})
     {
         return search_.next_offers(
-            now_, [&](target_id id)
-            { return std::ranges::find(silent, id) != silent.end(); });
+            now_,
+            [&](target_id id)
+            { return std::ranges::find(silent, id) != silent.end(); },
+            budget_);
     }
 
     time_point now_{1h};
     owner_search search_{now_};
+    offer_budget budget_;
 };
 
 } // namespace
@@ -90,9 +93,10 @@
     {
         return false;
     };
-    CHECK(search.next_offers(now_, none).empty());
+    CHECK(search.next_offers(now_, none, budget_).empty());
     search.on_answer(3, flow_ownership::undetermined);
-    CHECK(search.next_offers(now_, none) == std::vector<target_id>{7, 3});
+    CHECK(search.next_offers(now_, none, budget_) ==
+          std::vector<target_id>{7, 3});
     CHECK(search.next_questions(now_).empty());
     CHECK(search.next_questions(now_ + 51ms).size() == 6);
 }
@@ -240,3 +244,51 @@
     CHECK(search_.next_retransmissions(now_, third_is_lost) ==
           std::vector<target_id>{1, 2, 4, 5, 6});
 }
+
+// After a power failure the offers of all searches took the agents' processors
+// for seconds, since no agent could deny a flow.
+TEST_CASE_FIXTURE(search_fixture,
+                  "improbable targets are offered the packet last and within "
+                  "the budget")
+{
+    for (auto asked = ask(); !asked.empty(); asked = ask())
+    {
+        for (auto const target : asked)
+        {
+            search_.on_answer(target, target == 5 ? flow_ownership::undetermined
+                                                  : flow_ownership::improbable);
+        }
+    }
+    CHECK(offer() == std::vector<target_id>{5});
+    CHECK(offer().empty());
+    search_.on_returned(5);
+    SUBCASE("all of them at once")
+    {
+        CHECK(offer().size() == 7);
+        for (target_id const id : {1, 2, 3, 4, 6, 7, 8})
+        {
+            CHECK_FALSE(search_.is_exhausted());
+            search_.on_returned(id);
+        }
+        CHECK(search_.is_exhausted());
+    }
+    SUBCASE("none while the budget is used up")
+    {
+        while (budget_.consume(1, now_))
+        {
+        }
+        CHECK(offer().empty());
+        CHECK_FALSE(search_.is_exhausted());
+        now_ += 30ms; // refills fewer tokens than there are targets
+        CHECK(offer().empty());
+        now_ += 10ms;
+        CHECK(offer().size() == 7);
+    }
+    SUBCASE("none while an answer is awaited")
+    {
+        search_.add_candidates({9});
+        CHECK(offer().empty());
+        CHECK(ask() == std::vector<target_id>{9});
+        CHECK(offer().empty());
+    }
+}
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -118,8 +118,13 @@
         R"({"name":"r-1","host":"198.18.0.1","prefix":"/8443/",)"
         R"("split":[{"service":"s","weight":90},{"service":"t","weight":10}]},)"
         R"({"name":"r-2","host":"198.18.0.2","prefix":"/80/","service":"t"}],)"
-        R"("services":[{"name":"s"},{"name":"t"}],"limits":{}})"));
+        R"("services":[{"name":"s"},{"name":"t"}],)"
+        R"("limits":{"idleTimeoutMs":15000}})"));
     CHECK(stored->change_id_ == "version 7");
+    for (auto const& service : stored->value_.services_)
+    {
+        CHECK(service.limits_.idle_timeout_ == std::chrono::seconds(15));
+    }
     auto const& routes = stored->value_.routes_;
     REQUIRE(routes.size() == 2);
     CHECK(to_string(routes[0].vip_) == "198.18.0.1:8443");
@@ -128,6 +133,28 @@
     CHECK(routes[1].shares_[0].service_ == hash_name("site/t"));
 }
 
+// An odd idle timeout mustn't make the whole document invalid.
+TEST_CASE("an idle timeout that a template can't hold is replaced")
+{
+    auto const idle_timeout = [](std::string const& limits)
+    {
+        return parse_adopted_template(
+                   to_stored_template(
+                       R"({"version":7,"routes":[],"services":[{"name":"s"}])" +
+                       limits + "}"))
+            ->value_.services_.at(0)
+            .limits_.idle_timeout_;
+    };
+    auto const by_default = service_limits{}.idle_timeout_;
+    CHECK(idle_timeout("") == by_default);
+    CHECK(idle_timeout(R"(,"limits":7)") == by_default);
+    CHECK(idle_timeout(R"(,"limits":{"idleTimeoutMs":"x"})") == by_default);
+    CHECK(idle_timeout(R"(,"limits":{"idleTimeoutMs":0})") == by_default);
+    CHECK(idle_timeout(R"(,"limits":{"idleTimeoutMs":1})") == min_idle_timeout);
+    CHECK(idle_timeout(R"(,"limits":{"idleTimeoutMs":4000000000})") ==
+          max_idle_timeout);
+}
+
 TEST_CASE("a route that can't be converted is omitted, and other routes stay")
 {
     auto const stored = parse_adopted_template(to_stored_template(
