--- a/include/daisytrail/forward_directory.hpp
+++ b/include/daisytrail/forward_directory.hpp
@@ -33,6 +33,9 @@
     time_point report_requested_at_{}; // when a report was last requested
     // Flows that this balancer assigned to the target since reported_at_.
     std::uint32_t placed_since_report_ = 0;
+    // When it was first seen to be dead or to have left; empty if it may own
+    // flows.
+    std::optional<time_point> ended_at_;
 
     // True if the agent hasn't answered within agent_silence_timeout, so that
     // new flows should go to other targets.
@@ -43,6 +46,12 @@
 // covers three report intervals.
 inline constexpr std::chrono::milliseconds agent_silence_timeout{350};
 
+// A target that is dead or has left is forgotten after this time, as its record
+// is by the membership protocol. No caller relies on a flow of that age. A
+// target that was declared dead wrongly becomes known again by its
+// announcement.
+inline constexpr std::chrono::minutes ended_target_lifetime{10};
+
 class forward_directory
 {
 public:
@@ -97,6 +106,10 @@
     // Records a datagram to a target's agent.
     void on_datagram_sent(forward_target& target, time_point now);
 
+    // Removes the targets that ended ended_target_lifetime ago. Pointers to
+    // them become invalid.
+    void forget_ended_targets(time_point now);
+
     forward_target* find(target_id target);
 
     route_template const* find_route(endpoint const& vip) const;
--- a/src/core/flow_forwarder_search.cpp
+++ b/src/core/flow_forwarder_search.cpp
@@ -67,11 +67,13 @@
                                                { return is_lost(id, now); });
 }
 
-// True for a target that was declared dead and doesn't answer.
+// True for a target that was declared dead and doesn't answer, or that has been
+// forgotten since.
 bool flow_forwarder::is_lost(target_id target, time_point now) const
 {
-    auto const& held = *directory_.find(target);
-    return !may_own_flows(held.record_.state_) && held.is_silent(now);
+    auto const* const held = directory_.find(target);
+    return held == nullptr ||
+           (!may_own_flows(held->record_.state_) && held->is_silent(now));
 }
 
 forward_action flow_forwarder::on_owner_answer(flow_key const& key,
@@ -195,7 +197,8 @@
     add_questions(action, search.next_questions(now), now);
     auto const is_silent = [&](target_id id)
     {
-        return directory_.find(id)->is_silent(now);
+        auto const* const target = directory_.find(id);
+        return target == nullptr || target->is_silent(now);
     };
     bool const has_view = is_view_confirmed(search);
     if (has_view || can_use_stored_list(search, now))
@@ -245,9 +248,11 @@
 {
     for (auto const id : targets)
     {
-        auto* const target = directory_.find(id);
-        directory_.on_datagram_sent(*target, now);
-        action.questions_.push_back(target);
+        if (auto* const target = directory_.find(id); target != nullptr)
+        {
+            directory_.on_datagram_sent(*target, now);
+            action.questions_.push_back(target);
+        }
     }
 }
 
@@ -257,11 +262,13 @@
 {
     for (auto const id : targets)
     {
-        auto* const target = directory_.find(id);
-        directory_.on_datagram_sent(*target, now);
-        action.offers_.push_back(target);
+        if (auto* const target = directory_.find(id); target != nullptr)
+        {
+            directory_.on_datagram_sent(*target, now);
+            action.offers_.push_back(target);
+        }
     }
-    if (!targets.empty())
+    if (!action.offers_.empty())
     {
         action.step_ = forward_step::send;
         action.target_ = action.offers_.front();
--- a/src/core/forward_directory.cpp
+++ b/src/core/forward_directory.cpp
@@ -224,6 +224,26 @@
     }
 }
 
+void forward_directory::forget_ended_targets(time_point now)
+{
+    auto const is_forgotten = [now](auto const& entry)
+    {
+        auto& target = *entry.second;
+        if (may_own_flows(target.record_.state_))
+        {
+            target.ended_at_.reset();
+            return false;
+        }
+        target.ended_at_ = target.ended_at_.value_or(now);
+        return now > *target.ended_at_ + ended_target_lifetime;
+    };
+    if (std::erase_if(targets_, is_forgotten) > 0)
+    {
+        ++member_changes_;
+        rebuild_members();
+    }
+}
+
 forward_target* forward_directory::find(target_id target)
 {
     auto const found = targets_.find(target);
--- a/src/forward/balancer_relay.cpp
+++ b/src/forward/balancer_relay.cpp
@@ -1,6 +1,8 @@
 // Socket input and output around the decisions of flow_forwarder.
 #include "forward/balancer_relay.hpp"
 
+#include <daisytrail/report_requests.hpp>
+
 #include <boost/json/array.hpp>
 
 #include <algorithm>
@@ -12,11 +14,6 @@
 namespace
 {
 
-// A new report is requested when the last one is this old, so that placement
-// also has recent reports of idle targets.
-constexpr std::chrono::milliseconds max_report_age{1'000};
-constexpr std::chrono::milliseconds report_request_interval{250};
-constexpr int max_report_requests_per_tick = 8;
 // The agents of listed targets are asked in this period, which covers the time
 // in which the VMs of a fleet start after a power failure.
 constexpr std::chrono::seconds discovery_period{10};
@@ -486,6 +483,7 @@
 
 void balancer_relay::tick(time_point now)
 {
+    directory_.forget_ended_targets(now);
     forwarder_.tick(now);
     continue_searches(now);
     log_.report_suppressed(now);
@@ -500,21 +498,11 @@
 
 void balancer_relay::request_reports(time_point now)
 {
-    int requests = 0;
-    for (auto const& [id, target] : directory_.targets())
-    {
-        bool const is_due =
-            target->record_.state_ != member_state::left &&
-            now > target->report_requested_at_ + report_request_interval &&
-            (!target->has_report_ ||
-             now > target->reported_at_ + max_report_age);
-        if (is_due && requests < max_report_requests_per_tick)
-        {
-            target->report_requested_at_ = now;
-            directory_.on_datagram_sent(*target, now);
-            send_report_request(target->record_);
-            ++requests;
-        }
+    for (auto* const target : next_report_requests(directory_, now))
+    {
+        target->report_requested_at_ = now;
+        directory_.on_datagram_sent(*target, now);
+        send_report_request(target->record_);
     }
 }
 
