--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -27,6 +27,9 @@
     // Caller and backend server don't rely on an older flow that has been idle
     // since the agent's start.
     duration flow_lifetime_ = max_flow_idle_time;
+    // Longer than a caller goes on trying to open a flow. All SYNs of a later
+    // attempt pass through this process.
+    duration opening_time_ = std::chrono::seconds(3);
     // A lost packet of a flow is retransmitted within this time.
     duration retransmission_time_ = std::chrono::seconds(2);
     // A longer gap between two ticks means that this process was paused.
@@ -211,6 +214,7 @@
                                      flow const& value);
     flow const* find_half_open(flow_key const& key) const;
     void begin_half_open(flow& value, bool may_predate_agent, time_point now);
+    bool may_follow_earlier_syn(time_point now) const;
     void record_syn(flow& value, flow_packet const& packet, time_point now);
     void close_flow(flow& value);
     void record_syn_ack(flow_packet const& packet, time_point now);
--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -135,8 +135,15 @@
     return is_idle_or_unknown ? flow_ownership::not_held : ownership(key);
 }
 
-// A retransmitted SYN may follow a SYN that an earlier process of the agent
-// passed. The first SYN of a flow can't, since the caller sends it once.
+// True if an earlier process of the agent may have passed another SYN of a flow
+// whose SYN arrives now. The order of the SYNs doesn't show that: the first one
+// may have waited elsewhere while a copy was passed.
+bool backend_observer::may_follow_earlier_syn(time_point now) const
+{
+    return !tracking_since_ ||
+           now <= *tracking_since_ + settings_.opening_time_;
+}
+
 void backend_observer::begin_half_open(flow& value, bool may_predate_agent,
                                        time_point now)
 {
@@ -158,7 +165,7 @@
     {
         value = {};
         value.last_seen_at_ = now;
-        begin_half_open(value, packet.syn_attempt_ > 0, now);
+        begin_half_open(value, may_follow_earlier_syn(now), now);
     }
     else if (!is_copy)
     {
@@ -166,8 +173,6 @@
         value.syn_ack_sequences_ = {};
     }
     value.syn_sequence_ = packet.sequence_;
-    value.may_predate_agent_ =
-        value.may_predate_agent_ && packet.syn_attempt_ > 0;
 }
 
 // Keeps the entry, since the backend server may still wait for a retransmission
@@ -367,7 +372,7 @@
         found = add(key);
         if (found != flows_.end() && packet.opens_flow())
         {
-            begin_half_open(found->second, packet.syn_attempt_ > 0, now);
+            begin_half_open(found->second, may_follow_earlier_syn(now), now);
             found->second.syn_sequence_ = packet.sequence_;
         }
     }
