--- a/include/daisytrail/backend_lifecycle.hpp
+++ b/include/daisytrail/backend_lifecycle.hpp
@@ -10,7 +10,9 @@
 // - Any other run becomes current once it has announced itself regularly for
 //   takeover_time while nothing was heard from the current run.
 // - A run that was reported as ended, or that lived before such a run, never
-//   becomes current again.
+//   becomes current again. The exception is a run that never drained and that
+//   goes on to announce itself for takeover_time: the end was that of a former
+//   run with the same id.
 #pragma once
 
 #include <daisytrail/types.hpp>
@@ -117,7 +119,8 @@
     // True if it is certain that the backend server doesn't run, so that it
     // holds no flows. An end names its run by the id alone, which a later run
     // may have too, and may arrive late. It is certain only of a run that this
-    // agent had heard for takeover_time, and until a run announces itself.
+    // agent had heard for takeover_time and that drained, and until a run
+    // announces itself.
     bool has_certainly_ended() const
     {
         return phase_ == backend_phase::gone && is_end_certain_;
@@ -170,13 +173,16 @@
     void adopt(backend_announcement const& value, time_point now);
     bool begins_now(backend_announcement const& value, time_point now) const;
     bool takes_over(backend_announcement const& value, time_point now);
+    void resume_if_alive(backend_announcement const& value, time_point now);
     bool is_well_known() const;
     bool is_silent(time_point now) const;
 
     std::string service_;
     backend_phase phase_ = backend_phase::unknown;
     bool is_heard_from_start_ = false;
-    bool is_end_certain_ = false;            // meaningful while phase_ is gone
+    // Meaningful while phase_ is gone.
+    bool is_end_certain_ = false;
+    bool was_ready_at_end_ = false;
     backend_announcement last_announcement_; // unset while phase_ is unknown
     std::uint64_t run_count_ = 0;
     // First and last announcement of the current run that were in order.
--- a/src/core/backend_admission.cpp
+++ b/src/core/backend_admission.cpp
@@ -47,10 +47,17 @@
                                                 bool is_owner_unknown,
                                                 time_point now)
 {
-    if (lifecycle_.phase() == backend_phase::gone)
+    if (lifecycle_.has_certainly_ended())
     {
-        return lifecycle_.has_certainly_ended() ? return_reason::not_held
-                                                : return_reason::not_accepting;
+        return return_reason::not_held;
+    }
+    // The end may be that of a former run, while the owner of the observed
+    // flows goes on.
+    if (lifecycle_.phase() == backend_phase::gone &&
+        (packet.opens_flow() ||
+         !observer_.has_observed(packet.flow_from_caller())))
+    {
+        return return_reason::not_accepting;
     }
     return packet.opens_flow()
                ? syn_refusal_reason(now)
--- a/src/core/backend_lifecycle.cpp
+++ b/src/core/backend_lifecycle.cpp
@@ -78,8 +78,9 @@
     if (phase_ == backend_phase::gone)
     {
         is_end_certain_ = false;
+        resume_if_alive(value, now);
     }
-    else
+    if (phase_ != backend_phase::gone)
     {
         last_heard_at_ = now;
         challenger_ = {};
@@ -147,10 +148,14 @@
                                    time_point now)
 {
     bool const is_regular = now <= challenger_.last_heard_at_ + takeover_time;
-    if (challenger_.run_ != run_of(value) || !is_regular)
+    if (challenger_.run_ != run_of(value))
     {
         challenger_ = {run_of(value), 0, 0, now, now};
     }
+    if (!is_regular)
+    {
+        challenger_ = {run_of(value), challenger_.sequence_, 0, now, now};
+    }
     if (value.sequence_ <= challenger_.sequence_)
     {
         return false;
@@ -162,6 +167,18 @@
            now >= challenger_.first_heard_at_ + takeover_time;
 }
 
+// Revokes an end that was presumably that of a former run with the same id: the
+// current run hasn't drained and still announces itself regularly.
+void backend_lifecycle::resume_if_alive(backend_announcement const& value,
+                                        time_point now)
+{
+    if (was_ready_at_end_ && value.phase_ == backend_phase::ready &&
+        takes_over(value, now))
+    {
+        phase_ = backend_phase::ready;
+    }
+}
+
 bool backend_lifecycle::is_in_force(backend_announcement const& value,
                                     announcement_outcome outcome) const
 {
@@ -186,8 +203,7 @@
 {
     // The end is reported only by the backend server on this agent's host, so
     // before the first announcement `id` must be the current run.
-    bool const was_announced = phase_ != backend_phase::unknown;
-    if (!was_announced)
+    if (phase_ == backend_phase::unknown)
     {
         last_announcement_.id_ = id;
     }
@@ -195,10 +211,12 @@
     {
         return false;
     }
-    bool const is_repeated = phase_ == backend_phase::gone;
+    if (phase_ != backend_phase::gone)
+    {
+        was_ready_at_end_ = phase_ == backend_phase::ready;
+        is_end_certain_ = phase_ == backend_phase::draining && is_well_known();
+    }
     phase_ = backend_phase::gone;
-    is_end_certain_ =
-        is_repeated ? is_end_certain_ : was_announced && is_well_known();
     // The run lived until now, so all runs before it have ended.
     for (auto const& each : former_runs_)
     {
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -125,7 +125,8 @@
     log_event(log_level::info, "backend_ended",
               {{"run", id},
                {"current_run", lifecycle_.last_announcement().id_},
-               {"outcome", is_current ? "gone" : "not the current run"}});
+               {"outcome", is_current ? "gone" : "not the current run"},
+               {"certain", lifecycle_.has_certainly_ended()}});
     if (is_current)
     {
         relay_.report_now(current_time());
--- a/test/unit/backend_admission_test.cpp
+++ b/test/unit/backend_admission_test.cpp
@@ -97,10 +97,10 @@
 TEST_CASE_FIXTURE(admission_fixture,
                   "a backend server that has ended holds no flows")
 {
-    // An end counts only for a run that was heard for a while.
+    // An end counts only for a run that was heard for a while and drained.
     announce();
     now_ += takeover_time;
-    announce();
+    announce(backend_phase::draining);
     lifecycle_.on_end("run");
     CHECK(offer_packet(packet(1)) == return_reason::not_held);
     CHECK(offer_packet(syn(2)) == return_reason::not_held);
@@ -121,12 +121,19 @@
         announce();
         lifecycle_.on_end("run");
     }
-    SUBCASE("of a run that goes on to announce itself")
+    SUBCASE("of a run that takes new flows")
     {
         announce();
         now_ += takeover_time;
         announce();
         lifecycle_.on_end("run");
+    }
+    SUBCASE("of a run that goes on to announce itself")
+    {
+        announce();
+        now_ += takeover_time;
+        announce(backend_phase::draining);
+        lifecycle_.on_end("run");
         announce();
         lifecycle_.on_end("run");
     }
@@ -134,7 +141,7 @@
     {
         announce();
         now_ += takeover_time;
-        announce();
+        announce(backend_phase::draining);
         lifecycle_.on_end("run");
         backend_announcement other;
         other.id_ = "other";
@@ -176,3 +183,23 @@
     CHECK(passed >= 17);
     CHECK(passed <= 20);
 }
+
+// Guards against packets of open flows that reach nobody: the end of a former
+// run came late and was taken for the end of the run that owns the flows.
+TEST_CASE_FIXTURE(admission_fixture,
+                  "an end that may be that of another run keeps open flows")
+{
+    announce();
+    now_ += takeover_time;
+    announce();
+    REQUIRE(offer_packet(syn(1)) == return_reason::none);
+    auto syn_ack = syn(1);
+    std::swap(syn_ack.source_, syn_ack.destination_);
+    syn_ack.ack_ = true;
+    observer_.on_backend_packet(syn_ack, now_);
+    REQUIRE(offer_packet(packet(1)) == return_reason::none);
+    lifecycle_.on_end("run");
+    CHECK(offer_packet(packet(1)) == return_reason::none);
+    CHECK(offer_packet(packet(2)) == return_reason::not_accepting);
+    CHECK(offer_packet(syn(3)) == return_reason::not_accepting);
+}
