Tests of what an agent may deny use addresses of their own process

Cause: the fixture looked for free UDP ports, also for its TCP port, and gave them back before the agent bound them, on an address that all processes use.

Change: the addresses are free for both protocols, all different, and on a loopback address that the process has for itself.

--- a/test/unit/flow_knowledge_test.cpp
+++ b/test/unit/flow_knowledge_test.cpp
@@ -5,14 +5,17 @@
 #include "forward/forward_agent.hpp"
 #include "support/plain_format.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <memory>
 #include <random>
 #include <set>
+#include <unistd.h>
 #include <vector>
 
 using namespace daisytrail;
@@ -23,15 +26,39 @@
 {
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
 using asio::ip::udp;
 
-endpoint unused_address()
+// A loopback address that no other process uses, so that none takes a port
+// between its choice and its use.
+asio::ip::address_v4 loopback_of_process()
+{
+    constexpr std::uint32_t first = 0x7F400000; // 127.64.0.0
+    constexpr std::uint32_t process_mask = 0x3FFFFF;
+    return asio::ip::address_v4(
+        first + (static_cast<std::uint32_t>(getpid()) & process_mask));
+}
+
+// Returns different addresses that are free for both protocols.
+std::vector<endpoint> unused_addresses(std::size_t count)
 {
     asio::io_context io;
-    udp::socket const socket(
-        io, udp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return {asio::ip::address_v4::loopback().to_uint(),
-            socket.local_endpoint().port()};
+    auto const address = loopback_of_process();
+    std::vector<udp::socket> probes; // keep their addresses from being chosen
+    std::vector<endpoint> result;
+    while (result.size() < count)
+    {
+        auto const& probe = probes.emplace_back(io, udp::endpoint(address, 0));
+        auto const port = probe.local_endpoint().port();
+        tcp::acceptor listener(io, tcp::v4());
+        boost::system::error_code code;
+        listener.bind({address, port}, code);
+        if (!code)
+        {
+            result.push_back({address.to_uint(), port});
+        }
+    }
+    return result;
 }
 
 backend_announcement announce(std::string const& id, std::uint64_t started,
@@ -57,15 +84,16 @@
         auto& common = settings_.agent_.common_;
         common.name_ = "one";
         common.failure_domain_ = "a";
-        common.control_ = unused_address();
-        common.http_ = unused_address();
+        auto const addresses = unused_addresses(6);
+        common.control_ = addresses[0];
+        common.http_ = addresses[1];
         common.keys_ = {std::string(64, 'a')};
         settings_.agent_.organisation_ = "org";
         settings_.agent_.service_ = "orders";
-        settings_.agent_.tunnel_ = unused_address();
-        settings_.backend_ = unused_address();
-        settings_.outbound_ = unused_address();
-        settings_.caller_port_ = unused_address().port_;
+        settings_.agent_.tunnel_ = addresses[2];
+        settings_.backend_ = addresses[3];
+        settings_.outbound_ = addresses[4];
+        settings_.caller_port_ = addresses[5].port_;
         agent_ = std::make_unique<forward_agent>(io_, settings_, format_);
     }
 
