--- a/include/daisytrail/backend_observer.hpp
+++ b/include/daisytrail/backend_observer.hpp
@@ -229,7 +229,7 @@
     void begin_opening(flow& value, flow_key const& key, time_point now);
     void end_opening(flow& value);
     void update_averages(time_point now);
-    void record_answer(flow& value, double answer_time);
+    void record_answer(flow& value, duration answer_time);
     void record_outcome(flow& value, bool failed);
 
     backend_observer_settings settings_;
--- a/test/unit/backend_observer_test.cpp
+++ b/test/unit/backend_observer_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the passive monitoring of a backend server, of its lifecycle and of
 // the return paths to balancers.
+#include "support/announcements.hpp"
+
 #include <daisytrail/backend_lifecycle.hpp>
 #include <daisytrail/backend_observer.hpp>
 #include <daisytrail/return_paths.hpp>
@@ -7,6 +9,7 @@
 #include <doctest/doctest.h>
 
 using namespace daisytrail;
+using namespace daisytrail::test;
 using namespace std::chrono_literals;
 
 namespace
@@ -72,19 +75,6 @@
     backend_observer observer_;
 };
 
-backend_announcement announce(std::string const& id, std::uint64_t started,
-                              std::uint64_t sequence,
-                              backend_phase phase = backend_phase::ready)
-{
-    backend_announcement value;
-    value.id_ = id;
-    value.service_ = "orders";
-    value.started_at_ms_ = started;
-    value.sequence_ = sequence;
-    value.phase_ = phase;
-    return value;
-}
-
 } // namespace
 
 TEST_CASE_FIXTURE(observer_fixture, "a request counts until its answer begins")
@@ -191,14 +181,14 @@
     backend_lifecycle lifecycle("orders");
     time_point const now{1h};
     CHECK(lifecycle.phase() == backend_phase::unknown);
-    CHECK(lifecycle.on_announcement(announce("b", 20, 5), now) ==
+    CHECK(lifecycle.on_announcement(make_announcement("b", 20, 5), now) ==
           announcement_outcome::accepted);
-    CHECK(
-        lifecycle.on_announcement(announce("a", 10, 9, backend_phase::draining),
-                                  now) == announcement_outcome::not_current);
-    CHECK(
-        lifecycle.on_announcement(announce("b", 20, 4, backend_phase::draining),
-                                  now) == announcement_outcome::out_of_order);
+    CHECK(lifecycle.on_announcement(
+              make_announcement("a", 10, 9, backend_phase::draining), now) ==
+          announcement_outcome::not_current);
+    CHECK(lifecycle.on_announcement(
+              make_announcement("b", 20, 4, backend_phase::draining), now) ==
+          announcement_outcome::out_of_order);
     CHECK(lifecycle.phase() == backend_phase::ready);
 }
 
@@ -206,14 +196,14 @@
 {
     backend_lifecycle lifecycle("orders");
     time_point const now{1h};
-    lifecycle.on_announcement(announce("a", 10, 1), now);
-    lifecycle.on_announcement(announce("a", 10, 2, backend_phase::draining),
-                              now);
+    lifecycle.on_announcement(make_announcement("a", 10, 1), now);
+    lifecycle.on_announcement(
+        make_announcement("a", 10, 2, backend_phase::draining), now);
     CHECK(lifecycle.phase() == backend_phase::draining);
-    CHECK(lifecycle.on_announcement(announce("a", 10, 3), now) ==
+    CHECK(lifecycle.on_announcement(make_announcement("a", 10, 3), now) ==
           announcement_outcome::after_draining);
     // A restart under the same id; its announcement sequence starts again.
-    CHECK(lifecycle.on_announcement(announce("a", 30, 1), now) ==
+    CHECK(lifecycle.on_announcement(make_announcement("a", 30, 1), now) ==
           announcement_outcome::accepted);
     CHECK(lifecycle.phase() == backend_phase::ready);
 }
@@ -222,7 +212,7 @@
 {
     backend_lifecycle lifecycle("orders");
     time_point const now{1h};
-    lifecycle.on_announcement(announce("b", 20, 1), now);
+    lifecycle.on_announcement(make_announcement("b", 20, 1), now);
     CHECK_FALSE(lifecycle.on_end("a"));
     CHECK(lifecycle.on_end("b"));
     CHECK(lifecycle.phase() == backend_phase::gone);
@@ -231,7 +221,7 @@
 TEST_CASE("an announcement of another service is refused")
 {
     backend_lifecycle lifecycle("orders");
-    auto value = announce("a", 1, 1);
+    auto value = make_announcement("a", 1, 1);
     value.service_ = "sheets";
     CHECK(lifecycle.on_announcement(value, time_point{1h}) ==
           announcement_outcome::other_service);
--- a/test/unit/backend_runs_test.cpp
+++ b/test/unit/backend_runs_test.cpp
@@ -1,5 +1,7 @@
 // Tests of an agent that hears of several runs of its backend server: late
 // announcements of former runs, and start times by a clock that jumps.
+#include "support/announcements.hpp"
+
 #include <daisytrail/backend_lifecycle.hpp>
 
 #include <doctest/doctest.h>
@@ -10,6 +12,7 @@
 #include <vector>
 
 using namespace daisytrail;
+using namespace daisytrail::test;
 using namespace std::chrono_literals;
 
 namespace
@@ -20,13 +23,7 @@
 backend_announcement announce(std::uint64_t started, std::uint64_t sequence,
                               backend_phase phase = backend_phase::ready)
 {
-    backend_announcement value;
-    value.id_ = "a";
-    value.service_ = "orders";
-    value.started_at_ms_ = started;
-    value.sequence_ = sequence;
-    value.phase_ = phase;
-    return value;
+    return make_announcement("a", started, sequence, phase);
 }
 
 struct runs_fixture
--- a/test/unit/flow_knowledge_test.cpp
+++ b/test/unit/flow_knowledge_test.cpp
@@ -3,6 +3,7 @@
 // process. The run had taken flows before, through an earlier process of the
 // agent.
 #include "forward/forward_agent.hpp"
+#include "support/announcements.hpp"
 #include "support/plain_format.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -61,19 +62,6 @@
     return result;
 }
 
-backend_announcement announce(std::string const& id, std::uint64_t started,
-                              std::uint64_t sequence,
-                              backend_phase phase = backend_phase::ready)
-{
-    backend_announcement value;
-    value.id_ = id;
-    value.service_ = "orders";
-    value.started_at_ms_ = started;
-    value.sequence_ = sequence;
-    value.phase_ = phase;
-    return value;
-}
-
 // An agent process that has just started, and a balancer that asks it.
 struct new_agent_fixture
 {
@@ -147,23 +135,23 @@
     auto expected = flow_ownership::improbable;
     SUBCASE("as the first run that the process hears of")
     {
-        agent_->on_announcement(announce("a", 5'000, 1));
+        agent_->on_announcement(make_announcement("a", 5'000, 1));
     }
     SUBCASE("after a late announcement of a former run")
     {
-        agent_->on_announcement(announce("a", 2'000, 7));
-        agent_->on_announcement(announce("b", 5'000, 1));
+        agent_->on_announcement(make_announcement("a", 2'000, 7));
+        agent_->on_announcement(make_announcement("b", 5'000, 1));
     }
     SUBCASE("after a late announcement of a former run with the same id")
     {
-        agent_->on_announcement(announce("a", 2'000, 7));
-        agent_->on_announcement(announce("a", 5'000, 1));
+        agent_->on_announcement(make_announcement("a", 2'000, 7));
+        agent_->on_announcement(make_announcement("a", 5'000, 1));
     }
     SUBCASE("after a late announcement of a run that drained")
     {
         agent_->on_announcement(
-            announce("a", 2'000, 7, backend_phase::draining));
-        agent_->on_announcement(announce("b", 5'000, 1));
+            make_announcement("a", 2'000, 7, backend_phase::draining));
+        agent_->on_announcement(make_announcement("b", 5'000, 1));
     }
     SUBCASE("after a late end of a former run with the same id")
     {
@@ -172,14 +160,14 @@
     }
     SUBCASE("after a late announcement and a late end of such a run")
     {
-        agent_->on_announcement(announce("a", 2'000, 7));
+        agent_->on_announcement(make_announcement("a", 2'000, 7));
         agent_->on_backend_end("a");
         expected = flow_ownership::undetermined;
     }
     SUBCASE("after the clock went back")
     {
-        agent_->on_announcement(announce("a", 9'000, 1));
-        agent_->on_announcement(announce("b", 9'001, 1));
+        agent_->on_announcement(make_announcement("a", 9'000, 1));
+        agent_->on_announcement(make_announcement("b", 9'001, 1));
     }
     CHECK(ownership_of_unseen_flow() == expected);
 }
@@ -190,7 +178,7 @@
     "the agent")
 {
     CHECK(ownership_of_unseen_flow() == flow_ownership::undetermined);
-    agent_->on_announcement(announce("a", 5'000, 2));
+    agent_->on_announcement(make_announcement("a", 5'000, 2));
     CHECK(ownership_of_unseen_flow() == flow_ownership::undetermined);
 }
 
@@ -286,7 +274,7 @@
         held_.clear();
         clock_ += pick(0, 20'000);
         clock_ -= 10'000;
-        run_ = announce(pick(0, 1) == 0 ? "a" : "b", clock_, 0);
+        run_ = make_announcement(pick(0, 1) == 0 ? "a" : "b", clock_, 0);
     }
 
     void announce_run()
