--- a/src/core/backend_observer.cpp
+++ b/src/core/backend_observer.cpp
@@ -13,6 +13,7 @@
 // The first acknowledgement of a caller that opened the flow here exceeds the
 // sequence number of the SYN+ACK by at most this many bytes.
 constexpr std::uint32_t max_unacknowledged_bytes = 76'800;
+
 // True if `left` follows `right` in TCP sequence space, which wraps around.
 bool is_after(std::uint32_t left, std::uint32_t right)
 {
